--- /dev/null
+++ b/Makefile
@@ -0,0 +1,21 @@
+.PHONY: build check test demo fmt
+export CGO_ENABLED = 1
+
+build:
+	mkdir -p bin
+	go build -o bin/ ./cmd/...
+
+fmt:
+	go tool gofumpt -w $$(git ls-files -co --exclude-standard '*.go')
+
+check: build
+	@out=$$(go tool gofumpt -l $$(git ls-files -co --exclude-standard '*.go')); if [ -n "$$out" ]; then echo "gofumpt: $$out"; exit 1; fi
+	go vet ./...
+	go tool staticcheck ./...
+	$(MAKE) test
+
+test:
+	go test -race ./...
+
+demo: build
+	scripts/demo.sh
--- /dev/null
+++ b/internal/jobs/apply.go
@@ -0,0 +1,344 @@
+package jobs
+
+import (
+	"slices"
+
+	"teaselpaddle.example/teaselpaddle/internal/model"
+)
+
+// defaultMaxFailures is the number of different workers on which a job may fail
+// if no policy says otherwise.
+const defaultMaxFailures = 3
+
+func (m *Machine) apply(index uint64, c *Command) *Result {
+	switch c.Kind {
+	case KindSubmit:
+		return m.submit(index, c)
+	case KindAdoptConfig:
+		return m.adopt(c)
+	case KindExpire:
+		return m.expire(c)
+	}
+	old := m.Get(c.ID)
+	if old == nil {
+		return refused(model.ReasonNotFound, "job %s is not known", c.ID)
+	}
+	j := *old
+	r := m.change(index, c, &j)
+	if r.Refusal != nil {
+		r.Job = old
+		return r
+	}
+	m.put(old, &j)
+	r.Job = &j
+	return r
+}
+
+// change applies a command to the copy j of a job's record.
+func (m *Machine) change(index uint64, c *Command, j *model.Job) *Result {
+	switch c.Kind {
+	case KindIntend:
+		return intend(index, c, j)
+	case KindCancel:
+		return cancel(c, j)
+	case KindConclude:
+		return conclude(c, j)
+	}
+	if j.Attempt == nil || j.Attempt.Fence != c.Fence {
+		return refused(model.ReasonStaleFence, "job %s: attempt %d is not the current one", j.ID, c.Fence)
+	}
+	a := *j.Attempt
+	j.Attempt = &a
+	switch c.Kind {
+	case KindCommitStart:
+		return commitStart(j)
+	case KindMarkRunning:
+		return markRunning(c, j)
+	case KindTaskResult:
+		return taskResult(c, j)
+	case KindEndAttempt:
+		return m.endAttempt(c, j)
+	}
+	return refused(model.ReasonInternal, "command kind %d is not known", c.Kind)
+}
+
+func refused(reason model.Reason, format string, args ...any) *Result {
+	return &Result{Refusal: model.Refuse(reason, format, args...)}
+}
+
+func (m *Machine) submit(index uint64, c *Command) *Result {
+	if old := m.Get(c.ID); old != nil {
+		if !sameSpec(&old.Spec, c.Spec) {
+			r := refused(model.ReasonKeyConflict, "key %q was used for a different request", c.Spec.Key)
+			return r
+		}
+		return &Result{Job: old, Existing: true}
+	}
+	cust, _ := m.Config().Customer(c.Spec.Customer)
+	if cust == nil {
+		r := refused(model.ReasonUnknownCustomer, "customer %q does not exist", c.Spec.Customer)
+		r.Refusal.State = model.NotRun
+		return r
+	}
+	if cust.QueueLimit > 0 && m.Queued(cust.Name) >= cust.QueueLimit {
+		r := refused(model.ReasonQueueFull, "customer %q has %d queued jobs, its limit", cust.Name, cust.QueueLimit)
+		r.Refusal.State = model.NotRun
+		return r
+	}
+	j := &model.Job{ID: c.ID, Spec: *c.Spec, State: model.Queued, Seq: index, SubmittedAt: c.At}
+	m.put(nil, j)
+	return &Result{Job: j}
+}
+
+// sameSpec compares what the caller sent. Records whose payload was dropped by
+// Expire keep the rest of the request.
+func sameSpec(a, b *model.JobSpec) bool {
+	x, y := *a, *b
+	if !x.Deadline.Equal(y.Deadline) {
+		return false
+	}
+	y.Deadline = x.Deadline
+	return x == y
+}
+
+func intend(index uint64, c *Command, j *model.Job) *Result {
+	if j.State != model.Queued {
+		return refused(model.ReasonPlacementOutdated, "job %s is %s, not queued", j.ID, j.State)
+	}
+	if len(c.Intend.Placement) != j.Spec.Tasks {
+		return refused(model.ReasonInternal, "job %s: placement of %d of %d tasks", j.ID, len(c.Intend.Placement), j.Spec.Tasks)
+	}
+	j.Attempts++
+	j.State = model.Starting
+	j.Attempt = &model.Attempt{
+		Number: j.Attempts, Fence: index, Phase: model.PhaseReserve,
+		Placement: c.Intend.Placement, Borrowed: c.Intend.Borrowed,
+	}
+	return &Result{}
+}
+
+func commitStart(j *model.Job) *Result {
+	if j.Attempt.Phase != model.PhaseReserve {
+		return &Result{}
+	}
+	if j.CancelRequested {
+		return refused(model.ReasonCancelled, "job %s is being cancelled", j.ID)
+	}
+	j.Attempt.Phase = model.PhaseStart
+	return &Result{}
+}
+
+func markRunning(c *Command, j *model.Job) *Result {
+	if j.State != model.Starting || j.Attempt.Phase != model.PhaseStart {
+		return &Result{}
+	}
+	j.State = model.Running
+	j.EverRan = true
+	j.Attempt.Phase = model.PhaseRun
+	j.Attempt.StartedAt = c.At
+	return &Result{}
+}
+
+// taskResult records a task's answer. Doubles are ignored, so a report that is
+// delivered late or twice changes nothing.
+func taskResult(c *Command, j *model.Job) *Result {
+	a := j.Attempt
+	if a.Phase == model.PhaseReserve {
+		return refused(model.ReasonInternal, "job %s: result of a task that was not started", j.ID)
+	}
+	res := *c.Result
+	if res.Task < 0 || res.Task >= len(a.Placement) || a.Placement[res.Task].Worker != res.Worker {
+		return refused(model.ReasonInvalid, "job %s: task %d was not placed on worker %q", j.ID, res.Task, res.Worker)
+	}
+	j.EverRan = true
+	for i := range a.Results {
+		if a.Results[i].Task == res.Task {
+			return &Result{}
+		}
+	}
+	a.Results = append(slices.Clone(a.Results), res)
+	slices.SortFunc(a.Results, func(x, y model.TaskResult) int { return x.Task - y.Task })
+	if !res.OK {
+		j.FailedOn = addWorker(j.FailedOn, res.Worker)
+		return &Result{}
+	}
+	if len(a.Results) == len(a.Placement) && allOK(a.Results) {
+		finish(c, j, model.Done, "")
+	}
+	return &Result{}
+}
+
+func allOK(rs []model.TaskResult) bool {
+	for i := range rs {
+		if !rs[i].OK {
+			return false
+		}
+	}
+	return true
+}
+
+func addWorker(list []string, w string) []string {
+	if slices.Contains(list, w) {
+		return list
+	}
+	return append(slices.Clone(list), w)
+}
+
+// finish moves j to a final state; the results of the last attempt become its
+// answer.
+func finish(c *Command, j *model.Job, s model.JobState, r model.Reason) {
+	j.State = s
+	j.Reason = r
+	j.FinishedAt = c.At
+	if j.Attempt != nil {
+		j.Results = j.Attempt.Results
+		j.Attempt = nil
+	}
+}
+
+func requeue(j *model.Job) {
+	j.State = model.Queued
+	j.Attempt = nil
+}
+
+func (m *Machine) endAttempt(c *Command, j *model.Job) *Result {
+	if j.State.Final() {
+		return refused(model.ReasonStaleFence, "job %s is %s", j.ID, j.State)
+	}
+	switch c.Outcome {
+	case NotStarted:
+		endNotStarted(c, j)
+	case Lost:
+		endLost(c, j)
+	case Stopped:
+		endStopped(c, j)
+	case TaskFailed:
+		m.endFailed(c, j)
+	default:
+		return refused(model.ReasonInternal, "outcome %d is not known", c.Outcome)
+	}
+	return &Result{}
+}
+
+func endNotStarted(c *Command, j *model.Job) {
+	if !j.CancelRequested {
+		requeue(j)
+		return
+	}
+	finish(c, j, notRunOr(j, model.Cancelled), model.ReasonCancelled)
+}
+
+// endLost ends an attempt whose tasks may have run to an unknown end.
+func endLost(c *Command, j *model.Job) {
+	j.EverRan = true
+	if !j.Spec.Repeatable {
+		finish(c, j, model.Unknown, c.Reason)
+		return
+	}
+	if j.CancelRequested {
+		finish(c, j, model.Cancelled, model.ReasonCancelled)
+		return
+	}
+	requeue(j)
+}
+
+func endStopped(c *Command, j *model.Job) {
+	j.EverRan = true
+	if j.CancelRequested {
+		finish(c, j, model.Cancelled, model.ReasonCancelled)
+		return
+	}
+	if !j.Spec.Repeatable || c.State == model.Failed {
+		finish(c, j, model.Failed, c.Reason)
+		return
+	}
+	requeue(j)
+}
+
+func (m *Machine) endFailed(c *Command, j *model.Job) {
+	j.EverRan = true
+	j.Failures++
+	if j.CancelRequested {
+		finish(c, j, model.Cancelled, model.ReasonCancelled)
+		return
+	}
+	limit := defaultMaxFailures
+	if _, svc := m.Config().Customer(j.Spec.Customer); svc != nil && svc.Policy.MaxFailures > 0 {
+		limit = svc.Policy.MaxFailures
+	}
+	switch {
+	case !j.Spec.Repeatable:
+		finish(c, j, model.Failed, model.ReasonTaskFailed)
+	case len(j.FailedOn) >= limit || j.Failures >= 2*limit:
+		finish(c, j, model.Failed, model.ReasonTooManyFails)
+	default:
+		requeue(j)
+	}
+}
+
+// notRunOr returns NotRun if no task of j ever ran, and s otherwise.
+func notRunOr(j *model.Job, s model.JobState) model.JobState {
+	if j.EverRan {
+		return s
+	}
+	return model.NotRun
+}
+
+func cancel(c *Command, j *model.Job) *Result {
+	if j.State.Final() {
+		return &Result{}
+	}
+	j.CancelRequested = true
+	if j.State == model.Queued {
+		finish(c, j, notRunOr(j, model.Cancelled), model.ReasonCancelled)
+	}
+	return &Result{}
+}
+
+// conclude gives a queued job its final state.
+func conclude(c *Command, j *model.Job) *Result {
+	if j.State != model.Queued {
+		return refused(model.ReasonPlacementOutdated, "job %s is %s, not queued", j.ID, j.State)
+	}
+	finish(c, j, notRunOr(j, model.Failed), c.Reason)
+	return &Result{}
+}
+
+func (m *Machine) adopt(c *Command) *Result {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.config != nil && c.Config.Version <= m.config.Version {
+		return refused(model.ReasonVersionConflict, "version %d is not newer than %d", c.Config.Version, m.config.Version)
+	}
+	m.config = c.Config
+	return &Result{}
+}
+
+// expire drops the results of jobs that have been final for the retention time,
+// and whole records after keyRetention more.
+func (m *Machine) expire(c *Command) *Result {
+	for _, old := range m.ByCustomer("") {
+		if !old.State.Final() {
+			continue
+		}
+		age := c.At.Sub(old.FinishedAt)
+		keep := m.retention(old.Spec.Customer)
+		switch {
+		case age > keep+keyRetention:
+			m.remove(old.ID)
+		case age > keep && !old.Expired:
+			j := *old
+			j.Expired = true
+			j.Results = nil
+			m.put(old, &j)
+		}
+	}
+	return &Result{}
+}
+
+func (m *Machine) remove(id model.JobID) {
+	s := m.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.jobs, id)
+}
--- /dev/null
+++ b/internal/jobs/machine.go
@@ -0,0 +1,281 @@
+// Package jobs is the replicated state machine of one availability zone: the
+// job records, their attempts and results, and the adopted configuration.
+//
+// Every replica applies the same commands in the same order, so Apply depends
+// on nothing but the command and the state: no clock, no randomness, no map
+// order.
+package jobs
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"teaselpaddle.example/teaselpaddle/internal/codec"
+	"teaselpaddle.example/teaselpaddle/internal/model"
+)
+
+// shardCount is the number of job shards; a power of two.
+const shardCount = 16
+
+// keyRetention is how long the identity and final state of a job are kept after
+// its results were dropped. A resend of a not-repeatable request within this
+// time finds the first record.
+const keyRetention = 30 * 24 * time.Hour
+
+// defaultRetention is how long results are kept if no policy says otherwise.
+const defaultRetention = 24 * time.Hour
+
+// Result is what the proposer of a command gets back from Apply.
+type Result struct {
+	Job     *model.Job
+	Refusal *model.Refusal
+	// Existing is set if Submit found the record of an earlier request.
+	Existing bool
+}
+
+// shard holds the jobs whose id hashes to it. mu guards all fields. Job records
+// are immutable; a change replaces the pointer.
+type shard struct {
+	mu       sync.RWMutex
+	jobs     map[model.JobID]*model.Job
+	active   map[model.JobID]*model.Job // those not in a final state
+	watchers map[model.JobID][]chan struct{}
+}
+
+// Machine is the state machine. Apply, Snapshot and Restore are called by one
+// goroutine; the read methods may be called by any.
+type Machine struct {
+	shards [shardCount]shard
+
+	mu      sync.RWMutex // guards the fields below
+	config  *model.Configuration
+	queued  map[string]int // queued jobs by customer
+	applied uint64
+	changed chan struct{} // closed and replaced at each change
+}
+
+// New returns an empty machine.
+func New() *Machine {
+	m := &Machine{queued: map[string]int{}, changed: make(chan struct{})}
+	for i := range m.shards {
+		m.shards[i].reset()
+	}
+	return m
+}
+
+func (s *shard) reset() {
+	s.jobs = map[model.JobID]*model.Job{}
+	s.active = map[model.JobID]*model.Job{}
+	if s.watchers == nil {
+		s.watchers = map[model.JobID][]chan struct{}{}
+	}
+}
+
+func (m *Machine) shard(id model.JobID) *shard {
+	return &m.shards[xxhash.Sum64String(string(id))%shardCount]
+}
+
+// Get returns the record of a job, or nil. The record must not be changed.
+func (m *Machine) Get(id model.JobID) *model.Job {
+	s := m.shard(id)
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.jobs[id]
+}
+
+// Active returns all jobs that are not in a final state, in the order of their
+// submission.
+func (m *Machine) Active() []*model.Job {
+	var out []*model.Job
+	for i := range m.shards {
+		s := &m.shards[i]
+		s.mu.RLock()
+		for _, j := range s.active {
+			out = append(out, j)
+		}
+		s.mu.RUnlock()
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Seq < out[b].Seq })
+	return out
+}
+
+// ByCustomer returns the jobs of a customer, or of all if customer is empty, in
+// the order of their submission.
+func (m *Machine) ByCustomer(customer string) []*model.Job {
+	var out []*model.Job
+	for i := range m.shards {
+		s := &m.shards[i]
+		s.mu.RLock()
+		for _, j := range s.jobs {
+			if customer == "" || j.Spec.Customer == customer {
+				out = append(out, j)
+			}
+		}
+		s.mu.RUnlock()
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Seq < out[b].Seq })
+	return out
+}
+
+// Config returns the adopted configuration, or nil.
+func (m *Machine) Config() *model.Configuration {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.config
+}
+
+// Queued returns the number of queued jobs of a customer.
+func (m *Machine) Queued(customer string) int {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.queued[customer]
+}
+
+// Changed returns a channel that is closed at the next applied command.
+func (m *Machine) Changed() <-chan struct{} {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.changed
+}
+
+// WatchFinal returns a channel that is closed when the job reaches a final
+// state, and a function that ends the watch. The channel is closed already if
+// the job is final.
+func (m *Machine) WatchFinal(id model.JobID) (<-chan struct{}, func()) {
+	s := m.shard(id)
+	ch := make(chan struct{})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if j := s.jobs[id]; j != nil && j.State.Final() {
+		close(ch)
+		return ch, func() {}
+	}
+	s.watchers[id] = append(s.watchers[id], ch)
+	return ch, func() { s.unwatch(id, ch) }
+}
+
+func (s *shard) unwatch(id model.JobID, ch chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := s.watchers[id]
+	for i := range list {
+		if list[i] == ch {
+			list = append(list[:i], list[i+1:]...)
+			break
+		}
+	}
+	if len(list) == 0 {
+		delete(s.watchers, id)
+		return
+	}
+	s.watchers[id] = list
+}
+
+// put replaces the record of a job and wakes its watchers when it is final.
+func (m *Machine) put(old, j *model.Job) {
+	s := m.shard(j.ID)
+	s.mu.Lock()
+	s.jobs[j.ID] = j
+	if j.State.Final() {
+		delete(s.active, j.ID)
+		for _, ch := range s.watchers[j.ID] {
+			close(ch)
+		}
+		delete(s.watchers, j.ID)
+	} else {
+		s.active[j.ID] = j
+	}
+	s.mu.Unlock()
+	m.count(old, j)
+}
+
+// count keeps the number of queued jobs by customer.
+func (m *Machine) count(old, j *model.Job) {
+	was := old != nil && old.State == model.Queued
+	is := j != nil && j.State == model.Queued
+	if was == is {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if is {
+		m.queued[j.Spec.Customer]++
+		return
+	}
+	c := old.Spec.Customer
+	m.queued[c]--
+	if m.queued[c] == 0 {
+		delete(m.queued, c)
+	}
+}
+
+// Apply executes the command in a committed log entry and returns a *Result.
+func (m *Machine) Apply(index uint64, entry []byte) any {
+	var c Command
+	if err := codec.Unmarshal(entry, &c); err != nil {
+		return &Result{Refusal: model.Refuse(model.ReasonInternal, "log entry %d: %v", index, err)}
+	}
+	r := m.apply(index, &c)
+	m.mu.Lock()
+	m.applied = index
+	close(m.changed)
+	m.changed = make(chan struct{})
+	m.mu.Unlock()
+	return r
+}
+
+// state is the snapshot's content.
+type state struct {
+	Applied uint64               `cbor:"1,keyasint"`
+	Config  *model.Configuration `cbor:"2,keyasint,omitempty"`
+	Jobs    []*model.Job         `cbor:"3,keyasint"`
+}
+
+// Snapshot encodes the whole state.
+func (m *Machine) Snapshot() ([]byte, error) {
+	st := state{Jobs: m.ByCustomer("")}
+	m.mu.RLock()
+	st.Applied = m.applied
+	st.Config = m.config
+	m.mu.RUnlock()
+	return codec.Marshal(&st)
+}
+
+// Restore replaces the state by a snapshot's.
+func (m *Machine) Restore(data []byte) error {
+	var st state
+	if err := codec.Unmarshal(data, &st); err != nil {
+		return err
+	}
+	for i := range m.shards {
+		s := &m.shards[i]
+		s.mu.Lock()
+		s.reset()
+		s.mu.Unlock()
+	}
+	m.mu.Lock()
+	m.queued = map[string]int{}
+	m.config = st.Config
+	m.applied = st.Applied
+	m.mu.Unlock()
+	for _, j := range st.Jobs {
+		m.put(nil, j)
+	}
+	m.mu.Lock()
+	close(m.changed)
+	m.changed = make(chan struct{})
+	m.mu.Unlock()
+	return nil
+}
+
+// retention returns how long results of a customer's jobs are kept.
+func (m *Machine) retention(customer string) time.Duration {
+	_, svc := m.Config().Customer(customer)
+	if svc == nil || svc.Policy.RetentionSeconds <= 0 {
+		return defaultRetention
+	}
+	return time.Duration(svc.Policy.RetentionSeconds * float64(time.Second))
+}
--- /dev/null
+++ b/internal/jobs/machine_test.go
@@ -0,0 +1,169 @@
+package jobs
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"teaselpaddle.example/teaselpaddle/internal/model"
+)
+
+// fixture applies commands to a machine with one customer.
+type fixture struct {
+	t     *testing.T
+	m     *Machine
+	index uint64
+	now   time.Time
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{t: t, m: New(), now: time.Unix(1000, 0).UTC()}
+	f.apply(&Command{Kind: KindAdoptConfig, Config: &model.Configuration{
+		Version:  1,
+		Services: []model.Service{{Name: "s", Customers: []model.Customer{{Name: "c", QueueLimit: 2}}}},
+	}})
+	return f
+}
+
+func (f *fixture) apply(c *Command) *Result {
+	f.t.Helper()
+	f.index++
+	f.now = f.now.Add(time.Second)
+	c.At = f.now
+	entry, err := c.Encode()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return f.m.Apply(f.index, entry).(*Result)
+}
+
+func (f *fixture) submit(key string, repeatable bool, tasks int) *Result {
+	spec := &model.JobSpec{Customer: "c", Key: key, Repeatable: repeatable, Tasks: tasks, Accelerators: 1}
+	return f.apply(&Command{Kind: KindSubmit, ID: model.NewJobID("z", "c", key), Spec: spec})
+}
+
+// begin brings a job to the start phase and returns its fencing number.
+func (f *fixture) begin(id model.JobID, workers ...string) uint64 {
+	var p []model.TaskPlacement
+	for i, w := range workers {
+		p = append(p, model.TaskPlacement{Task: i, Worker: w, Accelerators: []int{0}})
+	}
+	r := f.apply(&Command{Kind: KindIntend, ID: id, Intend: &Intend{Placement: p}})
+	if r.Refusal != nil {
+		f.t.Fatal(r.Refusal)
+	}
+	fence := r.Job.Attempt.Fence
+	f.apply(&Command{Kind: KindCommitStart, ID: id, Fence: fence})
+	return fence
+}
+
+// Guards against a resend that makes a second job, and a key used for two
+// different requests.
+func TestSubmitIsIdempotentByKey(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	first := f.submit("k", false, 1)
+	again := f.submit("k", false, 1)
+	is.True(again.Existing)
+	is.Equal(first.Job.Seq, again.Job.Seq)
+	is.Equal(f.submit("k", false, 2).Refusal.Reason, model.ReasonKeyConflict)
+}
+
+// Guards against a queue that grows without bound.
+func TestQueueLimit(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.submit("a", true, 1)
+	f.submit("b", true, 1)
+	r := f.submit("c", true, 1)
+	is.Equal(r.Refusal.Reason, model.ReasonQueueFull)
+	is.Equal(r.Refusal.State, model.NotRun)
+}
+
+// Guards against "not run" for a job that ran, and a second run of a
+// not-repeatable job.
+func TestOutcomes(t *testing.T) {
+	cases := []struct {
+		name       string
+		repeatable bool
+		cancel     bool
+		outcome    Outcome
+		want       model.JobState
+	}{
+		{"not started goes back to the queue", false, false, NotStarted, model.Queued},
+		{"not started and cancelled did not run", false, true, NotStarted, model.NotRun},
+		{"lost and not repeatable is unknown", false, false, Lost, model.Unknown},
+		{"lost, cancelled and not repeatable is unknown", false, true, Lost, model.Unknown},
+		{"lost and repeatable goes back to the queue", true, false, Lost, model.Queued},
+		{"stopped and not repeatable has failed", false, false, Stopped, model.Failed},
+		{"stopped and cancelled is cancelled", true, true, Stopped, model.Cancelled},
+		{"failed and not repeatable has failed", false, false, TaskFailed, model.Failed},
+		{"failed and repeatable goes back to the queue", true, false, TaskFailed, model.Queued},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t)
+			id := f.submit("k", c.repeatable, 1).Job.ID
+			fence := f.begin(id, "w")
+			if c.cancel {
+				f.apply(&Command{Kind: KindCancel, ID: id})
+			}
+			r := f.apply(&Command{Kind: KindEndAttempt, ID: id, Fence: fence, Outcome: c.outcome, Reason: model.ReasonWorkerLost})
+			is.Equal(r.Refusal, nil)
+			is.Equal(r.Job.State, c.want)
+		})
+	}
+}
+
+// Guards against an answer that lacks a task, and against late or doubled
+// reports that change an answer.
+func TestWholeAnswer(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	id := f.submit("k", true, 2).Job.ID
+	old := f.begin(id, "w1", "w2")
+	f.apply(&Command{Kind: KindEndAttempt, ID: id, Fence: old, Outcome: Lost})
+	fence := f.begin(id, "w1", "w2")
+
+	report := func(fence uint64, task int, worker, output string) *Result {
+		return f.apply(&Command{
+			Kind: KindTaskResult, ID: id, Fence: fence,
+			Result: &model.TaskResult{Task: task, Worker: worker, OK: true, Output: output},
+		})
+	}
+	is.Equal(report(old, 1, "w2", "late").Refusal.Reason, model.ReasonStaleFence)
+	is.Equal(report(fence, 1, "w2", "two").Job.State, model.Starting)
+	is.Equal(report(fence, 1, "w2", "double").Job.State, model.Starting)
+	r := report(fence, 0, "w1", "one")
+	is.Equal(r.Job.State, model.Done)
+	is.Equal(r.Job.Results[0].Output, "one")
+	is.Equal(r.Job.Results[1].Output, "two")
+}
+
+// Guards against state that a snapshot does not carry.
+func TestSnapshotRestore(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	id := f.submit("k", true, 1).Job.ID
+	f.begin(id, "w")
+	f.submit("l", true, 1)
+	data, err := f.m.Snapshot()
+	is.NoErr(err)
+	m := New()
+	is.NoErr(m.Restore(data))
+	again, err := m.Snapshot()
+	is.NoErr(err)
+	is.Equal(data, again)
+	is.Equal(m.Queued("c"), 1)
+}
+
+// Guards against a configuration that reverts.
+func TestConfigurationNeverReverts(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	r := f.apply(&Command{Kind: KindAdoptConfig, Config: &model.Configuration{Version: 1}})
+	is.Equal(r.Refusal.Reason, model.ReasonVersionConflict)
+	is.Equal(len(f.m.Config().Services), 1)
+}
--- /dev/null
+++ b/internal/model/reason.go
@@ -0,0 +1,52 @@
+package model
+
+// Reason says why a request was refused, retried or concluded. Each refusal and
+// retry reason has a counter.
+type Reason string
+
+// Reasons for refusals; they are also the stable codes of problem documents.
+const (
+	ReasonInvalid           Reason = "invalid_request"
+	ReasonTooLarge          Reason = "too_large"
+	ReasonNotFound          Reason = "not_found"
+	ReasonKeyConflict       Reason = "key_conflict"
+	ReasonUnknownCustomer   Reason = "unknown_customer"
+	ReasonQueueFull         Reason = "queue_full"
+	ReasonNeverFits         Reason = "never_fits"
+	ReasonDeadlineUnmet     Reason = "deadline_cannot_be_met"
+	ReasonNoConfiguration   Reason = "no_configuration"
+	ReasonNoDurableReplica  Reason = "no_durable_replica"
+	ReasonNoLeader          Reason = "no_leader"
+	ReasonOwnerUnreachable  Reason = "owner_zone_unreachable"
+	ReasonOutcomeUnknown    Reason = "outcome_unknown"
+	ReasonStopping          Reason = "stopping"
+	ReasonOverloaded        Reason = "overloaded"
+	ReasonVersionConflict   Reason = "version_conflict"
+	ReasonPublishKeyReuse   Reason = "publish_key_reused"
+	ReasonGuaranteesTooBig  Reason = "guarantees_do_not_fit"
+	ReasonStaleFence        Reason = "stale_fencing_number"
+	ReasonStaleTerm         Reason = "stale_term"
+	ReasonWorkerFull        Reason = "worker_full"
+	ReasonWorkerLeaving     Reason = "worker_leaving"
+	ReasonInternal          Reason = "internal_error"
+	ReasonMethodNotAllowed  Reason = "method_not_allowed"
+	ReasonPlacementOutdated Reason = "placement_outdated"
+)
+
+// Reasons for final states and retries.
+const (
+	ReasonCancelled      Reason = "cancelled_by_caller"
+	ReasonDeadlinePassed Reason = "deadline_passed"
+	ReasonTaskFailed     Reason = "task_failed"
+	ReasonTooManyFails   Reason = "failed_on_several_workers"
+	ReasonWorkerLost     Reason = "worker_lost"
+	ReasonReserveFailed  Reason = "reserve_failed"
+	ReasonStartFailed    Reason = "start_failed"
+	ReasonReclaimed      Reason = "reclaimed"
+	ReasonLeaderChanged  Reason = "leader_changed"
+	ReasonLinkSilent     Reason = "link_silent"
+	ReasonTimeout        Reason = "timeout"
+	ReasonGangMemberLost Reason = "gang_member_lost"
+	ReasonOverTime       Reason = "over_declared_time"
+	ReasonOverMemory     Reason = "over_declared_memory"
+)
--- /dev/null
+++ b/internal/routing/routing.go
@@ -0,0 +1,290 @@
+// Package routing brings each request to the instance that can answer it: the
+// leader of the job's owner zone, or for reads any instance of that zone.
+package routing
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+
+	"teaselpaddle.example/teaselpaddle/internal/codec"
+	"teaselpaddle.example/teaselpaddle/internal/jobs"
+	"teaselpaddle.example/teaselpaddle/internal/link"
+	"teaselpaddle.example/teaselpaddle/internal/model"
+	"teaselpaddle.example/teaselpaddle/internal/replica"
+	"teaselpaddle.example/teaselpaddle/internal/telemetry"
+	"teaselpaddle.example/teaselpaddle/internal/workerapi"
+)
+
+// Op is what a request asks for.
+type Op string
+
+// The operations on a zone.
+const (
+	OpSubmit Op = "submit"
+	OpCancel Op = "cancel"
+	OpGet    Op = "get"
+	OpList   Op = "list"
+	OpReport Op = "report"
+	OpAdopt  Op = "adopt"
+)
+
+// Request is a request for a zone.
+type Request struct {
+	Op       Op                `cbor:"1,keyasint"`
+	ID       model.JobID       `cbor:"2,keyasint,omitempty"`
+	Spec     *model.JobSpec    `cbor:"3,keyasint,omitempty"`
+	Customer string            `cbor:"4,keyasint,omitempty"`
+	Report   *workerapi.Report `cbor:"5,keyasint,omitempty"`
+	// WaitMillis is how long a get waits for a final state.
+	WaitMillis int64 `cbor:"6,keyasint,omitempty"`
+	// LeaderOnly is set when a request was forwarded inside its zone, so that
+	// two instances that disagree about the leader do not forward it in a loop.
+	LeaderOnly bool `cbor:"7,keyasint,omitempty"`
+	// Config goes with an adopt.
+	Config *model.Configuration `cbor:"8,keyasint,omitempty"`
+}
+
+// Response is the answer to a request.
+type Response struct {
+	Job      *model.Job     `cbor:"1,keyasint,omitempty"`
+	Jobs     []*model.Job   `cbor:"2,keyasint,omitempty"`
+	Refusal  *model.Refusal `cbor:"3,keyasint,omitempty"`
+	Existing bool           `cbor:"4,keyasint,omitempty"`
+	// NotLeader is set if LeaderOnly was and this instance does not lead.
+	NotLeader bool `cbor:"5,keyasint,omitempty"`
+}
+
+// Time limits of one request.
+const (
+	callTimeout    = 2 * time.Second        // one call to one instance
+	requestTimeout = 6 * time.Second        // all calls of one request
+	retryPause     = 100 * time.Millisecond // between two tries
+	retryAfter     = 2 * time.Second        // told to callers
+)
+
+// Router routes the requests that arrive at one instance.
+type Router struct {
+	Self    string
+	Zone    string
+	Zones   []string
+	InZone  func(zone string) []string
+	Peers   link.Peers
+	Group   replica.Group
+	Machine *jobs.Machine
+	Log     logr.Logger
+}
+
+// Register makes the router answer other instances' requests.
+func (r *Router) Register() {
+	r.Peers.Handle(link.KindRequest, func(ctx context.Context, _ string, body []byte) ([]byte, error) {
+		var req Request
+		if err := codec.Unmarshal(body, &req); err != nil {
+			return nil, err
+		}
+		return codec.Marshal(r.local(ctx, &req))
+	})
+}
+
+// Submit accepts a job or returns the record of an earlier request with the
+// same identity. The error is a *model.Refusal.
+func (r *Router) Submit(ctx context.Context, spec *model.JobSpec) (*Response, error) {
+	zone := model.OwnerZone(r.Zones, spec.Customer, spec.Key)
+	id := model.NewJobID(zone, spec.Customer, spec.Key)
+	return r.Do(ctx, zone, &Request{Op: OpSubmit, ID: id, Spec: spec})
+}
+
+// Do carries out a request in a zone. The error is a *model.Refusal.
+func (r *Router) Do(ctx context.Context, zone string, req *Request) (*Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout+time.Duration(req.WaitMillis)*time.Millisecond)
+	defer cancel()
+	var resp *Response
+	if zone == r.Zone {
+		resp = r.local(ctx, req)
+	} else {
+		resp = r.remote(ctx, zone, req)
+	}
+	if resp.Refusal != nil {
+		telemetry.Refused(resp.Refusal.Reason)
+		return nil, resp.Refusal
+	}
+	return resp, nil
+}
+
+// remote sends a request to the instances of another zone in turn. The same
+// request may be sent several times: submit, cancel and report are idempotent.
+func (r *Router) remote(ctx context.Context, zone string, req *Request) *Response {
+	for try := 0; ; try++ {
+		for _, to := range r.InZone(zone) {
+			resp, err := r.call(ctx, to, req)
+			if err == nil {
+				return resp
+			}
+			r.Log.V(1).Info("request failed", "to", to, "op", req.Op, "job", req.ID, "error", err.Error())
+		}
+		telemetry.Retried(model.ReasonOwnerUnreachable)
+		if !pause(ctx, retryPause) || try >= 2 {
+			// An earlier request with the same key may have run, so nothing
+			// better than unknown is certain here.
+			return &Response{Refusal: model.Refuse(model.ReasonOwnerUnreachable,
+				"availability zone %q cannot be reached", zone).After(retryAfter).With(model.Unknown)}
+		}
+	}
+}
+
+func (r *Router) call(ctx context.Context, to string, req *Request) (*Response, error) {
+	body, err := codec.Marshal(req)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout+time.Duration(req.WaitMillis)*time.Millisecond)
+	defer cancel()
+	out, err := r.Peers.Call(ctx, to, link.KindRequest, body)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	var resp Response
+	return &resp, codec.Unmarshal(out, &resp)
+}
+
+// local carries out a request in this instance's own zone.
+func (r *Router) local(ctx context.Context, req *Request) *Response {
+	switch req.Op {
+	case OpGet:
+		return r.get(ctx, req)
+	case OpList:
+		return &Response{Jobs: r.Machine.ByCustomer(req.Customer)}
+	}
+	for {
+		resp := r.tryLeader(ctx, req)
+		if resp != nil {
+			return resp
+		}
+		telemetry.Retried(model.ReasonNoLeader)
+		if !pause(ctx, retryPause) {
+			return &Response{Refusal: model.Refuse(model.ReasonNoLeader,
+				"availability zone %q has no leader", r.Zone).After(retryAfter).With(model.Unknown)}
+		}
+	}
+}
+
+// tryLeader returns nil if the leader was not found.
+func (r *Router) tryLeader(ctx context.Context, req *Request) *Response {
+	st := r.Group.Status()
+	if st.Leader == r.Self {
+		resp := r.lead(ctx, req)
+		if resp.NotLeader && !req.LeaderOnly {
+			return nil
+		}
+		return resp
+	}
+	if req.LeaderOnly {
+		return &Response{NotLeader: true}
+	}
+	if st.Leader == "" {
+		return nil
+	}
+	fwd := *req
+	fwd.LeaderOnly = true
+	resp, err := r.call(ctx, st.Leader, &fwd)
+	if err != nil || resp.NotLeader {
+		return nil
+	}
+	return resp
+}
+
+// lead carries out a request as the zone's leader.
+func (r *Router) lead(ctx context.Context, req *Request) *Response {
+	cmd := &jobs.Command{At: time.Now().UTC(), ID: req.ID}
+	switch req.Op {
+	case OpSubmit:
+		cmd.Kind = jobs.KindSubmit
+		cmd.Spec = req.Spec
+		if !req.Spec.Repeatable && !r.Group.Status().Durable {
+			return &Response{Refusal: model.Refuse(model.ReasonNoDurableReplica,
+				"zone %q has no replica with a disk", r.Zone).After(retryAfter)}
+		}
+	case OpCancel:
+		cmd.Kind = jobs.KindCancel
+	case OpAdopt:
+		cmd.Kind = jobs.KindAdoptConfig
+		cmd.Config = req.Config
+	case OpReport:
+		return r.report(ctx, req.Report)
+	default:
+		return &Response{Refusal: model.Refuse(model.ReasonInvalid, "operation %q is not known", req.Op)}
+	}
+	return r.propose(ctx, cmd)
+}
+
+func (r *Router) report(ctx context.Context, rep *workerapi.Report) *Response {
+	if rep.Result == nil {
+		return &Response{}
+	}
+	cmd := &jobs.Command{
+		Kind: jobs.KindTaskResult, At: time.Now().UTC(),
+		ID: rep.Job, Fence: rep.Fence, Result: rep.Result,
+	}
+	return r.propose(ctx, cmd)
+}
+
+func (r *Router) propose(ctx context.Context, cmd *jobs.Command) *Response {
+	entry, err := cmd.Encode()
+	if err != nil {
+		return &Response{Refusal: model.Refuse(model.ReasonInternal, "%v", err)}
+	}
+	out, err := r.Group.Propose(ctx, entry)
+	var nl *replica.NotLeaderError
+	if errors.As(err, &nl) {
+		return &Response{NotLeader: true}
+	}
+	if err != nil {
+		return &Response{Refusal: model.Refuse(model.ReasonOutcomeUnknown, "%v", err).
+			After(retryAfter).With(model.Unknown)}
+	}
+	res, ok := out.(*jobs.Result)
+	if !ok {
+		return &Response{Refusal: model.Refuse(model.ReasonInternal, "unexpected result %T", out)}
+	}
+	return &Response{Job: res.Job, Refusal: res.Refusal, Existing: res.Existing}
+}
+
+// get answers from the local replica. A record that is not there or not final
+// is read again after everything committed has been applied.
+func (r *Router) get(ctx context.Context, req *Request) *Response {
+	j := r.Machine.Get(req.ID)
+	if j == nil {
+		if err := r.Group.ReadIndex(ctx); err != nil {
+			return &Response{Refusal: model.Refuse(model.ReasonNoLeader, "%v", err).
+				After(retryAfter).With(model.Unknown)}
+		}
+		j = r.Machine.Get(req.ID)
+	}
+	if j == nil {
+		return &Response{Refusal: model.Refuse(model.ReasonNotFound, "job %q is not known", req.ID)}
+	}
+	if req.WaitMillis > 0 && !j.State.Final() {
+		final, stop := r.Machine.WatchFinal(req.ID)
+		defer stop()
+		select {
+		case <-final:
+		case <-time.After(time.Duration(req.WaitMillis) * time.Millisecond):
+		case <-ctx.Done():
+		}
+		if latest := r.Machine.Get(req.ID); latest != nil {
+			j = latest
+		}
+	}
+	return &Response{Job: j}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- /dev/null
+++ b/internal/sched/naive/naive.go
@@ -0,0 +1,134 @@
+// Package naive is the reference for the differential tests and the baseline of
+// the measurements: first come, first served, first fit, without guarantees,
+// reservations or preemption.
+package naive
+
+import (
+	"slices"
+
+	"teaselpaddle.example/teaselpaddle/internal/model"
+	"teaselpaddle.example/teaselpaddle/internal/sched"
+)
+
+// free is what is left of one worker.
+type free struct {
+	w     *sched.Worker
+	cores int
+	mem   int
+	slots int
+	accel []bool // true if in use
+}
+
+// Decide starts waiting jobs in the order of submission and stops at the first
+// that does not fit.
+func Decide(s *sched.Snapshot) sched.Plan {
+	state := build(s)
+	var plan sched.Plan
+	for i := range s.Waiting {
+		j := &s.Waiting[i]
+		p := place(state, j)
+		if p == nil {
+			break
+		}
+		plan.Starts = append(plan.Starts, sched.Start{ID: j.ID, Placement: p})
+	}
+	return plan
+}
+
+func build(s *sched.Snapshot) []*free {
+	byName := map[string]*free{}
+	var out []*free
+	for i := range s.Workers {
+		w := &s.Workers[i]
+		f := &free{w: w, cores: w.Cores, mem: w.MemoryMiB, slots: w.Slots, accel: make([]bool, w.Accelerators)}
+		byName[w.Name] = f
+		out = append(out, f)
+	}
+	for i := range s.Running {
+		r := &s.Running[i]
+		for _, t := range r.Placement {
+			if f := byName[t.Worker]; f != nil {
+				f.take(&r.Spec, t.Accelerators)
+			}
+		}
+	}
+	return out
+}
+
+func (f *free) take(spec *model.JobSpec, accel []int) {
+	f.cores -= spec.CPU
+	f.mem -= spec.MemoryMiB
+	f.slots--
+	for _, a := range accel {
+		if a < len(f.accel) {
+			f.accel[a] = true
+		}
+	}
+}
+
+func (f *free) release(spec *model.JobSpec, accel []int) {
+	f.cores += spec.CPU
+	f.mem += spec.MemoryMiB
+	f.slots++
+	for _, a := range accel {
+		f.accel[a] = false
+	}
+}
+
+// fit returns accelerators for one task, or false.
+func (f *free) fit(j *sched.Waiting) ([]int, bool) {
+	if !f.w.Usable || f.slots < 1 || f.cores < j.Spec.CPU || f.mem < j.Spec.MemoryMiB {
+		return nil, false
+	}
+	if slices.Contains(j.Avoid, f.w.Name) {
+		return nil, false
+	}
+	got := []int{}
+	for a := 0; a < len(f.accel) && len(got) < j.Spec.Accelerators; a++ {
+		if !f.accel[a] {
+			got = append(got, a)
+		}
+	}
+	return got, len(got) == j.Spec.Accelerators
+}
+
+// place puts all tasks of a job or none.
+func place(state []*free, j *sched.Waiting) []model.TaskPlacement {
+	if !j.Spec.Adjacent {
+		return placeIn(state, j, "")
+	}
+	seen := map[string]bool{}
+	for _, f := range state {
+		if seen[f.w.Rack] {
+			continue
+		}
+		seen[f.w.Rack] = true
+		if p := placeIn(state, j, f.w.Rack); p != nil {
+			return p
+		}
+	}
+	return nil
+}
+
+func placeIn(state []*free, j *sched.Waiting, rack string) []model.TaskPlacement {
+	var out []model.TaskPlacement
+	held := map[int]*free{}
+	for _, f := range state {
+		for len(out) < j.Spec.Tasks && (rack == "" || f.w.Rack == rack) {
+			accel, ok := f.fit(j)
+			if !ok {
+				break
+			}
+			f.take(&j.Spec, accel)
+			held[len(out)] = f
+			out = append(out, model.TaskPlacement{Task: len(out), Worker: f.w.Name, Accelerators: accel})
+		}
+	}
+	if len(out) == j.Spec.Tasks {
+		return out
+	}
+	for i, f := range held {
+		f.release(&j.Spec, out[i].Accelerators)
+	}
+	return nil
+}
