--- /dev/null
+++ b/internal/config/diff.go
@@ -0,0 +1,121 @@
+package config
+
+import (
+	"cmp"
+	"fmt"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+
+	"teaselpaddle.example/teaselpaddle/internal/model"
+)
+
+// Difference is one field that differs between two configurations. Before is
+// empty if the field is new, After if it is gone. Customer is empty for fields
+// of the service itself.
+type Difference struct {
+	Service  string `json:"service"`
+	Customer string `json:"customer,omitempty"`
+	Field    string `json:"field"`
+	Before   string `json:"before,omitempty"`
+	After    string `json:"after,omitempty"`
+}
+
+// field is one value of a configuration.
+type field struct{ service, customer, name string }
+
+// Differences lists the fields that differ, ordered by service, customer and
+// field. Either configuration may be nil.
+func Differences(before, after *model.Configuration) []Difference {
+	a, b := fields(before), fields(after)
+	var out []Difference
+	for k, v := range a {
+		if w := b[k]; w != v {
+			out = append(out, Difference{k.service, k.customer, k.name, v, w})
+		}
+	}
+	for k, w := range b {
+		if _, ok := a[k]; !ok {
+			out = append(out, Difference{k.service, k.customer, k.name, "", w})
+		}
+	}
+	slices.SortFunc(out, func(x, y Difference) int {
+		return cmp.Or(strings.Compare(x.Service, y.Service), strings.Compare(x.Customer, y.Customer), strings.Compare(x.Field, y.Field))
+	})
+	return out
+}
+
+func fields(c *model.Configuration) map[field]string {
+	out := map[field]string{}
+	if c == nil {
+		return out
+	}
+	for i := range c.Services {
+		s := &c.Services[i]
+		number := func(name string, v float64) {
+			out[field{s.Name, "", name}] = strconv.FormatFloat(v, 'g', -1, 64)
+		}
+		number("policy.checkpoint_bound_seconds", s.Policy.CheckpointBoundSeconds)
+		number("policy.fragmentation_weight", s.Policy.FragmentationWeight)
+		number("policy.max_failures", float64(s.Policy.MaxFailures))
+		number("policy.retention_seconds", s.Policy.RetentionSeconds)
+		for _, r := range s.Racks {
+			number(fmt.Sprintf("racks %s %dx%d", r.AvailabilityZone, r.WorkersPerRack, r.AcceleratorsPerWorker), float64(r.Racks))
+		}
+		for j := range s.Customers {
+			customerFields(out, s.Name, &s.Customers[j])
+		}
+	}
+	return out
+}
+
+func customerFields(out map[field]string, service string, c *model.Customer) {
+	out[field{service, c.Name, "weight"}] = strconv.Itoa(c.Weight)
+	out[field{service, c.Name, "queue_limit"}] = strconv.Itoa(c.QueueLimit)
+	if c.Quota > 0 {
+		out[field{service, c.Name, "quota"}] = strconv.Itoa(c.Quota)
+	}
+	for _, g := range c.Guarantees {
+		name := fmt.Sprintf("guarantees %s of %d accelerators", g.AvailabilityZone, g.Shape.Accelerators)
+		out[field{service, c.Name, name}] = strconv.Itoa(g.Count)
+	}
+}
+
+// Between returns the services of after that are new or differ from before, and
+// the names of those that are gone. Either configuration may be nil.
+func Between(before, after *model.Configuration) (changed []model.Service, removed []string) {
+	old := byName(before)
+	next := byName(after)
+	for _, name := range names(next) {
+		if o := old[name]; o == nil || !reflect.DeepEqual(o, next[name]) {
+			changed = append(changed, *next[name])
+		}
+	}
+	for _, name := range names(old) {
+		if next[name] == nil {
+			removed = append(removed, name)
+		}
+	}
+	return changed, removed
+}
+
+func byName(c *model.Configuration) map[string]*model.Service {
+	out := map[string]*model.Service{}
+	if c == nil {
+		return out
+	}
+	for i := range c.Services {
+		out[c.Services[i].Name] = &c.Services[i]
+	}
+	return out
+}
+
+func names(m map[string]*model.Service) []string {
+	out := make([]string, 0, len(m))
+	for name := range m {
+		out = append(out, name)
+	}
+	slices.Sort(out)
+	return out
+}
