--- a/internal/jobs/apply.go
+++ b/internal/jobs/apply.go
@@ -304,16 +304,6 @@
 	return &Result{}
 }
 
-func (m *Machine) adopt(c *Command) *Result {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.config != nil && c.Config.Version <= m.config.Version {
-		return refused(model.ReasonVersionConflict, "version %d is not newer than %d", c.Config.Version, m.config.Version)
-	}
-	m.config = c.Config
-	return &Result{}
-}
-
 // expire drops the results of jobs that have been final for the retention time,
 // and whole records after keyRetention more.
 func (m *Machine) expire(c *Command) *Result {
--- a/internal/jobs/machine_test.go
+++ b/internal/jobs/machine_test.go
@@ -19,9 +19,9 @@
 
 func newFixture(t *testing.T) *fixture {
 	f := &fixture{t: t, m: New(), now: time.Unix(1000, 0).UTC()}
-	f.apply(&Command{Kind: KindAdoptConfig, Config: &model.Configuration{
-		Version:  1,
-		Services: []model.Service{{Name: "s", Customers: []model.Customer{{Name: "c", QueueLimit: 2}}}},
+	f.apply(&Command{Kind: KindAdoptConfig, Config: &model.ConfigChange{
+		To:      1,
+		Changed: []model.Service{{Name: "s", Customers: []model.Customer{{Name: "c", QueueLimit: 2}}}},
 	}})
 	return f
 }
@@ -163,7 +163,53 @@
 func TestConfigurationNeverReverts(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t)
-	r := f.apply(&Command{Kind: KindAdoptConfig, Config: &model.Configuration{Version: 1}})
+	r := f.apply(&Command{Kind: KindAdoptConfig, Config: &model.ConfigChange{To: 1}})
 	is.Equal(r.Refusal.Reason, model.ReasonVersionConflict)
 	is.Equal(len(f.m.Config().Services), 1)
 }
+
+// Guards against a change that is applied to another version than the one it
+// was made for, and against services that a change loses or keeps wrongly.
+func TestConfigurationChanges(t *testing.T) {
+	service := func(name string) model.Service { return model.Service{Name: name} }
+	cases := []struct {
+		name     string
+		change   *model.ConfigChange
+		refused  bool
+		version  uint64
+		services []string
+	}{
+		{"no change", nil, true, 3, []string{"s", "t"}},
+		{"whole and newer", &model.ConfigChange{To: 4, Changed: []model.Service{service("u")}}, false, 4, []string{"u"}},
+		{"whole and equal", &model.ConfigChange{To: 3, Changed: []model.Service{service("u")}}, true, 3, []string{"s", "t"}},
+		{"whole and older", &model.ConfigChange{To: 2, Changed: []model.Service{service("u")}}, true, 3, []string{"s", "t"}},
+		{"from the version in force", &model.ConfigChange{From: 3, To: 5, Changed: []model.Service{service("a")}, Removed: []string{"s"}}, false, 5, []string{"a", "t"}},
+		{"from an older version", &model.ConfigChange{From: 2, To: 4, Changed: []model.Service{service("a")}}, true, 3, []string{"s", "t"}},
+		{"from a newer version", &model.ConfigChange{From: 4, To: 5, Changed: []model.Service{service("a")}}, true, 3, []string{"s", "t"}},
+		{"back to an older version", &model.ConfigChange{From: 3, To: 2, Changed: []model.Service{service("a")}}, true, 3, []string{"s", "t"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(t)
+			f.apply(&Command{Kind: KindAdoptConfig, Config: &model.ConfigChange{From: 1, To: 3, Changed: []model.Service{service("t")}}})
+			r := f.apply(&Command{Kind: KindAdoptConfig, Config: c.change})
+			is.Equal(r.Refusal != nil, c.refused)
+			is.Equal(f.m.Config().Version, c.version)
+			var names []string
+			for _, s := range f.m.Config().Services {
+				names = append(names, s.Name)
+			}
+			is.Equal(names, c.services)
+		})
+	}
+}
+
+// Guards against a change of single services as a zone's first configuration.
+func TestFirstConfigurationIsWhole(t *testing.T) {
+	is := is.New(t)
+	f := &fixture{t: t, m: New(), now: time.Unix(1000, 0).UTC()}
+	r := f.apply(&Command{Kind: KindAdoptConfig, Config: &model.ConfigChange{From: 1, To: 2}})
+	is.Equal(r.Refusal.Reason, model.ReasonVersionConflict)
+	is.Equal(f.m.Config(), nil)
+}
