Route publishes to the configuration group and rewrite the tool

A publish went to each zone in turn and could stop halfway. PUT /v1/config is now forwarded to the leader of the configuration group and the zones adopt it; reads for operators ask all zones at once and mark the parts that are missing.

--- /dev/null
+++ b/internal/cli/errors.go
@@ -0,0 +1,124 @@
+package cli
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"teaselpaddle.example/teaselpaddle/internal/httpapi"
+	"teaselpaddle.example/teaselpaddle/internal/model"
+)
+
+// UsageError is a command line that cannot be used.
+type UsageError struct{ Detail string }
+
+func (e *UsageError) Error() string { return e.Detail }
+
+// UnreachableError says that no server could be reached; nothing was sent.
+type UnreachableError struct {
+	Servers []string
+	Cause   error // of the last server
+}
+
+func (e *UnreachableError) Error() string {
+	return fmt.Sprintf("no server can be reached (%s): %v", strings.Join(e.Servers, ", "), e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnreachableError) Unwrap() error { return e.Cause }
+
+// NoAnswerError says that a change was sent and no answer came.
+type NoAnswerError struct {
+	Server string
+	Cause  error
+}
+
+func (e *NoAnswerError) Error() string {
+	return fmt.Sprintf("no answer from %s, the outcome is not known: %v", e.Server, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *NoAnswerError) Unwrap() error { return e.Cause }
+
+// ProblemError is a refusal by a server.
+type ProblemError struct {
+	Problem    httpapi.Problem
+	RetryAfter time.Duration // 0 if a retry cannot help
+}
+
+func (e *ProblemError) Error() string {
+	var b strings.Builder
+	b.WriteString(string(e.Problem.Code))
+	if e.Problem.Field != "" {
+		fmt.Fprintf(&b, ": field %q", e.Problem.Field)
+	}
+	if e.Problem.Detail != "" {
+		b.WriteString(": " + e.Problem.Detail)
+	}
+	if e.Problem.State != "" {
+		fmt.Fprintf(&b, " (state %s)", e.Problem.State)
+	}
+	if e.RetryAfter > 0 {
+		fmt.Fprintf(&b, "; retry after %s", e.RetryAfter)
+	}
+	return b.String()
+}
+
+// uncertain reports whether the refused change may still happen.
+func (e *ProblemError) uncertain() bool {
+	return e.Problem.Code == model.ReasonOutcomeUnknown || e.Problem.State == model.Unknown
+}
+
+// AnswerError is an answer that is not valid for the request.
+type AnswerError struct {
+	Server string
+	Status int
+	Detail string
+}
+
+func (e *AnswerError) Error() string {
+	return fmt.Sprintf("%s answered with status %d and an unexpected body: %s", e.Server, e.Status, e.Detail)
+}
+
+// JobEndError is a job whose final state is not done.
+type JobEndError struct {
+	ID     model.JobID
+	State  model.JobState
+	Reason model.Reason
+}
+
+func (e *JobEndError) Error() string { return fmt.Sprintf("job %s: %s, %s", e.ID, e.State, e.Reason) }
+
+// DeclinedError says that the operator did not confirm.
+type DeclinedError struct{}
+
+func (*DeclinedError) Error() string { return "not confirmed; nothing was published" }
+
+// UnavailableError is a command that this build does not have.
+type UnavailableError struct{ Command string }
+
+func (e *UnavailableError) Error() string { return e.Command + " is not part of this build" }
+
+// exitCode returns the tool's exit code for an error.
+func exitCode(err error) int {
+	var usage *UsageError
+	var unreachable *UnreachableError
+	var lost *NoAnswerError
+	var problem *ProblemError
+	var end *JobEndError
+	switch {
+	case errors.As(err, &usage):
+		return exitUsage
+	case errors.As(err, &unreachable):
+		return exitUnreachable
+	case errors.As(err, &lost):
+		return exitUnknown
+	case errors.As(err, &problem) && problem.uncertain():
+		return exitUnknown
+	case errors.As(err, &end) && end.State == model.Unknown:
+		return exitUnknown
+	}
+	return exitRefused
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -158,7 +158,7 @@
 	s := &sched.Snapshot{Now: now, Zone: c.Zone, Config: cfg}
 	for _, e := range c.Board.List() {
 		w := &e.Worker
-		usable := !w.Leaving && !e.Health.Suspended && now.Sub(e.Health.LastSeen) < workerSilence
+		usable := Usable(&e, now)
 		s.Workers = append(s.Workers, sched.Worker{
 			Name: w.Name, Rack: w.Rack, Cores: w.Cores, MemoryMiB: w.MemoryMiB,
 			Accelerators: w.Accelerators, Slots: w.Slots, Usable: usable,
@@ -179,6 +179,11 @@
 	return s
 }
 
+// Usable reports whether a worker takes new work at now.
+func Usable(e *blackboard.Entry, now time.Time) bool {
+	return !e.Worker.Leaving && !e.Health.Suspended && now.Sub(e.Health.LastSeen) < workerSilence
+}
+
 func (c *Controller) stopping(id model.JobID) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -12,6 +13,7 @@
 
 	"teaselpaddle.example/teaselpaddle/internal/blackboard"
 	"teaselpaddle.example/teaselpaddle/internal/codec"
+	"teaselpaddle.example/teaselpaddle/internal/config"
 	"teaselpaddle.example/teaselpaddle/internal/control"
 	"teaselpaddle.example/teaselpaddle/internal/httpapi"
 	"teaselpaddle.example/teaselpaddle/internal/jobs"
@@ -54,6 +56,8 @@
 		Self: s.Name, Zone: self.AvailabilityZone, Zones: s.Zones(), InZone: s.InZone,
 		Peers: peers, Group: group, Machine: machine, Log: log,
 	}
+	adopter := addConfig(s, router, config.FitSums)
+	addViews(router, board, adopter)
 	router.Register()
 	ctl := &control.Controller{
 		Zone: self.AvailabilityZone, Group: group, Machine: machine, Board: board,
@@ -69,7 +73,7 @@
 		return nil, nil
 	})
 	api := &httpapi.API{
-		Router: router, Board: board, Log: log, Publisher: &publisher{router},
+		Router: router, Board: board, Log: log,
 		Announce: func(w model.Worker) { announce(s, peers, board, w) },
 		Ready:    func() bool { return ctx.Err() == nil && group.Status().Ready },
 	}
@@ -78,7 +82,10 @@
 	go func() { _ = client.Serve(clientLn) }()
 	go func() { _ = peer.Serve(peerLn) }()
 	log.Info("serving", "instance", s.Name, "zone", self.AvailabilityZone, "clients", self.ClientAddress)
+	var wg sync.WaitGroup
+	wg.Go(func() { adopter.Run(ctx) })
 	ctl.Run(ctx)
+	wg.Wait()
 	return stop(client, peer, group)
 }
 
@@ -113,17 +120,3 @@
 	_ = peer.Shutdown(ctx)
 	return errors.Trace(err)
 }
-
-// publisher makes every zone adopt a configuration.
-type publisher struct{ router *routing.Router }
-
-// Publish implements httpapi.Publisher.
-func (p *publisher) Publish(r *http.Request, cfg *model.Configuration) (*model.Configuration, error) {
-	cfg.AcceptedAt = time.Now().UTC()
-	for _, z := range p.router.Zones {
-		if _, err := p.router.Do(r.Context(), z, &routing.Request{Op: routing.OpAdopt, Config: cfg}); err != nil {
-			return nil, err
-		}
-	}
-	return cfg, nil
-}
--- /dev/null
+++ b/internal/httpapi/config.go
@@ -0,0 +1,139 @@
+package httpapi
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/go-chi/chi/v5"
+
+	"teaselpaddle.example/teaselpaddle/internal/config"
+	"teaselpaddle.example/teaselpaddle/internal/model"
+	"teaselpaddle.example/teaselpaddle/internal/routing"
+	"teaselpaddle.example/teaselpaddle/internal/view"
+)
+
+// Bounds on the records of one history answer.
+const (
+	defaultHistory = 50
+	maxHistory     = 2048
+)
+
+// Published is the answer to an accepted publish.
+type Published struct {
+	config.Record
+	// Again is set if an earlier request with the same publish key was accepted.
+	Again bool `json:"again"`
+}
+
+// Parts is an answer made of one part for each availability zone.
+type Parts struct {
+	Instance string      `json:"instance"`
+	Zones    []view.Zone `json:"zones"`
+	// Partial is set if a zone could not be reached; its part has the error.
+	Partial bool `json:"partial"`
+}
+
+// JobList is the answer to a list of jobs.
+type JobList struct {
+	Jobs    []*model.Job `json:"jobs"`
+	Partial bool         `json:"partial"`
+	// Unreachable are the zones whose jobs are missing.
+	Unreachable []view.Zone `json:"unreachable,omitempty"`
+}
+
+// operators adds the operators' routes.
+func (a *API) operators(r chi.Router) {
+	r.Put("/v1/config", a.publish)
+	r.Get("/v1/config", a.config)
+	r.Get("/v1/config/history", a.history)
+	r.Get("/v1/workers", a.parts(routing.OpWorkers))
+	r.Get("/v1/customers", a.parts(routing.OpCustomers))
+	r.Get("/v1/fragmentation", a.parts(routing.OpFragmentation))
+	r.Get("/v1/status", a.parts(routing.OpStatus))
+}
+
+func (a *API) publish(w http.ResponseWriter, r *http.Request) {
+	var p config.Publish
+	if err := decode(w, r, &p); err != nil {
+		writeError(w, err)
+		return
+	}
+	resp, err := a.Router.Publish(r.Context(), &p)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, &Published{Record: *resp.Record, Again: resp.Existing})
+}
+
+// config answers with the configuration in force in this instance's zone, or
+// with source=accepted with the one that the configuration group has accepted.
+func (a *API) config(w http.ResponseWriter, r *http.Request) {
+	cfg := a.Router.Machine.Config()
+	switch source := r.URL.Query().Get("source"); source {
+	case "", "zone":
+	case "accepted":
+		var err error
+		if cfg, err = a.Router.Accepted(r.Context()); err != nil {
+			writeError(w, err)
+			return
+		}
+	default:
+		refuse(w, model.RefuseField("source", "must be %q or %q", "zone", "accepted"))
+		return
+	}
+	if cfg == nil {
+		refuse(w, model.Refuse(model.ReasonNoConfiguration, "no configuration was accepted yet"))
+		return
+	}
+	writeJSON(w, http.StatusOK, cfg)
+}
+
+func (a *API) history(w http.ResponseWriter, r *http.Request) {
+	limit := defaultHistory
+	if s := r.URL.Query().Get("limit"); s != "" {
+		n, err := strconv.Atoi(s)
+		if err != nil || n < 1 || n > maxHistory {
+			refuse(w, model.RefuseField("limit", "must be a whole number from 1 to %d", maxHistory))
+			return
+		}
+		limit = n
+	}
+	records, err := a.Router.History(r.Context(), limit)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	if records == nil {
+		records = []config.Record{}
+	}
+	writeJSON(w, http.StatusOK, records)
+}
+
+// parts answers with the views of all zones.
+func (a *API) parts(op routing.Op) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		out := &Parts{Instance: a.Router.Self, Zones: a.Router.Views(r.Context(), op)}
+		for i := range out.Zones {
+			out.Partial = out.Partial || out.Zones[i].Error != nil
+		}
+		writeJSON(w, http.StatusOK, out)
+	}
+}
+
+// list answers with the jobs of all zones that can be reached.
+func (a *API) list(w http.ResponseWriter, r *http.Request) {
+	out := &JobList{Jobs: []*model.Job{}}
+	req := &routing.Request{Op: routing.OpList, Customer: r.URL.Query().Get("customer")}
+	for _, z := range a.Router.Each(r.Context(), req) {
+		if z.Refusal == nil {
+			out.Jobs = append(out.Jobs, z.Response.Jobs...)
+			continue
+		}
+		out.Partial = true
+		out.Unreachable = append(out.Unreachable, view.Zone{
+			AvailabilityZone: z.Zone, Error: &view.Unreachable{Code: z.Refusal.Reason, Detail: z.Refusal.Detail},
+		})
+	}
+	writeJSON(w, http.StatusOK, out)
+}
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -20,19 +20,13 @@
 // maxWait bounds the wait of one get.
 const maxWait = 60 * time.Second
 
-// Publisher accepts a new configuration.
-type Publisher interface {
-	Publish(r *http.Request, cfg *model.Configuration) (*model.Configuration, error)
-}
-
 // API serves the interface of one instance.
 type API struct {
-	Router    *routing.Router
-	Board     *blackboard.Board
-	Announce  func(w model.Worker)
-	Publisher Publisher
-	Ready     func() bool
-	Log       logr.Logger
+	Router   *routing.Router
+	Board    *blackboard.Board
+	Announce func(w model.Worker)
+	Ready    func() bool
+	Log      logr.Logger
 }
 
 // Handler returns the routes.
@@ -48,9 +42,7 @@
 	r.Get("/v1/jobs", a.list)
 	r.Get("/v1/jobs/{id}", a.get)
 	r.Delete("/v1/jobs/{id}", a.cancel)
-	r.Put("/v1/config", a.publish)
-	r.Get("/v1/config", a.config)
-	r.Get("/v1/workers", a.workers)
+	a.operators(r)
 	r.Post("/v1/workers/announce", a.announce)
 	r.Post("/v1/workers/reports", a.report)
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
@@ -150,21 +142,6 @@
 	return "", "", model.Refuse(model.ReasonNotFound, "job %q is not known", id)
 }
 
-func (a *API) list(w http.ResponseWriter, r *http.Request) {
-	out := []*model.Job{}
-	for _, z := range a.Router.Zones {
-		resp, err := a.Router.Do(r.Context(), z, &routing.Request{
-			Op: routing.OpList, Customer: r.URL.Query().Get("customer"),
-		})
-		if err != nil {
-			writeError(w, err)
-			return
-		}
-		out = append(out, resp.Jobs...)
-	}
-	writeJSON(w, http.StatusOK, out)
-}
-
 func (a *API) announce(w http.ResponseWriter, r *http.Request) {
 	var wk model.Worker
 	if err := decode(w, r, &wk); err != nil {
@@ -188,30 +165,3 @@
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
-
-func (a *API) publish(w http.ResponseWriter, r *http.Request) {
-	var cfg model.Configuration
-	if err := decode(w, r, &cfg); err != nil {
-		writeError(w, err)
-		return
-	}
-	got, err := a.Publisher.Publish(r, &cfg)
-	if err != nil {
-		writeError(w, err)
-		return
-	}
-	writeJSON(w, http.StatusOK, got)
-}
-
-func (a *API) config(w http.ResponseWriter, _ *http.Request) {
-	cfg := a.Router.Machine.Config()
-	if cfg == nil {
-		refuse(w, model.Refuse(model.ReasonNoConfiguration, "no configuration was accepted yet"))
-		return
-	}
-	writeJSON(w, http.StatusOK, cfg)
-}
-
-func (a *API) workers(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, a.Board.List())
-}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -10,11 +10,13 @@
 	"github.com/juju/errors"
 
 	"teaselpaddle.example/teaselpaddle/internal/codec"
+	"teaselpaddle.example/teaselpaddle/internal/config"
 	"teaselpaddle.example/teaselpaddle/internal/jobs"
 	"teaselpaddle.example/teaselpaddle/internal/link"
 	"teaselpaddle.example/teaselpaddle/internal/model"
 	"teaselpaddle.example/teaselpaddle/internal/replica"
 	"teaselpaddle.example/teaselpaddle/internal/telemetry"
+	"teaselpaddle.example/teaselpaddle/internal/view"
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
 
@@ -28,7 +30,6 @@
 	OpGet    Op = "get"
 	OpList   Op = "list"
 	OpReport Op = "report"
-	OpAdopt  Op = "adopt"
 )
 
 // Request is a request for a zone.
@@ -43,8 +44,10 @@
 	// LeaderOnly is set when a request was forwarded inside its zone, so that
 	// two instances that disagree about the leader do not forward it in a loop.
 	LeaderOnly bool `cbor:"7,keyasint,omitempty"`
-	// Config goes with an adopt.
-	Config *model.Configuration `cbor:"8,keyasint,omitempty"`
+	// Publish goes with OpPublish.
+	Publish *config.Publish `cbor:"8,keyasint,omitempty"`
+	// Limit bounds the records of OpHistory.
+	Limit int `cbor:"9,keyasint,omitempty"`
 }
 
 // Response is the answer to a request.
@@ -55,6 +58,15 @@
 	Existing bool           `cbor:"4,keyasint,omitempty"`
 	// NotLeader is set if LeaderOnly was and this instance does not lead.
 	NotLeader bool `cbor:"5,keyasint,omitempty"`
+	// Leader is the leader that the instance knows, if NotLeader is set by the
+	// configuration group.
+	Leader string `cbor:"6,keyasint,omitempty"`
+	// Record answers OpPublish, Accepted OpAccepted, History OpHistory and View
+	// the operations on views.
+	Record   *config.Record       `cbor:"7,keyasint,omitempty"`
+	Accepted *model.Configuration `cbor:"8,keyasint,omitempty"`
+	History  []config.Record      `cbor:"9,keyasint,omitempty"`
+	View     *view.Zone           `cbor:"10,keyasint,omitempty"`
 }
 
 // Time limits of one request.
@@ -74,7 +86,11 @@
 	Peers   link.Peers
 	Group   replica.Group
 	Machine *jobs.Machine
-	Log     logr.Logger
+	// Config is the configuration group as seen from here.
+	Config ConfigGroup
+	// View returns the view of the own zone from this instance.
+	View func(Op) *view.Zone
+	Log  logr.Logger
 }
 
 // Register makes the router answer other instances' requests.
@@ -152,6 +168,10 @@
 // local carries out a request in this instance's own zone.
 func (r *Router) local(ctx context.Context, req *Request) *Response {
 	switch req.Op {
+	case OpPublish, OpAccepted, OpHistory:
+		return r.configLocal(ctx, req)
+	case OpWorkers, OpCustomers, OpFragmentation, OpStatus:
+		return &Response{View: r.View(req.Op)}
 	case OpGet:
 		return r.get(ctx, req)
 	case OpList:
@@ -208,9 +228,6 @@
 		}
 	case OpCancel:
 		cmd.Kind = jobs.KindCancel
-	case OpAdopt:
-		cmd.Kind = jobs.KindAdoptConfig
-		cmd.Config = req.Config
 	case OpReport:
 		return r.report(ctx, req.Report)
 	default:
--- /dev/null
+++ b/internal/routing/view.go
@@ -0,0 +1,75 @@
+package routing
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"teaselpaddle.example/teaselpaddle/internal/model"
+	"teaselpaddle.example/teaselpaddle/internal/telemetry"
+	"teaselpaddle.example/teaselpaddle/internal/view"
+)
+
+// The operations on a zone's view.
+const (
+	OpWorkers       Op = "workers"
+	OpCustomers     Op = "customers"
+	OpFragmentation Op = "fragmentation"
+	OpStatus        Op = "status"
+)
+
+// viewTimeout bounds a question to all zones, so that one zone that cannot be
+// reached delays the answer of the others little.
+const viewTimeout = 3 * time.Second
+
+// ZoneResponse is one zone's answer. Exactly one of Response and Refusal is set.
+type ZoneResponse struct {
+	Zone     string
+	Response *Response
+	Refusal  *model.Refusal
+}
+
+// Each asks all zones at once and returns their answers in the order of Zones.
+// A zone that cannot be reached in time has a refusal.
+func (r *Router) Each(ctx context.Context, req *Request) []ZoneResponse {
+	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
+	defer cancel()
+	out := make([]ZoneResponse, len(r.Zones))
+	var wg sync.WaitGroup
+	for i, zone := range r.Zones {
+		wg.Go(func() {
+			q := *req
+			resp, err := r.Do(ctx, zone, &q)
+			out[i] = ZoneResponse{Zone: zone, Response: resp}
+			if err != nil && !errors.As(err, &out[i].Refusal) {
+				out[i].Refusal = model.Refuse(model.ReasonInternal, "%v", err)
+			}
+		})
+	}
+	wg.Wait()
+	return out
+}
+
+// Views asks all zones for a view. The part of a zone that cannot be reached
+// says so.
+func (r *Router) Views(ctx context.Context, op Op) []view.Zone {
+	var out []view.Zone
+	for _, a := range r.Each(ctx, &Request{Op: op}) {
+		switch {
+		case a.Refusal != nil:
+			out = append(out, view.Zone{
+				AvailabilityZone: a.Zone, Error: &view.Unreachable{Code: a.Refusal.Reason, Detail: a.Refusal.Detail},
+			})
+		case a.Response.View == nil:
+			telemetry.Refused(model.ReasonInternal)
+			out = append(out, view.Zone{
+				AvailabilityZone: a.Zone, Error: &view.Unreachable{Code: model.ReasonInternal, Detail: "empty answer"},
+			})
+		default:
+			out = append(out, *a.Response.View)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/view/view.go
@@ -0,0 +1,71 @@
+// Package view calculates what operators see of one availability zone from the
+// announced workers, the jobs and the configuration in force. Its functions are
+// pure.
+package view
+
+import (
+	"time"
+
+	"teaselpaddle.example/teaselpaddle/internal/blackboard"
+	"teaselpaddle.example/teaselpaddle/internal/model"
+	"teaselpaddle.example/teaselpaddle/internal/replica"
+)
+
+// Zone is one zone's part of an answer. If Error is set the zone could not be
+// reached and the other parts are empty.
+type Zone struct {
+	AvailabilityZone string             `json:"availability_zone"`
+	Instance         string             `json:"instance,omitempty"` // the one that answered
+	Error            *Unreachable       `json:"error,omitempty"`
+	Workers          []blackboard.Entry `json:"workers,omitempty"`
+	Customers        []Customer         `json:"customers,omitempty"`
+	Fragmentation    *Fragmentation     `json:"fragmentation,omitempty"`
+	Status           *Status            `json:"status,omitempty"`
+}
+
+// Unreachable says why a zone's part is missing.
+type Unreachable struct {
+	Code   model.Reason `json:"code"`
+	Detail string       `json:"detail"`
+}
+
+// Status is the state of one instance and its zone's group.
+type Status struct {
+	Leader  string           `json:"leader"`
+	Leads   bool             `json:"leads"`
+	Term    uint64           `json:"term"`
+	Applied uint64           `json:"applied"`
+	Ready   bool             `json:"ready"`
+	Durable bool             `json:"durable"`
+	Members []replica.Member `json:"members"`
+	Config  ConfigStatus     `json:"config"`
+}
+
+// ConfigStatus is the configuration in force. Version is 0 if there is none.
+type ConfigStatus struct {
+	Version    uint64    `json:"version"`
+	AcceptedAt time.Time `json:"accepted_at,omitzero"`
+	AgeSeconds float64   `json:"age_seconds"`
+	// UnconfirmedSeconds is the time since a configuration voter confirmed that
+	// nothing newer is accepted. Only the zone's leader knows it.
+	UnconfirmedSeconds *float64 `json:"unconfirmed_seconds,omitempty"`
+}
+
+// NewStatus converts a group's status. confirmed is the zero time if no voter
+// has answered this instance.
+func NewStatus(st replica.Status, cfg *model.Configuration, confirmed, now time.Time) *Status {
+	out := &Status{
+		Leader: st.Leader, Leads: st.Leads, Term: st.Term, Applied: st.Applied,
+		Ready: st.Ready, Durable: st.Durable, Members: st.Members,
+	}
+	if cfg != nil {
+		out.Config = ConfigStatus{
+			Version: cfg.Version, AcceptedAt: cfg.AcceptedAt, AgeSeconds: now.Sub(cfg.AcceptedAt).Seconds(),
+		}
+	}
+	if st.Leads && !confirmed.IsZero() {
+		s := now.Sub(confirmed).Seconds()
+		out.Config.UnconfirmedSeconds = &s
+	}
+	return out
+}
