--- a/internal/blackboard/blackboard.go
+++ b/internal/blackboard/blackboard.go
@@ -17,8 +17,8 @@
 
 // Entry is a worker and its health. Entries are copies.
 type Entry struct {
-	Worker model.Worker
-	Health model.WorkerHealth
+	Worker model.Worker       `json:"worker"`
+	Health model.WorkerHealth `json:"health"`
 }
 
 // shard holds the workers whose name hashes to it; mu guards entries.
--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,285 @@
+package cli
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"teaselpaddle.example/teaselpaddle/internal/config"
+)
+
+var update = flag.Bool("update", false, "write the golden files")
+
+var afterSeconds = regexp.MustCompile(`after [0-9.]+ s`)
+
+// reply is a canned answer of the server. With status 0 the connection is cut.
+type reply struct {
+	status int
+	body   string
+}
+
+// server answers from lists of replies by "METHOD path"; the last one of a list
+// stays. It records the bodies of changes.
+type server struct {
+	*httptest.Server
+	replies map[string][]reply
+	bodies  []string
+}
+
+func serve(t *testing.T, replies map[string][]reply) *server {
+	t.Helper()
+	s := &server{replies: replies}
+	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		key := r.Method + " " + r.URL.Path
+		if r.Method != http.MethodGet {
+			var b bytes.Buffer
+			_, _ = b.ReadFrom(r.Body)
+			s.bodies = append(s.bodies, b.String())
+		}
+		list := s.replies[key]
+		if len(list) == 0 {
+			list = []reply{{404, `{"code":"not_found","detail":"` + key + `"}`}}
+		}
+		if len(list) > 1 {
+			s.replies[key] = list[1:]
+		}
+		if list[0].status == 0 {
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set("Retry-After", "1")
+		w.WriteHeader(list[0].status)
+		_, _ = w.Write([]byte(list[0].body))
+	}))
+	t.Cleanup(s.Close)
+	return s
+}
+
+func (s *server) address() string { return strings.TrimPrefix(s.URL, "http://") }
+
+// dead returns an address on which nothing listens.
+func dead(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// run executes the tool and returns its exit code and both outputs.
+func run(t *testing.T, in string, argv ...string) (int, string, string) {
+	t.Helper()
+	var out, errOut bytes.Buffer
+	code := Run(t.Context(), argv, strings.NewReader(in), &out, &errOut)
+	return code, out.String(), errOut.String()
+}
+
+const (
+	jobDone    = `{"id":"z1.000000000000000000000001","spec":{"customer":"a","key":"k","tasks":2,"accelerators":8},"state":"done","submitted_at":"2026-05-01T12:00:00Z","finished_at":"2026-05-01T12:10:00Z","attempts":1,"results":[{"task":0,"worker":"w1","ok":true,"output":"one"},{"task":1,"worker":"w2","ok":true,"output":"two"}]}`
+	jobRunning = `{"id":"z1.000000000000000000000001","spec":{"customer":"a","key":"k","tasks":2,"accelerators":8},"state":"running","submitted_at":"2026-05-01T12:00:00Z","attempts":1}`
+	jobUnknown = `{"id":"z1.000000000000000000000001","spec":{"customer":"a","key":"k","tasks":2,"accelerators":8},"state":"unknown","reason":"worker_lost","submitted_at":"2026-05-01T12:00:00Z","attempts":1}`
+	zoneGone   = `{"availability_zone":"z2","error":{"code":"owner_zone_unreachable","detail":"availability zone \"z2\" cannot be reached"}}`
+	accepted1  = `{"version":1,"publish_key":"p","publisher":"op","accepted_at":"2026-05-01T12:00:00Z","services":[{"service":"desk","customers":[{"name":"a","weight":2,"queue_limit":10,"guarantees":[{"availability_zone":"z1","shape":{"accelerators":16},"count":2}]},{"name":"b","weight":1,"queue_limit":5,"quota":9}],"policy":{"checkpoint_bound_seconds":5,"fragmentation_weight":0.3,"max_failures":3,"retention_seconds":60},"racks":[{"availability_zone":"z1","racks":1,"workers_per_rack":8,"accelerators_per_worker":8}]}]}`
+	noConfig   = `{"code":"no_configuration","detail":"no configuration was accepted yet"}`
+	inForce    = `{"zones":[{"availability_zone":"z1","status":{"config":{"version":2}}}]}`
+	conflict   = `{"code":"version_conflict","detail":"version 2 is accepted, not 1: version 2 by \"x\" at 2026-05-01T12:00:00Z changed desk"}`
+	uncertain  = `{"code":"outcome_unknown","detail":"the configuration group did not answer"}`
+)
+
+const file = `{
+  "service": "desk",
+  "racks": [{"availability_zone": "z1", "racks": 1, "workers_per_rack": 8, "accelerators_per_worker": 8}],
+  "policy": {"checkpoint_bound_seconds": 5, "fragmentation_weight": 0.3, "max_failures": 3, "retention_seconds": 60},
+  "customers": [{"name": "a", "weight": 4, "queue_limit": 10}],
+}`
+
+// tree writes one operators' file and returns its directory.
+func tree(t *testing.T, content string) string {
+	t.Helper()
+	dir := t.TempDir()
+	if err := os.WriteFile(filepath.Join(dir, config.FileName), []byte(content), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	return dir
+}
+
+// Guards against changes of the tables, messages and exit codes that programs
+// and people rely on.
+func TestGolden(t *testing.T) {
+	one := func(key string, status int, body string) map[string][]reply {
+		return map[string][]reply{key: {{status, body}}}
+	}
+	cases := []struct {
+		name    string
+		replies map[string][]reply
+		code    int
+		argv    string
+	}{
+		{"config-show", one("GET /v1/config", 200, accepted1), 0, "config show"},
+		{"config-none", one("GET /v1/config", 503, noConfig), 1, "config show"},
+		{"config-history", one("GET /v1/config/history", 200, `[{"version":2,"accepted_at":"2026-05-01T12:00:00Z","publisher":"op","publish_key":"k","changed":["desk"],"removed":["old"]},{"version":1,"accepted_at":"2026-05-01T11:00:00Z","publisher":"x","publish_key":"j","changed":["desk","old"]}]`), 0, "config history"},
+		{"status", one("GET /v1/status", 200, `{"partial":true,"zones":[{"availability_zone":"z1","instance":"i","status":{"leader":"i","leads":true,"term":7,"ready":true,"durable":true,"members":[{"instance":"i"}],"config":{"version":3,"age_seconds":61.2,"unconfirmed_seconds":0.4}}},`+zoneGone+`]}`), 0, "status"},
+		{"workers", one("GET /v1/workers", 200, `{"zones":[{"availability_zone":"z1","workers":[{"worker":{"name":"w1","address":"127.0.0.1:1","rack":"r","cores":64,"memory_mib":1024,"accelerators":8,"slots":8,"leaving":true},"health":{"last_seen":"2026-05-01T12:00:00Z"}}]}]}`), 0, "workers"},
+		{"customers", one("GET /v1/customers", 200, `{"partial":true,"zones":[{"availability_zone":"z1","customers":[{"service":"desk","customer":"a","guarantee":16,"in_use":10,"borrowed":2,"reclaimable":8,"queued":3}]},`+zoneGone+`]}`), 0, "customers"},
+		{"fragmentation", one("GET /v1/fragmentation", 200, `{"zones":[{"availability_zone":"z1","fragmentation":{"free":12,"stranded":4,"waiting":1,"racks":[{"rack":"r1","free":8,"largest_block":8,"stranded":0},{"rack":"r2","free":4,"largest_block":1,"stranded":4}]}}]}`), 0, "fragmentation"},
+		{"jobs", one("GET /v1/jobs", 200, `{"partial":true,"jobs":[`+jobDone+`,`+jobRunning+`],"unreachable":[`+zoneGone+`]}`), 0, "jobs --active"},
+		{"submit-wait", map[string][]reply{"POST /v1/jobs": {{0, ""}, {202, jobRunning}}, "GET /v1/jobs/z1.000000000000000000000001": {{200, jobRunning}, {200, jobDone}}}, 0, "submit --customer a --key k --wait"},
+		{"submit-unknown", map[string][]reply{"POST /v1/jobs": {{200, jobUnknown}}}, 3, "submit --customer a --key k --wait"},
+		{"submit-refused", one("POST /v1/jobs", 422, `{"code":"never_fits","detail":"no rack has 128 accelerators","field":"tasks","state":"not_run"}`), 1, "submit --customer a --key k"},
+		{"submit-owner-gone", one("POST /v1/jobs", 503, `{"code":"owner_zone_unreachable","detail":"z2 cannot be reached","state":"unknown"}`), 3, "--timeout 500ms submit --customer a --key k"},
+		{"cancel", one("DELETE /v1/jobs/z1.000000000000000000000001", 200, jobRunning), 0, "cancel z1.000000000000000000000001"},
+		{"job-json", one("GET /v1/jobs/z1.000000000000000000000001", 200, jobUnknown), 0, "--json status z1.000000000000000000000001"},
+		{"replay", nil, 1, "replay trace"},
+		{"usage", nil, 2, "submit --customer a"},
+		{"no-command", nil, 2, ""},
+		{"config-usage", nil, 2, "config"},
+		{"help", nil, 0, "--help"},
+		{"publish-help", nil, 0, "publish --help"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := serve(t, c.replies)
+			code, out, errOut := run(t, "", append([]string{"--server", s.address()}, strings.Fields(c.argv)...)...)
+			is.Equal(code, c.code)
+			got := out + "--- errors\n" + strings.ReplaceAll(errOut, s.address(), "SERVER")
+			golden(t, c.name, got)
+		})
+	}
+}
+
+func golden(t *testing.T, name, got string) {
+	t.Helper()
+	path := filepath.Join("testdata", name+".golden")
+	if *update {
+		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got != string(want) {
+		t.Errorf("got:\n%s\nwant:\n%s", got, want)
+	}
+}
+
+// Guards against a command without a help text or an example.
+func TestEveryCommandHasHelp(t *testing.T) {
+	for name, example := range examples {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			code, out, _ := run(t, "", append(strings.Fields(name), "--help")...)
+			is.Equal(code, 0)
+			is.True(strings.Contains(out, "Exit codes:"))
+			is.True(strings.HasSuffix(out, "Example:\n  "+example+"\n"))
+			is.True(strings.Contains(example, name))
+		})
+	}
+}
+
+// Guards against a server that fails and hides one that works, and against
+// "unreachable" for a change that was sent.
+func TestServersInTurn(t *testing.T) {
+	is := is.New(t)
+	up := serve(t, map[string][]reply{"GET /v1/config/history": {{200, "[]"}}})
+	stopping := serve(t, map[string][]reply{"GET /v1/config/history": {{503, `{"code":"stopping"}`}}})
+	cut := serve(t, map[string][]reply{"DELETE /v1/jobs/j": {{0, ""}}})
+	gone := dead(t)
+	code, _, _ := run(t, "", "--server", gone+","+stopping.address(), "--server", up.address(), "config", "history")
+	is.Equal(code, exitOK)
+	code, _, errOut := run(t, "", "--server", gone, "config", "history")
+	is.Equal(code, exitUnreachable)
+	is.True(strings.Contains(errOut, "no server can be reached ("+gone+")"))
+	code, _, _ = run(t, "", "--timeout", "500ms", "--server", gone, "--server", cut.address(), "--server", gone, "cancel", "j")
+	is.Equal(code, exitUnknown)
+}
+
+// Guards against a lost answer that is followed by a second publish, and
+// against a publish that nobody confirmed.
+func TestPublish(t *testing.T) {
+	published := `{"version":2,"publisher":"op","publish_key":"k","changed":["desk"]}`
+	replies := func(put ...reply) map[string][]reply {
+		return map[string][]reply{"GET /v1/config": {{200, accepted1}}, "GET /v1/status": {{200, inForce}}, "PUT /v1/config": put}
+	}
+	cases := []struct {
+		name  string
+		put   []reply
+		in    string
+		flags string
+		code  int
+		puts  int
+	}{
+		{"publish", []reply{{200, published}}, "", "--yes", exitOK, 1},
+		{"publish-confirmed", []reply{{200, published}}, "y\n", "--no-wait", exitOK, 1},
+		{"publish-declined", nil, "n\n", "", exitRefused, 0},
+		{"publish-dry-run", nil, "", "--dry-run", exitOK, 0},
+		{"publish-conflict", []reply{{409, conflict}}, "", "--yes", exitRefused, 1},
+		{"publish-lost", []reply{{0, ""}, {503, uncertain}, {200, published}}, "", "--yes --no-wait", exitOK, 3},
+		{"publish-unknown", []reply{{503, uncertain}}, "", "--yes --timeout 500ms", exitUnknown, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := serve(t, replies(c.put...))
+			dir := tree(t, file)
+			argv := append([]string{"--server", s.address(), "publish", "--publisher", "op", dir}, strings.Fields(c.flags)...)
+			code, out, errOut := run(t, c.in, argv...)
+			is.Equal(code, c.code)
+			is.Equal(len(s.bodies), c.puts)
+			key := ""
+			for _, body := range s.bodies {
+				is.Equal(body, s.bodies[0]) // every try is the same
+				var p config.Publish
+				is.NoErr(json.Unmarshal([]byte(body), &p))
+				is.Equal(p.Expected, uint64(1))
+				key = p.Key
+			}
+			if key == "" {
+				key = "no key"
+			}
+			mask := strings.NewReplacer(s.address(), "SERVER", dir, "DIR", key, "KEY")
+			got := afterSeconds.ReplaceAllString(out, "after T s") + "--- errors\n" + errOut
+			golden(t, c.name, mask.Replace(got))
+		})
+	}
+}
+
+// Guards against a repeated publish whose first try was accepted.
+func TestPublishResumed(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, map[string][]reply{"GET /v1/config/history": {{200, `[{"version":2,"publish_key":"k"}]`}}})
+	code, out, _ := run(t, "", "--server", s.address(), "publish", "--publish-key", "k", tree(t, file))
+	is.Equal(code, exitOK)
+	is.Equal(out, "already accepted as version 2\n")
+	is.Equal(len(s.bodies), 0)
+}
+
+// Guards against check results that lack a fault or its place.
+func TestCheck(t *testing.T) {
+	is := is.New(t)
+	code, out, _ := run(t, "", "check", tree(t, file))
+	is.Equal(code, exitOK)
+	is.Equal(out, "no errors in 1 services with 1 customers\n")
+	dir := tree(t, strings.NewReplacer(`"weight": 4`, `"weight": 0, "quta": 1`, `"racks": 1`, `"racks": -1`).Replace(file))
+	code, out, errOut := run(t, "", "check", dir)
+	is.Equal(code, exitRefused)
+	golden(t, "check-errors", strings.ReplaceAll(out+"--- errors\n"+errOut, dir, "DIR"))
+	code, out, _ = run(t, "", "--json", "check", dir)
+	is.Equal(code, exitRefused)
+	var errs config.Errors
+	is.NoErr(json.Unmarshal([]byte(out), &errs))
+	is.Equal(len(errs), 3)
+}
--- /dev/null
+++ b/internal/config/adopter_test.go
@@ -0,0 +1,154 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"teaselpaddle.example/teaselpaddle/internal/codec"
+	"teaselpaddle.example/teaselpaddle/internal/jobs"
+	"teaselpaddle.example/teaselpaddle/internal/link"
+	"teaselpaddle.example/teaselpaddle/internal/model"
+	"teaselpaddle.example/teaselpaddle/internal/replica"
+)
+
+// voters answers calls from voters in memory. A nil voter never answers.
+type voters struct {
+	byName map[string]*Voter
+	bytes  int // of the last request and reply
+}
+
+func (v *voters) Call(ctx context.Context, to string, _ link.Kind, body []byte) ([]byte, error) {
+	voter := v.byName[to]
+	if voter == nil {
+		<-ctx.Done()
+		return nil, &link.NoReplyError{To: to, Cause: ctx.Err()}
+	}
+	out, err := voter.handle(ctx, "", body)
+	v.bytes = len(body) + len(out)
+	return out, err
+}
+
+func (*voters) Send(string, link.Kind, []byte) {}
+func (*voters) Handle(link.Kind, link.Handler) {}
+
+func (v *voters) add(name string, m *Machine) { v.byName[name] = &Voter{Machine: m} }
+
+func newAdopter(p link.Peers, vs ...string) *Adopter { return newZone(p, true, vs) }
+
+// follower is a group that another instance leads.
+type follower struct{ *replica.Local }
+
+func (follower) Status() replica.Status { return replica.Status{Leader: "other"} }
+
+func newZone(p link.Peers, leads bool, vs []string) *Adopter {
+	m := jobs.New()
+	a := &Adopter{Self: "self", Zone: "z", Voters: vs, Machine: m, Peers: p, Log: logr.Discard()}
+	local := replica.NewLocal("self", m)
+	a.Group = local
+	if !leads {
+		a.Group = follower{local}
+	}
+	return a
+}
+
+// publishAll publishes n versions to each machine.
+func publishAll(t *testing.T, n int, ms ...*Machine) {
+	for _, m := range ms {
+		for i := range n {
+			publishTo(t, m, uint64(i+1), Publish{
+				Expected: uint64(i), Key: fmt.Sprint("k", i), Publisher: "op",
+				Changed: []model.Service{service(fmt.Sprint("s", i), 1)},
+			})
+		}
+	}
+}
+
+// Guards against a zone that misses a change, and against messages that carry
+// more than the changes.
+func TestAdopterFollowsChanges(t *testing.T) {
+	is := is.New(t)
+	m := NewMachine(FitSums)
+	peers := &voters{byName: map[string]*Voter{}}
+	peers.add("v1", m)
+	a := newAdopter(peers, "v1")
+	a.round(t.Context(), time.Now())
+	is.Equal(a.Version(), uint64(0)) // nothing was published
+	publishAll(t, 30, m)
+	a.round(t.Context(), time.Now())
+	is.Equal(a.Machine.Config(), m.Current())
+	whole := peers.bytes
+	publishTo(t, m, 31, Publish{Expected: 30, Key: "x", Publisher: "op", Changed: []model.Service{service("s3", 9)}, Removed: []string{"s4"}})
+	a.round(t.Context(), time.Now())
+	is.Equal(a.Machine.Config(), m.Current())
+	is.True(peers.bytes*10 < whole) // a change carries one service, not 30
+	a.round(t.Context(), time.Now())
+	is.True(peers.bytes < 16) // nothing changed
+	is.True(time.Since(a.Confirmed()) < time.Minute)
+}
+
+// Guards against a silent voter or one that lags that holds a zone back or
+// takes its configuration back.
+func TestAdopterAsksVotersInTurn(t *testing.T) {
+	is := is.New(t)
+	fresh, lagging := NewMachine(FitSums), NewMachine(FitSums)
+	publishAll(t, 5, fresh)
+	publishAll(t, 3, lagging)
+	peers := &voters{byName: map[string]*Voter{}}
+	peers.add("v2", lagging)
+	peers.add("v3", fresh)
+	a := newAdopter(peers, "v1", "v2", "v3") // v1 is silent
+	begin := time.Now()
+	for a.Version() < 5 {
+		a.round(t.Context(), time.Now())
+		is.True(time.Since(begin) < 8*time.Second)
+	}
+	confirmed := a.Confirmed()
+	a.next = 1
+	a.round(t.Context(), time.Now())
+	is.Equal(a.Version(), uint64(5))
+	is.Equal(a.Confirmed(), confirmed) // a voter that lags confirms nothing
+
+	a.failed("v1", begin)
+	is.Equal(a.turn(begin)[2], "v1") // one that failed comes last
+	a.next = 0
+	is.Equal(a.turn(begin.Add(time.Minute))[0], "v1") // until its pause has passed
+	for range 9 {
+		a.failed("v1", begin)
+	}
+	is.Equal(a.backoff["v1"].length, maxBackoff)
+}
+
+// Guards against two adopters of one zone that both propose.
+func TestOnlyTheLeaderAdopts(t *testing.T) {
+	is := is.New(t)
+	m := NewMachine(FitSums)
+	publishAll(t, 1, m)
+	peers := &voters{byName: map[string]*Voter{}}
+	peers.add("v1", m)
+	lead, follow := newZone(peers, true, []string{"v1"}), newZone(peers, false, []string{"v1"})
+	ctx, cancel := context.WithTimeout(t.Context(), adoptPeriod+adoptPeriod/2)
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		lead.Run(ctx)
+		close(done)
+	}()
+	follow.Run(ctx)
+	<-done
+	is.Equal(lead.Version(), uint64(1))
+	is.Equal(follow.Version(), uint64(0))
+}
+
+// Guards against a damaged message that ends a daemon.
+func TestVoterRefusesDamage(t *testing.T) {
+	is := is.New(t)
+	v := &Voter{Machine: NewMachine(FitSums)}
+	_, err := v.handle(t.Context(), "x", []byte{0xff, 0x00})
+	_, ok := err.(*codec.DecodeError)
+	is.True(ok)
+}
--- a/internal/httpapi/config.go
+++ b/internal/httpapi/config.go
@@ -9,6 +9,7 @@
 	"teaselpaddle.example/teaselpaddle/internal/config"
 	"teaselpaddle.example/teaselpaddle/internal/model"
 	"teaselpaddle.example/teaselpaddle/internal/routing"
+	"teaselpaddle.example/teaselpaddle/internal/telemetry"
 	"teaselpaddle.example/teaselpaddle/internal/view"
 )
 
@@ -55,6 +56,7 @@
 func (a *API) publish(w http.ResponseWriter, r *http.Request) {
 	var p config.Publish
 	if err := decode(w, r, &p); err != nil {
+		telemetry.Refused(model.ReasonInvalid)
 		writeError(w, err)
 		return
 	}
--- /dev/null
+++ b/internal/routing/config_test.go
@@ -0,0 +1,178 @@
+package routing
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+	"github.com/matryer/is"
+
+	"teaselpaddle.example/teaselpaddle/internal/config"
+	"teaselpaddle.example/teaselpaddle/internal/jobs"
+	"teaselpaddle.example/teaselpaddle/internal/link"
+	"teaselpaddle.example/teaselpaddle/internal/model"
+	"teaselpaddle.example/teaselpaddle/internal/replica"
+	"teaselpaddle.example/teaselpaddle/internal/view"
+)
+
+// lossy drops the replies of the next calls.
+type lossy struct {
+	link.Peers
+	drop atomic.Int64
+}
+
+func (l *lossy) Call(ctx context.Context, to string, kind link.Kind, body []byte) ([]byte, error) {
+	out, err := l.Peers.Call(ctx, to, kind, body)
+	if l.drop.Add(-1) >= 0 {
+		return nil, &link.NoReplyError{To: to, Cause: context.DeadlineExceeded}
+	}
+	return out, err
+}
+
+// deployment has one instance in each of the zones z1 to z3; the first is the
+// configuration voter. Instance c of z3 is down.
+type deployment struct {
+	a, b *Router
+	loss *lossy // of b's calls
+	stop func() // ends instance a
+}
+
+func deploy(t *testing.T) *deployment {
+	t.Helper()
+	servers := map[string]*httptest.Server{}
+	addresses := map[string]string{}
+	for _, name := range []string{"a", "b", "c"} {
+		servers[name] = httptest.NewUnstartedServer(nil)
+		addresses[name] = servers[name].Listener.Addr().String()
+		t.Cleanup(servers[name].Close)
+	}
+	servers["c"].Close()
+	inZone := map[string][]string{"z1": {"a"}, "z2": {"b"}, "z3": {"c"}}
+	start := func(name, zone string) *Router {
+		peers := link.NewHTTP(name, addresses)
+		m := jobs.New()
+		r := &Router{
+			Self: name, Zone: zone, Zones: []string{"z1", "z2", "z3"}, InZone: func(z string) []string { return inZone[z] },
+			Peers: peers, Group: replica.NewLocal(name, m), Machine: m, Config: ConfigGroup{Voters: []string{"a"}}, Log: logr.Discard(),
+		}
+		r.View = func(Op) *view.Zone { return &view.Zone{AvailabilityZone: zone, Instance: name} }
+		r.Register()
+		servers[name].Config.Handler = peers
+		servers[name].Start()
+		return r
+	}
+	d := &deployment{a: start("a", "z1"), b: start("b", "z2"), stop: servers["a"].Close}
+	d.a.Config.Machine = config.NewMachine(config.FitSums)
+	d.a.Config.Group = replica.NewLocal("a", d.a.Config.Machine)
+	d.loss = &lossy{Peers: d.b.Peers}
+	d.b.Peers = d.loss
+	return d
+}
+
+func change(expected uint64, key string, weight int) *config.Publish {
+	return &config.Publish{Expected: expected, Key: key, Publisher: "op", Changed: []model.Service{{
+		Name: "s", Customers: []model.Customer{{Name: "c", Weight: weight, QueueLimit: 1}},
+		Policy: model.Policy{MaxFailures: 1, RetentionSeconds: 60},
+	}}}
+}
+
+func refusal(t *testing.T, err error) *model.Refusal {
+	t.Helper()
+	var ref *model.Refusal
+	if !errors.As(err, &ref) {
+		t.Fatalf("got %v, want a refusal", err)
+	}
+	return ref
+}
+
+// Guards against two winners among publishers at different entry instances.
+func TestConcurrentPublishers(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t)
+	var wg sync.WaitGroup
+	var won, conflicts atomic.Int64
+	for i := range 8 {
+		wg.Go(func() {
+			_, err := []*Router{d.a, d.b}[i%2].Publish(t.Context(), change(0, fmt.Sprint("k", i), i+1))
+			var ref *model.Refusal
+			switch {
+			case err == nil:
+				won.Add(1)
+			case errors.As(err, &ref) && ref.Reason == model.ReasonVersionConflict:
+				conflicts.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	is.Equal(won.Load(), int64(1))
+	is.Equal(conflicts.Load(), int64(7))
+	records, err := d.b.History(t.Context(), 10)
+	is.NoErr(err)
+	is.Equal(len(records), 1)
+	cfg, err := d.b.Accepted(t.Context())
+	is.NoErr(err)
+	is.Equal(cfg.Version, uint64(1))
+}
+
+// Guards against a lost answer that leads to a second version or to a false
+// refusal.
+func TestPublishAfterLostAnswer(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t)
+	d.loss.drop.Store(2)
+	resp, err := d.b.Publish(t.Context(), change(0, "k", 1))
+	is.NoErr(err)
+	is.True(resp.Existing) // the third try found the first publish
+	is.Equal(resp.Record.Version, uint64(1))
+
+	d.loss.drop.Store(1 << 20)
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	_, err = d.b.Publish(ctx, change(1, "l", 2))
+	ref := refusal(t, err)
+	is.Equal(ref.Reason, model.ReasonOutcomeUnknown)
+	is.True(ref.RetryAfter > 0)
+	d.loss.drop.Store(0)
+	resp, err = d.b.Publish(t.Context(), change(1, "l", 2))
+	is.NoErr(err)
+	is.Equal(resp.Record.Version, uint64(2))
+}
+
+// Guards against "unknown" for a publish that certainly was not made, and
+// against partial answers that look complete.
+func TestUnreachable(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t)
+	zones := d.b.Views(t.Context(), OpWorkers)
+	is.Equal(len(zones), 3)
+	is.Equal(zones[0].Instance, "a")
+	is.Equal(zones[0].Error, nil)
+	is.Equal(zones[1].Instance, "b")
+	is.Equal(zones[2].Error.Code, model.ReasonOwnerUnreachable)
+	d.stop()
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	_, err := d.b.Publish(ctx, change(0, "k", 1))
+	ref := refusal(t, err)
+	is.Equal(ref.Reason, model.ReasonNoLeader)
+	is.True(strings.Contains(ref.Detail, "nothing was published"))
+	_, err = d.b.Accepted(t.Context())
+	is.Equal(refusal(t, err).Reason, model.ReasonNoLeader)
+}
+
+// Guards against racks in an availability zone that a typing error invents.
+func TestPublishRefusesUnknownZone(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t)
+	p := change(0, "k", 1)
+	p.Changed[0].Racks = []model.RackSpec{{AvailabilityZone: "z4", Racks: 1, WorkersPerRack: 1, AcceleratorsPerWorker: 1}}
+	_, err := d.b.Publish(t.Context(), p)
+	is.Equal(refusal(t, err).Reason, model.ReasonInvalid)
+}
