--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -86,7 +86,7 @@
 	wg.Go(func() { adopter.Run(ctx) })
 	ctl.Run(ctx)
 	wg.Wait()
-	return stop(client, peer, group)
+	return stop(client, peer, groups(group, router.Config.Group)...)
 }
 
 // newGroup returns the zone's group.
@@ -110,13 +110,23 @@
 	}
 }
 
-// stop finishes open requests, then hands over the leadership.
-func stop(client, peer *http.Server, group replica.Group) error {
+// groups returns the groups that this instance is a member of.
+func groups(zone, config replica.Group) []replica.Group {
+	if config == nil {
+		return []replica.Group{zone}
+	}
+	return []replica.Group{zone, config}
+}
+
+// stop finishes open requests, then hands over the leadership of each group.
+func stop(client, peer *http.Server, groups ...replica.Group) error {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	err := client.Shutdown(ctx)
-	_ = group.Transfer(ctx)
-	group.Stop()
+	for _, g := range groups {
+		_ = g.Transfer(ctx)
+		g.Stop()
+	}
 	_ = peer.Shutdown(ctx)
 	return errors.Trace(err)
 }
