Let a publish name the version that its files were made from

The wait for a version to be in force ends after 3 s if only unreachable zones are missing; it took 10 s with one zone down. A zone whose voters do not answer for 8 s logs it once.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -227,6 +227,7 @@
 		{"publish-declined", nil, "n\n", "", exitRefused, 0},
 		{"publish-dry-run", nil, "", "--dry-run", exitOK, 0},
 		{"publish-conflict", []reply{{409, conflict}}, "", "--yes", exitRefused, 1},
+		{"publish-expected", []reply{{409, conflict}}, "", "--yes --expected-version 1", exitRefused, 1},
 		{"publish-lost", []reply{{0, ""}, {503, uncertain}, {200, published}}, "", "--yes --no-wait", exitOK, 3},
 		{"publish-unknown", []reply{{503, uncertain}}, "", "--yes --timeout 500ms", exitUnknown, 1},
 	}
--- a/internal/cli/publish.go
+++ b/internal/cli/publish.go
@@ -22,6 +22,8 @@
 const (
 	inForceLimit = 10 * time.Second // the stated bound is 8 s
 	inForcePoll  = 200 * time.Millisecond
+	// missingLimit is how long a zone that cannot be reached is waited for.
+	missingLimit = 3 * time.Second
 )
 
 // Fit checks locally that the guarantees fit the racks.
@@ -58,6 +60,7 @@
 	DryRun        bool     `arg:"--dry-run" help:"show the difference and stop"`
 	RemoveMissing bool     `arg:"--remove-missing" help:"remove accepted services that have no file below the directories"`
 	Key           string   `arg:"--publish-key" placeholder:"KEY" help:"key of an earlier publish whose outcome is not known"`
+	Expected      *uint64  `arg:"--expected-version" placeholder:"VERSION" help:"version that the files were made from; refused if another one is accepted [default: the accepted one]"`
 	Publisher     string   `arg:"--publisher" placeholder:"NAME" help:"name for the history [default: the user's name]"`
 	NoWait        bool     `arg:"--no-wait" help:"do not wait until the version is in force"`
 }
@@ -110,6 +113,9 @@
 	if accepted != nil {
 		p.Expected = accepted.Version
 	}
+	if c.Expected != nil {
+		p.Expected = *c.Expected
+	}
 	if p.Key == "" {
 		p.Key = newKey()
 	}
@@ -212,7 +218,8 @@
 			fmt.Fprintf(e.out, "in force in %s after %.1f s\n", strings.Join(in, ", "), e.now().Sub(begin).Seconds())
 			return
 		}
-		if !sleep(ctx, inForcePoll) {
+		gaveUp := err == nil && len(behind) == 0 && e.now().Sub(begin) > missingLimit
+		if gaveUp || !sleep(ctx, inForcePoll) {
 			fmt.Fprintf(e.err, "in force in: %s; not yet in: %s; cannot be reached: %s\n",
 				listOr(in, "none"), listOr(behind, "none"), listOr(missing, "none"))
 			return
--- a/internal/config/adopter.go
+++ b/internal/config/adopter.go
@@ -26,6 +26,7 @@
 	proposeTimeout = 2 * time.Second // one proposal to the zone's group
 	minBackoff     = 2 * time.Second // a voter that failed is passed over this long
 	maxBackoff     = 8 * time.Second // after several failures in a row
+	confirmBound   = 8 * time.Second // a zone without an answer for longer logs it
 )
 
 // Adopter brings accepted configurations into the log of its zone's group. It
@@ -43,6 +44,7 @@
 
 	next    int // the voter that the next round starts with
 	backoff map[string]*pause
+	cutOff  bool // no voter has answered for confirmBound
 
 	mu        sync.Mutex // guards confirmed
 	confirmed time.Time
@@ -103,6 +105,11 @@
 		a.take(ctx, voter, version, reply)
 		return
 	}
+	if !a.cutOff && now.Sub(a.Confirmed()) > confirmBound {
+		a.cutOff = true
+		a.Log.Info("no configuration voter answers, the configuration in force may be out of date",
+			"zone", a.Zone, "version", version, "voters", a.Voters)
+	}
 }
 
 // turn returns the voters to ask. Those that failed recently come last.
@@ -161,6 +168,10 @@
 	if reply.Change != nil && !a.propose(ctx, reply.Change) {
 		return
 	}
+	if a.cutOff {
+		a.cutOff = false
+		a.Log.Info("a configuration voter answers again", "zone", a.Zone, "voter", voter)
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.confirmed = time.Now()
--- a/internal/config/fit.go
+++ b/internal/config/fit.go
@@ -8,6 +8,9 @@
 
 // Fit checks that the guarantees of a configuration fit its racks. It must be
 // deterministic: every replica of the configuration group calls it on apply.
+// Voters that run different versions of the check could accept different
+// content, so a change of the check needs all voters upgraded before the next
+// publish.
 type Fit func(*model.Configuration) error
 
 // FitSums checks for each availability zone that the sum of the guarantees does
