Bound leases, retries and bad workers

Cause: a renewal that was delayed on its way extended a lease after the leader had declared the task lost; a gang whose member refused its start ran on until the lease ended; a report of an obsolete attempt was refused, so the worker sent it for ever; an unreachable zone was asked for up to 18 s; nothing told bad workers from bad jobs. Change: replies carry the worker's clock and starts and renewals echo it, so a lease ends one lease time after the echoed reading at the latest; the first refused start stops the other members at once; obsolete reports are acknowledged; retries to another zone have a budget, jittered backoff and a fail-fast time; a repeatable job is taken by the entry's own zone when its owner is unreachable; a pure health tracker suspends workers and takes back the failures of jobs that are at fault.

--- a/internal/control/attempt.go
+++ b/internal/control/attempt.go
@@ -14,35 +14,45 @@
 
 // Times of one attempt.
 const (
-	commandTimeout = time.Second           // one command to one worker
-	reserveTimeout = 2 * time.Second       // the whole reserve phase
-	commandRetry   = 50 * time.Millisecond // pause before a command is sent again
-	statusPeriod   = time.Second           // how often running tasks are asked
+	commandTimeout = time.Second     // one command to one worker
+	reserveTimeout = 2 * time.Second // the whole reserve phase
+	// startTimeout bounds the time in which a gang runs incomplete because a
+	// member does not answer its start.
+	startTimeout = 2 * time.Second
+	commandRetry = 50 * time.Millisecond // pause before a command is sent again
+	statusPeriod = 2 * time.Second       // how often running tasks are asked
 )
 
-// task is the driver's knowledge of one task.
+// task is the driver's knowledge of one task. The attempt's mu guards all
+// fields but place and address.
 type task struct {
 	place   model.TaskPlacement
 	address string
 	state   workerapi.TaskState
-	// lastContact is when the worker last answered for this task; its lease ends
-	// at most one lease time later.
-	lastContact time.Time
-	result      *model.TaskResult
+	// reservedBy is the worker's incarnation that reserved the task under this
+	// leader; 0 if it is not known.
+	reservedBy uint64
+	// started is set once the worker has said that it started the task.
+	started bool
+	// leaseEnd is the latest time at which the worker may still run the task.
+	leaseEnd time.Time
+	result   *model.TaskResult
 }
 
 // attempt drives one attempt of a job for one leader's term. All messages carry
 // the attempt's fencing number, so a driver of an earlier term does no harm.
 type attempt struct {
-	c         *Controller
-	job       model.JobID
-	fence     uint64
-	term      uint64
-	spec      model.JobSpec
-	phase     model.Phase
-	preempted atomic.Bool
+	c     *Controller
+	job   model.JobID
+	fence uint64
+	term  uint64
+	spec  model.JobSpec
+	phase model.Phase
 
-	mu    sync.Mutex // guards the tasks
+	preempted atomic.Bool // a reclaim takes the attempt off
+	stopping  atomic.Bool // the tasks are being stopped
+
+	mu    sync.Mutex // guards the tasks' fields
 	tasks []*task
 }
 
@@ -50,9 +60,15 @@
 	a := &attempt{
 		c: c, job: j.ID, fence: j.Attempt.Fence, term: term, spec: j.Spec, phase: j.Attempt.Phase,
 	}
+	var leaseEnd time.Time
+	if a.phase != model.PhaseReserve {
+		leaseEnd = time.Now().Add(c.Lease + takeoverMargin)
+	}
 	for _, p := range j.Attempt.Placement {
 		e, _ := c.Board.Get(p.Worker)
-		a.tasks = append(a.tasks, &task{place: p, address: e.Worker.Address, lastContact: time.Now()})
+		a.tasks = append(a.tasks, &task{
+			place: p, address: e.Worker.Address, leaseEnd: leaseEnd, started: a.phase == model.PhaseRun,
+		})
 	}
 	return a
 }
@@ -62,11 +78,7 @@
 // drive carries the attempt from its present phase to its end.
 func (a *attempt) drive(ctx context.Context) {
 	if a.phase == model.PhaseReserve {
-		if !a.reserve(ctx) {
-			a.end(ctx, model.ReasonReserveFailed)
-			return
-		}
-		if !a.propose(ctx, &jobs.Command{Kind: jobs.KindCommitStart}) {
+		if !a.reserve(ctx) || !a.propose(ctx, &jobs.Command{Kind: jobs.KindCommitStart}) {
 			a.end(ctx, model.ReasonReserveFailed)
 			return
 		}
@@ -113,14 +125,18 @@
 	return cmd
 }
 
-// each runs f for every task at the same time and reports whether all succeeded.
-func (a *attempt) each(f func(*task) bool) bool {
+// each runs f for every task at the same time and reports whether all
+// succeeded. The context that f gets ends at the first failure.
+func (a *attempt) each(ctx context.Context, f func(context.Context, *task) bool) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	var wg sync.WaitGroup
 	var failed atomic.Bool
 	for _, t := range a.tasks {
 		wg.Go(func() {
-			if !f(t) {
+			if !f(ctx, t) {
 				failed.Store(true)
+				cancel()
 			}
 		})
 	}
@@ -132,19 +148,35 @@
 func (a *attempt) ask(ctx context.Context, t *task, cmd *workerapi.Command) *workerapi.Reply {
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
-	sent := time.Now()
+	if cmd.Op == workerapi.Start {
+		a.granted(t, a.c.contacts.grant(t.place.Worker, cmd, a.c.Lease))
+	}
 	r, err := a.c.Client.Do(ctx, t.address, cmd)
-	if err != nil {
+	if err != nil || r.Refused == model.ReasonStaleTerm {
 		return nil
 	}
+	a.c.contacts.note(t.place.Worker, r, time.Now())
+	a.noteReply(t, cmd, r)
+	return r
+}
+
+// noteReply keeps what a reply says about a task.
+func (a *attempt) noteReply(t *task, cmd *workerapi.Command, r *workerapi.Reply) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	t.state = r.State
-	t.lastContact = sent
+	if r.State == workerapi.TaskAbsent && r.Incarnation == t.reservedBy && t.reservedBy != 0 && !t.started {
+		t.state = workerapi.TaskNotStarted
+	}
+	if cmd.Op == workerapi.Reserve && r.Refused == "" {
+		t.reservedBy = r.Incarnation
+	}
+	if r.State == workerapi.TaskRunning || r.State == workerapi.TaskFinished {
+		t.started = true
+	}
 	if r.Result != nil {
 		t.result = r.Result
 	}
-	return r
 }
 
 // until sends the command again under the same number until the worker answers
@@ -164,7 +196,7 @@
 
 // reserve reserves all tasks; it fails as soon as one refuses.
 func (a *attempt) reserve(ctx context.Context) bool {
-	return a.each(func(t *task) bool {
+	return a.each(ctx, func(ctx context.Context, t *task) bool {
 		r := a.until(ctx, t, workerapi.Reserve, reserveTimeout)
 		if r != nil && r.Refused != "" {
 			telemetry.Refused(r.Refused)
@@ -173,10 +205,10 @@
 	})
 }
 
-// start starts all tasks.
+// start starts all tasks; it fails as soon as one worker refuses.
 func (a *attempt) start(ctx context.Context) bool {
-	return a.each(func(t *task) bool {
-		r := a.until(ctx, t, workerapi.Start, a.c.Lease)
+	return a.each(ctx, func(ctx context.Context, t *task) bool {
+		r := a.until(ctx, t, workerapi.Start, startTimeout)
 		return r != nil && (r.State == workerapi.TaskRunning || r.State == workerapi.TaskFinished)
 	})
 }
@@ -184,29 +216,44 @@
 // watch follows the running tasks. It returns over if the job is final or the
 // leadership was lost, otherwise the reason to end the attempt.
 func (a *attempt) watch(ctx context.Context) (reason model.Reason, over bool) {
+	poll := time.NewTicker(statusPeriod)
+	defer poll.Stop()
 	for {
-		changed := a.c.Machine.Changed()
+		changed, unwatch := a.c.Machine.WatchChange(a.job)
 		j := a.current()
 		if j == nil || ctx.Err() != nil {
+			unwatch()
 			return "", true
 		}
-		switch {
-		case j.CancelRequested:
-			return model.ReasonCancelled, false
-		case a.preempted.Load():
-			return model.ReasonReclaimed, false
-		case anyFailed(j.Attempt.Results):
-			return model.ReasonTaskFailed, false
-		case a.lost(j):
-			return model.ReasonWorkerLost, false
+		if r := a.verdict(j, time.Now()); r != "" {
+			unwatch()
+			return r, false
 		}
 		select {
 		case <-ctx.Done():
 		case <-changed:
-		case <-time.After(statusPeriod):
+		case <-poll.C:
 			a.poll(ctx, j)
 		}
+		unwatch()
+	}
+}
+
+// verdict returns the reason to stop a running attempt, or "".
+func (a *attempt) verdict(j *model.Job, now time.Time) model.Reason {
+	switch {
+	case j.CancelRequested:
+		return model.ReasonCancelled
+	case a.preempted.Load():
+		return model.ReasonReclaimed
+	case anyFailed(j.Attempt.Results):
+		return model.ReasonTaskFailed
+	case !j.Spec.Deadline.IsZero() && now.After(j.Spec.Deadline):
+		return model.ReasonDeadlinePassed
+	case a.lost(j, now):
+		return model.ReasonWorkerLost
 	}
+	return ""
 }
 
 func anyFailed(rs []model.TaskResult) bool {
@@ -230,12 +277,11 @@
 // poll asks for the state of the tasks without a result, so that a lost report
 // is found.
 func (a *attempt) poll(ctx context.Context, j *model.Job) {
-	a.each(func(t *task) bool {
-		if hasResult(j.Attempt.Results, t.place.Task) {
-			return true
+	a.each(ctx, func(ctx context.Context, t *task) bool {
+		if !hasResult(j.Attempt.Results, t.place.Task) {
+			a.ask(ctx, t, a.command(workerapi.Status, t))
+			a.record(ctx, t)
 		}
-		a.ask(ctx, t, a.command(workerapi.Status, t))
-		a.record(ctx, t)
 		return true
 	})
 }
@@ -251,8 +297,8 @@
 }
 
 // lost reports whether a task without a result is gone: its worker has
-// restarted or stopped it, or has been silent for the lease time.
-func (a *attempt) lost(j *model.Job) bool {
+// restarted or stopped it, or its lease has run out.
+func (a *attempt) lost(j *model.Job, now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, t := range a.tasks {
@@ -260,72 +306,12 @@
 			continue
 		}
 		switch t.state {
-		case workerapi.TaskAbsent, workerapi.TaskStopped, workerapi.TaskNotStarted:
+		case workerapi.TaskAbsent, workerapi.TaskStopped, workerapi.TaskNotStarted, workerapi.TaskCheckpoint:
 			return true
 		}
-		if time.Since(t.lastContact) > a.c.Lease {
+		if now.After(t.leaseEnd) {
 			return true
 		}
 	}
 	return false
 }
-
-// end stops every task, then concludes the attempt with what is certain.
-func (a *attempt) end(ctx context.Context, reason model.Reason) {
-	begun := a.phase != model.PhaseReserve
-	a.each(func(t *task) bool {
-		a.stop(ctx, t, begun)
-		a.record(ctx, t)
-		return true
-	})
-	if ctx.Err() != nil || a.current() == nil {
-		return
-	}
-	out := a.outcome(begun)
-	a.c.Log.Info("attempt ended", "job", a.job, "customer", a.spec.Customer, "reason", reason, "outcome", out)
-	telemetry.Retried(reason)
-	a.propose(ctx, &jobs.Command{Kind: jobs.KindEndAttempt, Outcome: out, Reason: reason})
-}
-
-// stop tells a worker to stop a task. Before a start was sent one answer or none
-// is enough; afterwards it asks until the lease has certainly run out.
-func (a *attempt) stop(ctx context.Context, t *task, begun bool) {
-	if !begun {
-		a.ask(ctx, t, a.command(workerapi.Stop, t))
-		return
-	}
-	a.mu.Lock()
-	limit := a.c.Lease - time.Since(t.lastContact)
-	a.mu.Unlock()
-	a.until(ctx, t, workerapi.Stop, max(limit, commandTimeout))
-}
-
-// outcome sums up what the workers have said.
-func (a *attempt) outcome(begun bool) jobs.Outcome {
-	if !begun {
-		return jobs.NotStarted
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	notStarted, failed, unknown := 0, 0, 0
-	for _, t := range a.tasks {
-		switch {
-		case t.result != nil && !t.result.OK:
-			failed++
-		case t.result != nil || t.state == workerapi.TaskStopped || t.state == workerapi.TaskFinished:
-		case t.state == workerapi.TaskNotStarted:
-			notStarted++
-		default:
-			unknown++
-		}
-	}
-	switch {
-	case notStarted == len(a.tasks):
-		return jobs.NotStarted
-	case unknown > 0:
-		return jobs.Lost
-	case failed > 0:
-		return jobs.TaskFailed
-	}
-	return jobs.Stopped
-}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -11,10 +11,12 @@
 	"github.com/go-logr/logr"
 
 	"teaselpaddle.example/teaselpaddle/internal/blackboard"
+	"teaselpaddle.example/teaselpaddle/internal/health"
 	"teaselpaddle.example/teaselpaddle/internal/jobs"
 	"teaselpaddle.example/teaselpaddle/internal/model"
 	"teaselpaddle.example/teaselpaddle/internal/replica"
 	"teaselpaddle.example/teaselpaddle/internal/sched"
+	"teaselpaddle.example/teaselpaddle/internal/telemetry"
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
 
@@ -22,6 +24,8 @@
 const (
 	leaderPoll      = 50 * time.Millisecond  // how often the leadership is checked
 	placementPeriod = 200 * time.Millisecond // placement runs at least this often
+	// expirePeriod is how often results past their retention time are dropped.
+	expirePeriod = time.Hour
 	// workerSilence is the time after the last announcement from which a worker
 	// takes no new work: three announcements of 2 s.
 	workerSilence = 6 * time.Second
@@ -40,12 +44,18 @@
 
 	number atomic.Uint64 // last operation number
 
+	health   workerHealth
+	contacts *contacts // of the present term
+
 	mu       sync.Mutex // guards attempts
 	attempts map[model.JobID]*attempt
 }
 
 // Run acts whenever this instance leads, until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
+	c.health.tracker = health.New()
+	c.Machine.Subscribe(c.health.observe)
+	go c.applySuspensions(ctx)
 	for ctx.Err() == nil {
 		if st := c.Group.Status(); st.Leads {
 			c.lead(ctx, st.Term)
@@ -63,8 +73,10 @@
 	defer cancel()
 	c.mu.Lock()
 	c.attempts = map[model.JobID]*attempt{}
+	c.contacts = newContacts()
 	c.mu.Unlock()
 	wg.Go(func() { c.renewLeases(ctx, term) })
+	wg.Go(func() { c.expire(ctx) })
 	for {
 		st := c.Group.Status()
 		if ctx.Err() != nil || !st.Leads || st.Term != term {
@@ -73,7 +85,6 @@
 		}
 		jobsChanged := c.Machine.Changed()
 		boardChanged := c.Board.Changed()
-		c.follow(ctx, term, &wg)
 		c.place(ctx)
 		c.follow(ctx, term, &wg)
 		select {
@@ -124,10 +135,12 @@
 	if cfg == nil {
 		return
 	}
+	c.concludeLate(ctx, time.Now())
 	plan := c.Decide(c.snapshot(cfg, time.Now()))
 	for i := range plan.Rejections {
 		r := &plan.Rejections[i]
-		c.Log.Info("job concluded", "job", r.ID, "reason", r.Reason)
+		c.Log.Info("job concluded", "job", r.ID, "zone", c.Zone, "reason", r.Reason)
+		telemetry.Refused(r.Reason)
 		c.propose(ctx, &jobs.Command{Kind: jobs.KindConclude, ID: r.ID, Reason: r.Reason})
 	}
 	for i := range plan.Preemptions {
@@ -142,6 +155,25 @@
 	}
 }
 
+// concludeLate gives queued jobs whose deadline has passed their final answer.
+func (c *Controller) concludeLate(ctx context.Context, now time.Time) {
+	for _, j := range c.Machine.Active() {
+		if j.State == model.Queued && !j.Spec.Deadline.IsZero() && now.After(j.Spec.Deadline) {
+			c.Log.Info("job concluded", "job", j.ID, "customer", j.Spec.Customer, "reason", model.ReasonDeadlinePassed)
+			telemetry.Refused(model.ReasonDeadlinePassed)
+			c.propose(ctx, &jobs.Command{Kind: jobs.KindConclude, ID: j.ID, Reason: model.ReasonDeadlinePassed})
+		}
+	}
+}
+
+// expire drops results past their retention time.
+func (c *Controller) expire(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, expirePeriod)
+		c.propose(ctx, &jobs.Command{Kind: jobs.KindExpire})
+	}
+}
+
 // preempt tells a running attempt to stop.
 func (c *Controller) preempt(p *sched.Preemption) {
 	c.mu.Lock()
@@ -158,7 +190,7 @@
 	s := &sched.Snapshot{Now: now, Zone: c.Zone, Config: cfg}
 	for _, e := range c.Board.List() {
 		w := &e.Worker
-		usable := !w.Leaving && !e.Health.Suspended && now.Sub(e.Health.LastSeen) < workerSilence
+		usable := !w.Leaving && !c.health.suspended(w.Name, now) && now.Sub(e.Health.LastSeen) < workerSilence
 		s.Workers = append(s.Workers, sched.Worker{
 			Name: w.Name, Rack: w.Rack, Cores: w.Cores, MemoryMiB: w.MemoryMiB,
 			Accelerators: w.Accelerators, Slots: w.Slots, Usable: usable,
--- /dev/null
+++ b/internal/control/workerhealth.go
@@ -0,0 +1,66 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"teaselpaddle.example/teaselpaddle/internal/health"
+	"teaselpaddle.example/teaselpaddle/internal/model"
+)
+
+// healthPeriod is how often the blackboard's suspensions are brought up to date.
+const healthPeriod = time.Second
+
+// workerHealth feeds the tracker from the changes of job records. It lives as
+// long as the daemon, on every replica, so a new leader knows the bad workers.
+type workerHealth struct {
+	mu      sync.Mutex // guards tracker
+	tracker *health.Tracker
+}
+
+// observe is the hook on the jobs machine.
+func (w *workerHealth) observe(old, j *model.Job) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, name := range j.FailedOn {
+		if old == nil || !slices.Contains(old.FailedOn, name) {
+			w.tracker.Failed(j.ID, name, time.Now())
+		}
+	}
+	if !j.State.Final() {
+		return
+	}
+	for i := range j.Results {
+		if j.Results[i].OK {
+			w.tracker.Succeeded(j.Results[i].Worker)
+		}
+	}
+	if j.Reason == model.ReasonTooManyFails {
+		w.tracker.JobAtFault(j.ID)
+	}
+}
+
+func (w *workerHealth) suspended(name string, now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.tracker.Suspended(name, now)
+}
+
+// applySuspensions keeps the blackboard's suspensions up to date.
+func (c *Controller) applySuspensions(ctx context.Context) {
+	for ctx.Err() == nil {
+		now := time.Now()
+		for _, e := range c.Board.List() {
+			name := e.Worker.Name
+			s := c.health.suspended(name, now)
+			if s == e.Health.Suspended {
+				continue
+			}
+			c.Log.Info("worker suspension changed", "worker", name, "zone", c.Zone, "suspended", s)
+			c.Board.Update(name, func(h *model.WorkerHealth) { h.Suspended = s })
+		}
+		sleep(ctx, healthPeriod)
+	}
+}
--- a/internal/jobs/apply.go
+++ b/internal/jobs/apply.go
@@ -30,6 +30,7 @@
 		return r
 	}
 	m.put(old, &j)
+	m.notify(old, &j)
 	r.Job = &j
 	return r
 }
@@ -87,6 +88,7 @@
 	}
 	j := &model.Job{ID: c.ID, Spec: *c.Spec, State: model.Queued, Seq: index, SubmittedAt: c.At}
 	m.put(nil, j)
+	m.notify(nil, j)
 	return &Result{Job: j}
 }
 
--- a/internal/jobs/command.go
+++ b/internal/jobs/command.go
@@ -40,6 +40,20 @@
 	TaskFailed
 )
 
+func (o Outcome) String() string {
+	switch o {
+	case NotStarted:
+		return "not_started"
+	case Lost:
+		return "lost"
+	case Stopped:
+		return "stopped"
+	case TaskFailed:
+		return "task_failed"
+	}
+	return "invalid"
+}
+
 // Command is one entry of the zone's log. At is the leader's clock; it is the
 // only time that the state machine sees.
 type Command struct {
--- a/internal/jobs/machine.go
+++ b/internal/jobs/machine.go
@@ -42,7 +42,35 @@
 	mu       sync.RWMutex
 	jobs     map[model.JobID]*model.Job
 	active   map[model.JobID]*model.Job // those not in a final state
-	watchers map[model.JobID][]chan struct{}
+	watchers watchers                   // closed when a job becomes final
+	changes  watchers                   // closed at the next change of a job
+}
+
+// watchers are channels by job.
+type watchers map[model.JobID][]chan struct{}
+
+func (w watchers) add(id model.JobID, ch chan struct{}) { w[id] = append(w[id], ch) }
+
+func (w watchers) remove(id model.JobID, ch chan struct{}) {
+	list := w[id]
+	for i := range list {
+		if list[i] == ch {
+			list = append(list[:i], list[i+1:]...)
+			break
+		}
+	}
+	if len(list) == 0 {
+		delete(w, id)
+		return
+	}
+	w[id] = list
+}
+
+func (w watchers) wake(id model.JobID) {
+	for _, ch := range w[id] {
+		close(ch)
+	}
+	delete(w, id)
 }
 
 // Machine is the state machine. Apply, Snapshot and Restore are called by one
@@ -55,8 +83,13 @@
 	queued  map[string]int // queued jobs by customer
 	applied uint64
 	changed chan struct{} // closed and replaced at each change
+	hooks   []Hook
 }
 
+// Hook is told each change of a record. It runs while the command is applied,
+// so it must return at once. old is nil for a new record.
+type Hook func(old, j *model.Job)
+
 // New returns an empty machine.
 func New() *Machine {
 	m := &Machine{queued: map[string]int{}, changed: make(chan struct{})}
@@ -70,7 +103,8 @@
 	s.jobs = map[model.JobID]*model.Job{}
 	s.active = map[model.JobID]*model.Job{}
 	if s.watchers == nil {
-		s.watchers = map[model.JobID][]chan struct{}{}
+		s.watchers = watchers{}
+		s.changes = watchers{}
 	}
 }
 
@@ -153,25 +187,25 @@
 		close(ch)
 		return ch, func() {}
 	}
-	s.watchers[id] = append(s.watchers[id], ch)
-	return ch, func() { s.unwatch(id, ch) }
+	s.watchers.add(id, ch)
+	return ch, func() { s.unwatch(s.watchers, id, ch) }
 }
 
-func (s *shard) unwatch(id model.JobID, ch chan struct{}) {
+// WatchChange returns a channel that is closed at the next change of the job's
+// record, and a function that ends the watch.
+func (m *Machine) WatchChange(id model.JobID) (<-chan struct{}, func()) {
+	s := m.shard(id)
+	ch := make(chan struct{})
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := s.watchers[id]
-	for i := range list {
-		if list[i] == ch {
-			list = append(list[:i], list[i+1:]...)
-			break
-		}
-	}
-	if len(list) == 0 {
-		delete(s.watchers, id)
-		return
-	}
-	s.watchers[id] = list
+	s.changes.add(id, ch)
+	return ch, func() { s.unwatch(s.changes, id, ch) }
+}
+
+func (s *shard) unwatch(w watchers, id model.JobID, ch chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w.remove(id, ch)
 }
 
 // put replaces the record of a job and wakes its watchers when it is final.
@@ -181,17 +215,32 @@
 	s.jobs[j.ID] = j
 	if j.State.Final() {
 		delete(s.active, j.ID)
-		for _, ch := range s.watchers[j.ID] {
-			close(ch)
-		}
-		delete(s.watchers, j.ID)
+		s.watchers.wake(j.ID)
 	} else {
 		s.active[j.ID] = j
 	}
+	s.changes.wake(j.ID)
 	s.mu.Unlock()
 	m.count(old, j)
 }
 
+// Subscribe adds a hook.
+func (m *Machine) Subscribe(h Hook) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.hooks = append(m.hooks, h)
+}
+
+// notify calls the hooks. Restored records are not reported.
+func (m *Machine) notify(old, j *model.Job) {
+	m.mu.RLock()
+	hooks := m.hooks
+	m.mu.RUnlock()
+	for _, h := range hooks {
+		h(old, j)
+	}
+}
+
 // count keeps the number of queued jobs by customer.
 func (m *Machine) count(old, j *model.Job) {
 	was := old != nil && old.State == model.Queued
--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,34 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against retries that multiply the load: with a ratio of 0.1 a hundred
+// failing requests make at most ten retries beyond the burst.
+func TestBudgetBoundsRetries(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(0.1, 5)
+	retries := 0
+	for range 100 {
+		b.Request()
+		for b.Allow() {
+			retries++
+		}
+	}
+	is.True(retries <= 15)
+	is.True(retries >= 14)
+}
+
+// Guards against pauses out of range, also for many tries.
+func TestBackoffRange(t *testing.T) {
+	is := is.New(t)
+	for try := range 100 {
+		d := Backoff(try, 10*time.Millisecond, time.Second)
+		is.True(d >= 5*time.Millisecond)
+		is.True(d <= time.Second)
+	}
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -14,6 +15,7 @@
 	"teaselpaddle.example/teaselpaddle/internal/link"
 	"teaselpaddle.example/teaselpaddle/internal/model"
 	"teaselpaddle.example/teaselpaddle/internal/replica"
+	"teaselpaddle.example/teaselpaddle/internal/retry"
 	"teaselpaddle.example/teaselpaddle/internal/telemetry"
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
@@ -59,8 +61,9 @@
 
 // Time limits of one request.
 const (
-	callTimeout    = 2 * time.Second        // one call to one instance
-	requestTimeout = 6 * time.Second        // all calls of one request
+	callTimeout    = 4 * time.Second        // one call to one instance
+	requestTimeout = 10 * time.Second       // all calls of one request
+	leaderTimeout  = 3 * time.Second        // wait for a leader: longer than an election
 	retryPause     = 100 * time.Millisecond // between two tries
 	retryAfter     = 2 * time.Second        // told to callers
 )
@@ -75,6 +78,9 @@
 	Group   replica.Group
 	Machine *jobs.Machine
 	Log     logr.Logger
+
+	mu    sync.Mutex // guards zones
+	zones map[string]*zoneHealth
 }
 
 // Register makes the router answer other instances' requests.
@@ -93,7 +99,15 @@
 func (r *Router) Submit(ctx context.Context, spec *model.JobSpec) (*Response, error) {
 	zone := model.OwnerZone(r.Zones, spec.Customer, spec.Key)
 	id := model.NewJobID(zone, spec.Customer, spec.Key)
-	return r.Do(ctx, zone, &Request{Op: OpSubmit, ID: id, Spec: spec})
+	resp, err := r.Do(ctx, zone, &Request{Op: OpSubmit, ID: id, Spec: spec})
+	var ref *model.Refusal
+	if spec.Repeatable && zone != r.Zone && errors.As(err, &ref) && ref.Reason == model.ReasonOwnerUnreachable {
+		// A repeatable job may run twice without harm, so this zone takes it.
+		telemetry.Retried(model.ReasonOwnerUnreachable)
+		id = model.NewJobID(r.Zone, spec.Customer, spec.Key)
+		return r.Do(ctx, r.Zone, &Request{Op: OpSubmit, ID: id, Spec: spec})
+	}
+	return resp, err
 }
 
 // Do carries out a request in a zone. The error is a *model.Refusal.
@@ -113,42 +127,6 @@
 	return resp, nil
 }
 
-// remote sends a request to the instances of another zone in turn. The same
-// request may be sent several times: submit, cancel and report are idempotent.
-func (r *Router) remote(ctx context.Context, zone string, req *Request) *Response {
-	for try := 0; ; try++ {
-		for _, to := range r.InZone(zone) {
-			resp, err := r.call(ctx, to, req)
-			if err == nil {
-				return resp
-			}
-			r.Log.V(1).Info("request failed", "to", to, "op", req.Op, "job", req.ID, "error", err.Error())
-		}
-		telemetry.Retried(model.ReasonOwnerUnreachable)
-		if !pause(ctx, retryPause) || try >= 2 {
-			// An earlier request with the same key may have run, so nothing
-			// better than unknown is certain here.
-			return &Response{Refusal: model.Refuse(model.ReasonOwnerUnreachable,
-				"availability zone %q cannot be reached", zone).After(retryAfter).With(model.Unknown)}
-		}
-	}
-}
-
-func (r *Router) call(ctx context.Context, to string, req *Request) (*Response, error) {
-	body, err := codec.Marshal(req)
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout+time.Duration(req.WaitMillis)*time.Millisecond)
-	defer cancel()
-	out, err := r.Peers.Call(ctx, to, link.KindRequest, body)
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	var resp Response
-	return &resp, codec.Unmarshal(out, &resp)
-}
-
 // local carries out a request in this instance's own zone.
 func (r *Router) local(ctx context.Context, req *Request) *Response {
 	switch req.Op {
@@ -157,13 +135,14 @@
 	case OpList:
 		return &Response{Jobs: r.Machine.ByCustomer(req.Customer)}
 	}
+	limit := time.Now().Add(leaderTimeout)
 	for {
 		resp := r.tryLeader(ctx, req)
 		if resp != nil {
 			return resp
 		}
 		telemetry.Retried(model.ReasonNoLeader)
-		if !pause(ctx, retryPause) {
+		if time.Now().After(limit) || !retry.Sleep(ctx, retryPause) {
 			return &Response{Refusal: model.Refuse(model.ReasonNoLeader,
 				"availability zone %q has no leader", r.Zone).After(retryAfter).With(model.Unknown)}
 		}
@@ -227,7 +206,19 @@
 		Kind: jobs.KindTaskResult, At: time.Now().UTC(),
 		ID: rep.Job, Fence: rep.Fence, Result: rep.Result,
 	}
-	return r.propose(ctx, cmd)
+	resp := r.propose(ctx, cmd)
+	if resp.Refusal != nil && obsolete(resp.Refusal.Reason) {
+		telemetry.Refused(resp.Refusal.Reason)
+		return &Response{}
+	}
+	return resp
+}
+
+// obsolete reports whether a report concerns an attempt that has ended or a job
+// that has expired. Such a report is acknowledged, or the worker would send it
+// for ever.
+func obsolete(reason model.Reason) bool {
+	return reason == model.ReasonStaleFence || reason == model.ReasonNotFound
 }
 
 func (r *Router) propose(ctx context.Context, cmd *jobs.Command) *Response {
@@ -279,12 +270,3 @@
 	}
 	return &Response{Job: j}
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -70,11 +70,12 @@
 	tasks map[key]*entry
 	seq   uint64
 	began uint64
+	epoch time.Time // zero of the worker's clock
 }
 
 // Run serves until ctx ends.
 func Run(ctx context.Context, o *Options) error {
-	w := &Worker{o: o, tasks: map[key]*entry{}, began: uint64(time.Now().UnixNano()), client: &http.Client{Timeout: callTimeout}}
+	w := &Worker{o: o, tasks: map[key]*entry{}, began: uint64(time.Now().UnixNano()), epoch: time.Now().Add(-time.Millisecond), client: &http.Client{Timeout: callTimeout}}
 	if o.Journal != "" {
 		f, err := os.OpenFile(o.Journal, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 		if err != nil {
@@ -146,7 +147,9 @@
 func (w *Worker) do(c *workerapi.Command) *workerapi.Reply {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	rep := &workerapi.Reply{Number: c.Number, Term: w.term}
+	rep := &workerapi.Reply{
+		Number: c.Number, Term: w.term, Incarnation: w.began, Clock: time.Since(w.epoch).Milliseconds(),
+	}
 	if c.Term < w.term {
 		rep.Refused = model.ReasonStaleTerm
 		return rep
@@ -176,13 +179,13 @@
 }
 
 func (w *Worker) renew(c *workerapi.Command, rep *workerapi.Reply) {
-	until := time.Now().Add(seconds(c.LeaseSeconds))
+	until := w.leaseEnd(c)
 	for _, f := range c.Fences {
 		known := false
 		for k, e := range w.tasks {
 			if k.fence == f {
 				known = true
-				e.lease = until
+				e.extend(until)
 			}
 		}
 		if !known {
@@ -191,6 +194,20 @@
 	}
 }
 
+// leaseEnd returns the end of the lease that a command grants.
+func (w *Worker) leaseEnd(c *workerapi.Command) time.Time {
+	if c.Echo == 0 || c.EchoIncarnation != w.began {
+		return time.Time{}
+	}
+	return w.epoch.Add(time.Duration(c.Echo) * time.Millisecond).Add(seconds(c.LeaseSeconds))
+}
+
+func (e *entry) extend(until time.Time) {
+	if until.After(e.lease) {
+		e.lease = until
+	}
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 func (e *entry) holds() bool {
@@ -245,12 +262,13 @@
 		return
 	}
 	if e.state != workerapi.TaskReserved {
+		e.extend(w.leaseEnd(c))
 		return
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e.state = workerapi.TaskRunning
 	e.cancel = cancel
-	e.lease = time.Now().Add(seconds(c.LeaseSeconds))
+	e.lease = w.leaseEnd(c)
 	w.record("start", e.job, k)
 	go w.run(ctx, k, e)
 }
--- a/internal/workerapi/workerapi.go
+++ b/internal/workerapi/workerapi.go
@@ -33,9 +33,10 @@
 	TaskReserved   TaskState = "reserved"
 	TaskRunning    TaskState = "running"
 	TaskFinished   TaskState = "finished"
-	TaskStopped    TaskState = "stopped"     // it ran and was stopped
-	TaskNotStarted TaskState = "not_started" // it can never start under this number
-	TaskAbsent     TaskState = "absent"      // nothing is known of it
+	TaskCheckpoint TaskState = "checkpointed" // it ran, its state was saved, and it was stopped
+	TaskStopped    TaskState = "stopped"      // it ran and was stopped
+	TaskNotStarted TaskState = "not_started"  // it can never start under this number
+	TaskAbsent     TaskState = "absent"       // nothing is known of it
 )
 
 // Command is one message to a worker. Operation numbers are unique for one
@@ -52,6 +53,14 @@
 	Spec         *model.JobSpec `json:"spec,omitempty"`
 	Accelerators []int          `json:"accelerators,omitempty"`
 	LeaseSeconds float64        `json:"lease_seconds,omitempty"`
+	// Echo is the Clock of an earlier reply of the same worker process. A start
+	// or renew makes the lease end LeaseSeconds after Echo, by the worker's own
+	// clock, so a message that was delayed on its way cannot extend a lease. A
+	// renew with Echo 0 extends nothing.
+	Echo int64 `json:"echo,omitempty"`
+	// EchoIncarnation is the incarnation that Echo belongs to; a worker ignores
+	// the echo of another incarnation.
+	EchoIncarnation uint64 `json:"echo_incarnation,omitempty"`
 	// Fences are the attempts whose leases a renew extends.
 	Fences []uint64 `json:"fences,omitempty"`
 }
@@ -70,6 +79,8 @@
 	// stop with TaskAbsent under the incarnation that reserved the task has never
 	// started it.
 	Incarnation uint64 `json:"incarnation"`
+	// Clock is the worker's monotonic clock in milliseconds when it answered.
+	Clock int64 `json:"clock"`
 	// Unknown are the fences of a renew that the worker holds no task for.
 	Unknown []uint64 `json:"unknown,omitempty"`
 }
