--- a/internal/blackboard/blackboard.go
+++ b/internal/blackboard/blackboard.go
@@ -4,6 +4,7 @@
 package blackboard
 
 import (
+	"fmt"
 	"sort"
 	"sync"
 	"time"
@@ -19,6 +20,8 @@
 type Entry struct {
 	Worker model.Worker
 	Health model.WorkerHealth
+	// Print is the fingerprint of Worker.
+	Print uint32 `json:"-"`
 }
 
 // shard holds the workers whose name hashes to it; mu guards entries.
@@ -46,24 +49,82 @@
 
 func (b *Board) shard(name string) *shard { return &b.shards[xxhash.Sum64String(name)%shardCount] }
 
-// Announce records an announcement received at now. It reports whether the
-// announcement is news: late and doubled ones are not.
-func (b *Board) Announce(w model.Worker, now time.Time) bool {
+// News says what an announcement changed.
+type News int
+
+// The kinds of news.
+const (
+	Stale   News = iota // late or doubled; nothing changed
+	Alive               // the worker is alive and otherwise unchanged
+	Changed             // a new worker, or one that says something new
+)
+
+// Announce records an announcement received at now. Announcements of an
+// incarnation are ordered by Seq, and incarnations grow, so that late ones are
+// recognised.
+func (b *Board) Announce(w model.Worker, now time.Time) News {
 	s := b.shard(w.Name)
 	s.mu.Lock()
 	old, known := s.entries[w.Name]
-	if known && old.Worker.Incarnation == w.Incarnation && w.Seq <= old.Worker.Seq {
+	if known && older(&w, &old.Worker) {
 		s.mu.Unlock()
-		return false
+		return Stale
 	}
-	e := Entry{Worker: w, Health: old.Health}
+	e := Entry{Worker: w, Health: old.Health, Print: fingerprint(&w)}
 	e.Health.LastSeen = now
 	s.entries[w.Name] = e
 	s.mu.Unlock()
-	if !known || old.Worker.Leaving != w.Leaving {
-		b.notify()
+	if known && e.Print == old.Print {
+		return Alive
+	}
+	b.notify()
+	return Changed
+}
+
+func older(w, old *model.Worker) bool {
+	if w.Incarnation != old.Incarnation {
+		return w.Incarnation < old.Incarnation
+	}
+	return w.Seq <= old.Seq
+}
+
+// fingerprint is a hash of everything that an announcement says but its Seq.
+func fingerprint(w *model.Worker) uint32 {
+	c := *w
+	c.Seq = 0
+	return uint32(xxhash.Sum64String(fmt.Sprintf("%+v", c)))
+}
+
+// Touch notes at now that the workers with the given fingerprints are alive. It
+// returns the fingerprints that no worker on the board has.
+func (b *Board) Touch(prints []uint32, now time.Time) (unknown []uint32) {
+	want := make(map[uint32]bool, len(prints))
+	for _, p := range prints {
+		want[p] = true
+	}
+	for i := range b.shards {
+		b.shards[i].touch(want, now)
+	}
+	for _, p := range prints {
+		if want[p] {
+			unknown = append(unknown, p)
+		}
+	}
+	return unknown
+}
+
+// touch removes the fingerprints that it finds from want.
+func (s *shard) touch(want map[uint32]bool, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, e := range s.entries {
+		if _, ok := want[e.Print]; !ok {
+			continue
+		}
+		e.Health.LastSeen = now
+		s.entries[name] = e
+		want[e.Print] = false
 	}
-	return true
 }
 
 // Get returns the entry of a worker.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,8 +10,8 @@
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 
+	"teaselpaddle.example/teaselpaddle/internal/announce"
 	"teaselpaddle.example/teaselpaddle/internal/blackboard"
-	"teaselpaddle.example/teaselpaddle/internal/codec"
 	"teaselpaddle.example/teaselpaddle/internal/control"
 	"teaselpaddle.example/teaselpaddle/internal/httpapi"
 	"teaselpaddle.example/teaselpaddle/internal/jobs"
@@ -60,17 +60,14 @@
 		Client: workerapi.NewHTTPClient(), Decide: naive.Decide,
 		Lease: time.Duration(s.LeaseSeconds * float64(time.Second)), Log: log,
 	}
-	peers.Handle(link.KindAnnounce, func(_ context.Context, _ string, body []byte) ([]byte, error) {
-		var w model.Worker
-		if err := codec.Unmarshal(body, &w); err != nil {
-			return nil, err
-		}
-		board.Announce(w, time.Now())
-		return nil, nil
-	})
+	spreader := &announce.Spreader{
+		Self: s.Name, Zone: self.AvailabilityZone, Board: board, Peers: peers, InZone: s.InZone,
+	}
+	spreader.Register()
+	go spreader.Run(ctx)
 	api := &httpapi.API{
 		Router: router, Board: board, Log: log, Publisher: &publisher{router},
-		Announce: func(w model.Worker) { announce(s, peers, board, w) },
+		Announce: spreader.Announce,
 		Ready:    func() bool { return ctx.Err() == nil && group.Status().Ready },
 	}
 	client := &http.Server{Handler: api.Handler(), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout}
@@ -87,22 +84,6 @@
 	return replica.NewLocal(s.Name, m)
 }
 
-// announce records a worker here and on the other instances of its zone.
-func announce(s *settings.Settings, peers link.Peers, board *blackboard.Board, w model.Worker) {
-	if w.AvailabilityZone == s.Self().AvailabilityZone {
-		board.Announce(w, time.Now())
-	}
-	body, err := codec.Marshal(&w)
-	if err != nil {
-		return
-	}
-	for _, name := range s.InZone(w.AvailabilityZone) {
-		if name != s.Name {
-			peers.Send(name, link.KindAnnounce, body)
-		}
-	}
-}
-
 // stop finishes open requests, then hands over the leadership.
 func stop(client, peer *http.Server, group replica.Group) error {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
--- a/internal/model/worker.go
+++ b/internal/model/worker.go
@@ -14,7 +14,7 @@
 	Slots            int    `json:"slots"`       // tasks at the same time
 	Connections      int    `json:"connections"` // open connections it accepts
 	Leaving          bool   `json:"leaving,omitempty"`
-	// Incarnation changes at each start of the worker's process.
+	// Incarnation grows with each start of the worker's process.
 	Incarnation uint64 `json:"incarnation"`
 	// Seq grows with each announcement of one incarnation, so that late
 	// announcements are recognised.
