Make the stand-in worker truthful and able to misbehave

Cause: the stand-in kept no incarnation, answered doubled commands anew, never left, and could not be made to lose or delay answers, so failure proofs had nothing to rest on.

A fencing number whose task was forgotten gets no state, so the bounded memory never turns into a false 'absent'.

--- a/cmd/standin-worker/main.go
+++ b/cmd/standin-worker/main.go
@@ -1,5 +1,6 @@
 // Command standin-worker stands in for a worker: it announces itself and
-// carries out tasks that only sleep and answer.
+// carries out tasks that only pass time and answer. SIGTERM makes it leave; a
+// second SIGTERM ends it at once.
 package main
 
 import (
@@ -18,7 +19,7 @@
 	var o standin.Options
 	arg.MustParse(&o)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	context.AfterFunc(ctx, stop)
 	if err := standin.Run(ctx, &o); err != nil {
 		fmt.Fprintln(os.Stderr, "standin-worker:", err)
 		os.Exit(1)
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -1,16 +1,17 @@
 // Package standin is a stand-in for the platform's workers. It implements the
-// workers' side of workerapi with tasks that sleep and answer, keeps its own
-// record of what ran, and can be told to misbehave.
+// workers' side of workerapi with tasks that only pass time, keeps its own
+// journal of what ran, and can be told to misbehave.
+//
+// The answers are truthful: a task state is never reported unless the journal
+// shows it. The misbehaviour of Faults affects time, delivery and usage figures
+// only.
 package standin
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
-	"strings"
 	"sync"
 	"time"
 
@@ -31,322 +32,182 @@
 	Cores        int      `arg:"--cores" default:"64"`
 	MemoryMiB    int      `arg:"--memory-mib" default:"262144"`
 	Slots        int      `arg:"--slots" default:"8"`
-	Journal      string   `arg:"--journal" help:"file that records each task's start and end"`
+	Connections  int      `arg:"--connections" default:"64" help:"open connections accepted at the same time"`
+	Journal      string   `arg:"--journal" help:"file that records what happened to each task"`
+	Checkpoints  string   `arg:"--checkpoints" help:"folder for checkpoints that all workers share; empty: kept in memory"`
+	Faults       string   `arg:"--faults" help:"faults from the start, as JSON (see POST /standin/faults)"`
+
+	AnnouncePeriod time.Duration `arg:"--announce-period" default:"2s"`
+	UsagePeriod    time.Duration `arg:"--usage-period" default:"1s" help:"time between usage reports of a task"`
+	UsageLag       time.Duration `arg:"--usage-lag" default:"500ms" help:"delay of a usage report"`
+	CheckpointTime time.Duration `arg:"--checkpoint-time" default:"20ms" help:"time that a checkpoint takes"`
 }
 
 // Times of the stand-in.
 const (
-	announcePeriod = 2 * time.Second
-	reportRetry    = 200 * time.Millisecond
-	callTimeout    = 2 * time.Second
-	reserveTimeout = 10 * time.Second // an unused reservation ends after this
+	callTimeout   = 2 * time.Second        // one call to an entry instance
+	leavingPeriod = 500 * time.Millisecond // between announcements while leaving
+	leaseCheck    = 20 * time.Millisecond  // how often leases are checked
+	idlePoll      = 20 * time.Millisecond  // how often a leaving worker checks for its end
+	// maxCheckpointTime keeps a checkpoint shorter than the daemons' limit of 1 s
+	// for one command.
+	maxCheckpointTime = 800 * time.Millisecond
 )
 
-// key identifies one task of one attempt.
-type key struct {
-	fence uint64
-	task  int
-}
-
-// entry is the worker's knowledge of a task.
-type entry struct {
-	job    model.JobID
-	state  workerapi.TaskState
-	accel  []int
-	spec   *model.JobSpec
-	lease  time.Time
-	cancel context.CancelFunc
-	result *model.TaskResult
-}
-
 // Worker is one stand-in worker.
 type Worker struct {
-	o       *Options
-	journal *os.File
-	client  *http.Client
-
-	mu    sync.Mutex // guards the fields below
-	term  uint64
-	tasks map[key]*entry
-	seq   uint64
-	began uint64
-}
-
-// Run serves until ctx ends.
-func Run(ctx context.Context, o *Options) error {
-	w := &Worker{o: o, tasks: map[key]*entry{}, began: uint64(time.Now().UnixNano()), client: &http.Client{Timeout: callTimeout}}
-	if o.Journal != "" {
-		f, err := os.OpenFile(o.Journal, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-		if err != nil {
-			return errors.Trace(err)
-		}
-		w.journal = f
-	}
-	ln, err := net.Listen("tcp", o.Address)
+	o           *Options
+	address     string
+	incarnation uint64
+	journal     *Journal
+	client      *http.Client
+	conns       *listener
+
+	mu      sync.Mutex // guards the fields below
+	term    uint64
+	tasks   map[taskKey]*task
+	ended   []taskKey // tasks that ended, oldest first
+	floor   uint64    // highest fencing number whose task was forgotten
+	replies replyCache
+	saved   map[checkpointKey]time.Duration
+	faults  Faults
+	rng     *rand.Rand
+	seq     uint64
+	leaving bool
+	unacked int // results not acknowledged yet
+}
+
+// New returns a worker and opens its journal.
+func New(o *Options) (*Worker, error) {
+	f, err := ParseFaults([]byte(o.Faults))
 	if err != nil {
-		return errors.Trace(err)
+		return nil, err
 	}
-	srv := &http.Server{Handler: w, ReadHeaderTimeout: callTimeout}
-	go func() { _ = srv.Serve(ln) }()
-	go w.expireLeases(ctx)
-	w.announceLoop(ctx)
-	return srv.Close()
-}
-
-func (w *Worker) announceLoop(ctx context.Context) {
-	for i := 0; ctx.Err() == nil; i++ {
-		w.mu.Lock()
-		w.seq++
-		a := model.Worker{
-			Name: w.o.Name, Address: w.o.Address, AvailabilityZone: w.o.Zone, Rack: w.o.Rack,
-			Cores: w.o.Cores, MemoryMiB: w.o.MemoryMiB, Accelerators: w.o.Accelerators,
-			Slots: w.o.Slots, Incarnation: w.began, Seq: w.seq,
-		}
-		w.mu.Unlock()
-		for k := range w.o.Entries {
-			if w.post(ctx, w.o.Entries[(i+k)%len(w.o.Entries)], "/v1/workers/announce", &a) {
-				break
-			}
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(announcePeriod):
-		}
+	j, err := OpenJournal(o.Journal)
+	if err != nil {
+		return nil, err
 	}
+	return &Worker{
+		o: o, incarnation: max(rand.Uint64(), 1), journal: j, faults: *f,
+		client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+		tasks:  map[taskKey]*task{}, saved: map[checkpointKey]time.Duration{},
+		rng: rand.New(rand.NewPCG(rand.Uint64(), 0)),
+	}, nil
 }
 
-// post sends v to an entry instance and reports whether it was taken.
-func (w *Worker) post(ctx context.Context, to, path string, v any) bool {
-	body, err := json.Marshal(v)
-	if err != nil {
-		return false
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to+path, bytes.NewReader(body))
+// Run serves on the address of o until ctx ends, then leaves: it announces that
+// it is leaving, finishes its tasks, delivers their results and returns.
+func Run(ctx context.Context, o *Options) error {
+	w, err := New(o)
 	if err != nil {
-		return false
+		return err
 	}
-	resp, err := w.client.Do(req)
+	ln, err := net.Listen("tcp", o.Address)
 	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode/100 == 2
-}
-
-// ServeHTTP answers the commands of the zone's leader.
-func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	var c workerapi.Command
-	if !strings.HasPrefix(r.URL.Path, "/v1/tasks/") || json.NewDecoder(r.Body).Decode(&c) != nil {
-		rw.WriteHeader(http.StatusBadRequest)
-		return
+		return errors.Annotate(err, "worker address")
+	}
+	return w.Serve(ctx, ln)
+}
+
+// Serve is Run on an open listener.
+func (w *Worker) Serve(ctx context.Context, ln net.Listener) error {
+	w.address = ln.Addr().String()
+	w.conns = newListener(ln, w.o.Connections)
+	srv := &http.Server{Handler: w.handler(), ReadHeaderTimeout: callTimeout, ConnContext: withConn}
+	go func() { _ = srv.Serve(w.conns) }()
+	stopped, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var wg sync.WaitGroup
+	wg.Go(func() { w.checkLeases(stopped) })
+	wg.Go(func() { w.announceLoop(ctx, stopped) })
+	<-ctx.Done()
+	w.leave(stopped)
+	stop()
+	err := srv.Close()
+	w.endAll()
+	wg.Wait()
+	w.client.CloseIdleConnections()
+	return errors.Trace(err)
+}
+
+// leave returns when no task is left and every result was acknowledged.
+func (w *Worker) leave(ctx context.Context) {
+	w.mu.Lock()
+	w.leaving = true
+	w.mu.Unlock()
+	w.announce(ctx, 0)
+	for !w.idle() {
+		pause(ctx, idlePoll)
 	}
-	_ = json.NewEncoder(rw).Encode(w.do(&c))
 }
 
-func (w *Worker) do(c *workerapi.Command) *workerapi.Reply {
+func (w *Worker) idle() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	rep := &workerapi.Reply{Number: c.Number, Term: w.term}
-	if c.Term < w.term {
-		rep.Refused = model.ReasonStaleTerm
-		return rep
-	}
-	w.term = c.Term
-	rep.Term = c.Term
-	if c.Op == workerapi.Renew {
-		w.renew(c, rep)
-		return rep
-	}
-	k := key{c.Fence, c.Task}
-	e := w.tasks[k]
-	switch c.Op {
-	case workerapi.Reserve:
-		e = w.reserve(k, e, c, rep)
-	case workerapi.Start:
-		w.start(k, e, c, rep)
-	case workerapi.Stop:
-		e = w.stop(k, e, c)
-	}
-	rep.State = workerapi.TaskAbsent
-	if e != nil {
-		rep.State = e.state
-		rep.Result = e.result
+	if w.unacked > 0 {
+		return false
 	}
-	return rep
-}
-
-func (w *Worker) renew(c *workerapi.Command, rep *workerapi.Reply) {
-	until := time.Now().Add(seconds(c.LeaseSeconds))
-	for _, f := range c.Fences {
-		known := false
-		for k, e := range w.tasks {
-			if k.fence == f {
-				known = true
-				e.lease = until
-			}
-		}
-		if !known {
-			rep.Unknown = append(rep.Unknown, f)
+	for _, t := range w.tasks {
+		if t.holds() {
+			return false
 		}
 	}
+	return true
 }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
-func (e *entry) holds() bool {
-	return e.state == workerapi.TaskReserved || e.state == workerapi.TaskRunning
-}
-
-func (w *Worker) reserve(k key, e *entry, c *workerapi.Command, rep *workerapi.Reply) *entry {
-	if e != nil {
-		if !e.holds() {
-			rep.Refused = model.ReasonStaleFence
+// Kill ends the worker at once, as SIGKILL would: tasks end without an entry in
+// the journal and results are not delivered. It serves tests in one process.
+func (w *Worker) Kill() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_ = w.journal.Close()
+	w.conns.closeAll()
+	for _, t := range w.tasks {
+		if t.cancel != nil {
+			t.cancel()
 		}
-		return e
-	}
-	if !w.room(c) {
-		rep.Refused = model.ReasonWorkerFull
-		return nil
+		t.state = workerapi.TaskStopped
+		t.acked = true
 	}
-	e = &entry{
-		job: c.Job, state: workerapi.TaskReserved, accel: c.Accelerators, spec: c.Spec,
-		lease: time.Now().Add(max(reserveTimeout, seconds(c.LeaseSeconds))),
-	}
-	w.tasks[k] = e
-	return e
+	w.unacked = 0
 }
 
-// room reports whether slots, cores, memory and the named accelerators are free.
-func (w *Worker) room(c *workerapi.Command) bool {
-	slots, cores, mem := w.o.Slots, w.o.Cores, w.o.MemoryMiB
-	used := map[int]bool{}
-	for _, e := range w.tasks {
-		if !e.holds() {
-			continue
-		}
-		slots--
-		cores -= e.spec.CPU
-		mem -= e.spec.MemoryMiB
-		for _, a := range e.accel {
-			used[a] = true
+func (w *Worker) announceLoop(ctx, stopped context.Context) {
+	for i := 0; stopped.Err() == nil; i++ {
+		w.announce(stopped, i)
+		period := w.o.AnnouncePeriod
+		if ctx.Err() != nil {
+			period = leavingPeriod
 		}
-	}
-	for _, a := range c.Accelerators {
-		if used[a] || a >= w.o.Accelerators {
-			return false
+		select {
+		case <-stopped.Done():
+		case <-time.After(period):
 		}
 	}
-	return slots >= 1 && cores >= c.Spec.CPU && mem >= c.Spec.MemoryMiB
 }
 
-func (w *Worker) start(k key, e *entry, c *workerapi.Command, rep *workerapi.Reply) {
-	if e == nil || (!e.holds() && e.state != workerapi.TaskFinished) {
-		rep.Refused = model.ReasonStaleFence
-		return
-	}
-	if e.state != workerapi.TaskReserved {
-		return
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	e.state = workerapi.TaskRunning
-	e.cancel = cancel
-	e.lease = time.Now().Add(seconds(c.LeaseSeconds))
-	w.record("start", e.job, k)
-	go w.run(ctx, k, e)
-}
-
-// run carries out a task: the payload "sleep=<duration>" makes it last longer.
-func (w *Worker) run(ctx context.Context, k key, e *entry) {
-	d := 20 * time.Millisecond
-	if s, ok := strings.CutPrefix(e.spec.Payload, "sleep="); ok {
-		if p, err := time.ParseDuration(s); err == nil {
-			d = p
-		}
-	}
-	select {
-	case <-ctx.Done():
-		return
-	case <-time.After(d):
-	}
+// announce sends one announcement to the first entry instance that takes it,
+// beginning with number i.
+func (w *Worker) announce(ctx context.Context, i int) {
 	w.mu.Lock()
-	if e.state != workerapi.TaskRunning {
-		w.mu.Unlock()
-		return
+	w.seq++
+	a := model.Worker{
+		Name: w.o.Name, Address: w.address, AvailabilityZone: w.o.Zone, Rack: w.o.Rack,
+		Cores: w.o.Cores, MemoryMiB: w.o.MemoryMiB, Accelerators: w.o.Accelerators,
+		Slots: w.o.Slots, Connections: w.o.Connections, Leaving: w.leaving,
+		Incarnation: w.incarnation, Seq: w.seq,
 	}
-	e.state = workerapi.TaskFinished
-	e.result = &model.TaskResult{Task: k.task, Worker: w.o.Name, OK: true, Output: "answer of " + string(e.job)}
-	w.record("finish", e.job, k)
 	w.mu.Unlock()
-	w.report(k, e)
-}
-
-// report sends a result until an entry instance acknowledges it.
-func (w *Worker) report(k key, e *entry) {
-	rep := &workerapi.Report{Worker: w.o.Name, Job: e.job, Fence: k.fence, Result: e.result}
-	for i := 0; ; i++ {
-		if w.post(context.Background(), w.o.Entries[i%len(w.o.Entries)], "/v1/workers/reports", rep) {
+	for k := range w.o.Entries {
+		if w.post(ctx, w.o.Entries[(i+k)%len(w.o.Entries)], "/v1/workers/announce", &a) == taken {
 			return
 		}
-		time.Sleep(reportRetry)
-	}
-}
-
-// stop ends a task. A fencing number that the worker does not know is recorded,
-// so that a late reserve or start under it is refused.
-func (w *Worker) stop(k key, e *entry, c *workerapi.Command) *entry {
-	if e == nil {
-		e = &entry{job: c.Job, state: workerapi.TaskAbsent, spec: &model.JobSpec{}}
-		w.tasks[k] = e
-		return e
-	}
-	w.end(k, e)
-	return e
-}
-
-func (w *Worker) end(k key, e *entry) {
-	switch e.state {
-	case workerapi.TaskReserved:
-		e.state = workerapi.TaskNotStarted
-	case workerapi.TaskRunning:
-		e.state = workerapi.TaskStopped
-		e.cancel()
-		w.record("stop", e.job, k)
-	}
-}
-
-// expireLeases ends tasks whose lease has run out.
-func (w *Worker) expireLeases(ctx context.Context) {
-	for ctx.Err() == nil {
-		w.mu.Lock()
-		for k, e := range w.tasks {
-			if e.holds() && time.Now().After(e.lease) {
-				w.end(k, e)
-			}
-		}
-		w.mu.Unlock()
-		select {
-		case <-ctx.Done():
-		case <-time.After(100 * time.Millisecond):
-		}
 	}
 }
 
-// journalLine is one line of the worker's own record.
-type journalLine struct {
-	At    time.Time   `json:"at"`
-	Event string      `json:"event"` // start, finish or stop
-	Job   model.JobID `json:"job"`
-	Fence uint64      `json:"fence"`
-	Task  int         `json:"task"`
-}
-
-// record appends to the journal. w.mu is held.
-func (w *Worker) record(event string, job model.JobID, k key) {
-	if w.journal == nil {
-		return
-	}
-	line, err := json.Marshal(&journalLine{At: time.Now(), Event: event, Job: job, Fence: k.fence, Task: k.task})
-	if err == nil {
-		_, _ = w.journal.Write(append(line, '\n'))
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
 }
--- /dev/null
+++ b/internal/standin/standin_test.go
@@ -0,0 +1,352 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"teaselpaddle.example/teaselpaddle/internal/model"
+	"teaselpaddle.example/teaselpaddle/internal/workerapi"
+)
+
+const testJob = model.JobID("z-1.0123456789abcdef01234567")
+
+// sink stands in for the entry instances: it records announcements and reports.
+type sink struct {
+	mu       sync.Mutex
+	status   int
+	announce []model.Worker
+	reports  []workerapi.Report
+}
+
+func (s *sink) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.URL.Path == "/v1/workers/announce" {
+		var a model.Worker
+		_ = json.NewDecoder(r.Body).Decode(&a)
+		s.announce = append(s.announce, a)
+	} else {
+		var rep workerapi.Report
+		_ = json.NewDecoder(r.Body).Decode(&rep)
+		s.reports = append(s.reports, rep)
+	}
+	w.WriteHeader(s.status)
+}
+
+func (s *sink) setStatus(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.status = n
+}
+
+func (s *sink) counts() (announcements, reports int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.announce), len(s.reports)
+}
+
+// fixture is a worker that runs in this process.
+type fixture struct {
+	w      *Worker
+	sink   *sink
+	leave  context.CancelFunc
+	ended  chan struct{}
+	client *workerapi.HTTPClient
+	number uint64
+	log    string
+}
+
+func start(t *testing.T, change func(*Options)) *fixture {
+	t.Helper()
+	is := is.New(t)
+	f := &fixture{sink: &sink{status: http.StatusNoContent}, ended: make(chan struct{}), client: workerapi.NewHTTPClient()}
+	entry := httptest.NewServer(f.sink)
+	f.log = filepath.Join(t.TempDir(), "w.journal")
+	o := &Options{
+		Name: "w-1", Zone: "z-1", Rack: "r-1", Entries: []string{entry.Listener.Addr().String()},
+		Accelerators: 8, Cores: 64, MemoryMiB: 1024, Slots: 8, Journal: f.log, AnnouncePeriod: 50 * time.Millisecond,
+		UsagePeriod: 30 * time.Millisecond, UsageLag: 10 * time.Millisecond, CheckpointTime: 10 * time.Millisecond,
+	}
+	if change != nil {
+		change(o)
+	}
+	var err error
+	f.w, err = New(o)
+	is.NoErr(err)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	f.leave = cancel
+	go func() {
+		defer close(f.ended)
+		_ = f.w.Serve(ctx, ln)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		f.w.endAllNow()
+		<-f.ended
+		entry.Close()
+	})
+	waitFor(t, func() bool { n, _ := f.sink.counts(); return n > 0 })
+	return f
+}
+
+// endAllNow lets a leaving worker end at once.
+func (w *Worker) endAllNow() {
+	w.endAll()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, t := range w.tasks {
+		t.acked = true
+	}
+	w.unacked = 0
+}
+
+func waitFor(t *testing.T, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	t.Fatal("condition was not met in 5 s")
+}
+
+func (f *fixture) cmd(op workerapi.Operation, fence uint64, payload string) *workerapi.Command {
+	f.number++
+	return &workerapi.Command{
+		Op: op, Number: f.number, Zone: "z-1", Term: 1, Fence: fence, Job: testJob,
+		Spec: &model.JobSpec{Payload: payload, CPU: 1, MemoryMiB: 100}, Accelerators: []int{int(fence) % 8}, LeaseSeconds: 5,
+	}
+}
+
+func (f *fixture) do(op workerapi.Operation, fence uint64, payload string) *workerapi.Reply {
+	return f.w.Do(context.Background(), f.cmd(op, fence, payload))
+}
+
+func (f *fixture) events(t *testing.T, kind EventKind) int {
+	t.Helper()
+	list, err := ReadJournal(f.log)
+	is.New(t).NoErr(err)
+	n := 0
+	for i := range list {
+		if list[i].Event == kind {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a started task after a stop: the leader concludes not_started
+// from these answers.
+func TestStopMakesLaterStartImpossible(t *testing.T) {
+	is := is.New(t)
+	f := start(t, nil)
+	r := f.do(workerapi.Stop, 7, "")
+	is.Equal(r.State, workerapi.TaskAbsent)
+	is.Equal(r.Incarnation, f.w.incarnation)
+	is.Equal(f.do(workerapi.Reserve, 7, "").Refused, model.ReasonStaleFence)
+	is.Equal(f.do(workerapi.Start, 7, "").Refused, model.ReasonStaleFence)
+
+	is.Equal(f.do(workerapi.Reserve, 8, "").State, workerapi.TaskReserved)
+	is.Equal(f.do(workerapi.Stop, 8, "").State, workerapi.TaskNotStarted)
+	is.Equal(f.do(workerapi.Start, 8, "").Refused, model.ReasonStaleFence)
+	is.Equal(f.events(t, EventStart), 0)
+	is.Equal(f.events(t, EventRefuse), 3)
+
+	is.Equal(f.do(workerapi.Reserve, 9, "never-end").State, workerapi.TaskReserved)
+	is.Equal(f.do(workerapi.Start, 9, "").State, workerapi.TaskRunning)
+	is.Equal(f.do(workerapi.Stop, 9, "").State, workerapi.TaskStopped)
+	is.Equal(f.events(t, EventStart), 1)
+	is.Equal(f.events(t, EventStop), 1)
+}
+
+// Guards against an answer that claims "absent" for a number whose task ran but
+// was forgotten.
+func TestForgottenNumberHasNoState(t *testing.T) {
+	is := is.New(t)
+	f := start(t, nil)
+	is.Equal(f.do(workerapi.Reserve, 1, "never-end").Refused, model.Reason(""))
+	is.Equal(f.do(workerapi.Start, 1, "").State, workerapi.TaskRunning)
+	is.Equal(f.do(workerapi.Stop, 1, "").State, workerapi.TaskStopped)
+	for i := range uint64(maxEnded) {
+		f.do(workerapi.Stop, 10+i, "")
+	}
+	f.w.mu.Lock()
+	n := len(f.w.tasks)
+	f.w.mu.Unlock()
+	is.Equal(n, maxEnded)
+	r := f.do(workerapi.Stop, 1, "")
+	is.Equal(r.State, workerapi.TaskState(""))
+	is.Equal(r.Refused, model.ReasonStaleFence)
+}
+
+// Guards against a leader of an earlier term that is obeyed, and against a
+// command that is carried out twice.
+func TestTermsAndDuplicates(t *testing.T) {
+	is := is.New(t)
+	f := start(t, nil)
+	c := f.cmd(workerapi.Reserve, 3, "never-end")
+	first := f.w.Do(context.Background(), c)
+	f.do(workerapi.Stop, 3, "")
+	is.Equal(f.w.Do(context.Background(), c), first) // the same answer again
+	next := f.cmd(workerapi.Reserve, 4, "")
+	next.Term = 5
+	is.Equal(f.w.Do(context.Background(), next).Refused, model.Reason(""))
+	r := f.do(workerapi.Start, 4, "")
+	is.Equal(r.Refused, model.ReasonStaleTerm)
+	is.Equal(r.Term, uint64(5))
+	is.Equal(f.events(t, EventStart), 0)
+	other := f.cmd(workerapi.Start, 4, "")
+	other.Term, other.Job = 5, "z-1.aaaaaaaaaaaaaaaaaaaaaaaa"
+	is.Equal(f.w.Do(context.Background(), other).Refused, model.ReasonStaleFence)
+	other.Zone = "z-2"
+	is.Equal(f.w.Do(context.Background(), other).Refused, model.ReasonInvalid)
+}
+
+// Guards against a task that outlives its lease.
+func TestLeaseEndsTask(t *testing.T) {
+	is := is.New(t)
+	f := start(t, nil)
+	f.do(workerapi.Reserve, 1, "never-end")
+	c := f.cmd(workerapi.Start, 1, "")
+	c.LeaseSeconds = 0.15
+	is.Equal(f.w.Do(context.Background(), c).State, workerapi.TaskRunning)
+	renew := f.cmd(workerapi.Renew, 0, "")
+	renew.Fences, renew.LeaseSeconds = []uint64{1, 2}, 0.3
+	is.Equal(f.w.Do(context.Background(), renew).Unknown, []uint64{2})
+	time.Sleep(170 * time.Millisecond)
+	is.Equal(f.do(workerapi.Status, 1, "").State, workerapi.TaskRunning)
+	waitFor(t, func() bool { return f.do(workerapi.Status, 1, "").State == workerapi.TaskStopped })
+	is.Equal(f.do(workerapi.Start, 1, "").Refused, model.ReasonStaleFence)
+}
+
+// Guards against a lost result: it is sent until acknowledged and kept for
+// status.
+func TestResultsAreResentAndKept(t *testing.T) {
+	is := is.New(t)
+	f := start(t, nil)
+	f.sink.setStatus(http.StatusServiceUnavailable)
+	f.do(workerapi.Reserve, 1, "sleep=1ms")
+	f.do(workerapi.Start, 1, "")
+	waitFor(t, func() bool { _, n := f.sink.counts(); return n >= 2 })
+	f.leave()
+	time.Sleep(50 * time.Millisecond)
+	r := f.do(workerapi.Status, 1, "")
+	is.Equal(r.State, workerapi.TaskFinished)
+	is.Equal(r.Result.Output, TaskOutput(testJob, 0, "sleep=1ms"))
+	f.sink.setStatus(http.StatusNoContent)
+	<-f.ended // a leaving worker ends once its results are acknowledged
+}
+
+// Guards against a leaving worker that takes work or interrupts a task.
+func TestLeavingWorkerFinishesItsTasks(t *testing.T) {
+	is := is.New(t)
+	f := start(t, nil)
+	f.do(workerapi.Reserve, 1, "sleep=200ms")
+	f.do(workerapi.Start, 1, "")
+	f.leave()
+	waitFor(t, func() bool {
+		f.w.mu.Lock()
+		defer f.w.mu.Unlock()
+		return f.w.leaving
+	})
+	is.Equal(f.do(workerapi.Reserve, 2, "").Refused, model.ReasonWorkerLeaving)
+	<-f.ended
+	is.Equal(f.events(t, EventFinish), 1)
+	f.sink.mu.Lock()
+	defer f.sink.mu.Unlock()
+	is.True(f.sink.announce[len(f.sink.announce)-1].Leaving)
+}
+
+// Guards against progress that a checkpoint does not save.
+func TestCheckpointAndThrottle(t *testing.T) {
+	is := is.New(t)
+	f := start(t, func(o *Options) { o.Checkpoints = t.TempDir() })
+	f.do(workerapi.Reserve, 1, "sleep=10s")
+	f.do(workerapi.Start, 1, "")
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(f.do(workerapi.Throttle, 1, "").State, workerapi.TaskRunning)
+	is.Equal(f.do(workerapi.Checkpoint, 1, "").State, workerapi.TaskRunning)
+	f.do(workerapi.Stop, 1, "")
+	is.Equal(f.events(t, EventCheckpoint), 1)
+	is.Equal(f.events(t, EventThrottle), 1)
+	is.True(f.w.restore(testJob, 0) >= 50*time.Millisecond)
+	f.do(workerapi.Reserve, 2, "sleep=10s")
+	f.do(workerapi.Start, 2, "")
+	f.w.mu.Lock()
+	defer f.w.mu.Unlock()
+	is.True(f.w.tasks[taskKey{2, 0}].done >= 50*time.Millisecond)
+}
+
+// Guards against faults that change what a worker did instead of how it answers.
+func TestFaults(t *testing.T) {
+	is := is.New(t)
+	f := start(t, nil)
+	set := func(body string) {
+		resp, err := http.Post("http://"+f.w.address+"/standin/faults", "application/json", strings.NewReader(body))
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusOK)
+		_ = resp.Body.Close()
+	}
+	send := func(op workerapi.Operation, fence uint64) (*workerapi.Reply, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		return f.client.Do(ctx, f.w.address, f.cmd(op, fence, "sleep=1ms"))
+	}
+	set(`{"lose_answers":1,"operations":["reserve"],"fail_all":true,"double_reports":true}`)
+	_, err := send(workerapi.Reserve, 1)
+	is.True(err != nil)
+	is.Equal(f.events(t, EventReserve), 1)
+	_, err = send(workerapi.Start, 1)
+	is.NoErr(err)
+	waitFor(t, func() bool { _, n := f.sink.counts(); return n >= 2 })
+	is.True(!f.do(workerapi.Status, 1, "").Result.OK)
+
+	_, err = send(workerapi.Status, 1) // leaves a connection open
+	is.NoErr(err)
+	set(`{"silence_open":true}`)
+	_, err = send(workerapi.Status, 1) // on the silent connection
+	is.True(err != nil)
+	_, err = send(workerapi.Status, 1) // on a new one
+	is.NoErr(err)
+
+	resp, err := http.Post("http://"+f.w.address+"/standin/faults", "application/json", strings.NewReader(`{"no_such":1}`))
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusBadRequest)
+	_ = resp.Body.Close()
+}
+
+// Guards against tasks on resources that are in use.
+func TestRoom(t *testing.T) {
+	is := is.New(t)
+	f := start(t, nil)
+	is.Equal(f.do(workerapi.Reserve, 1, "").Refused, model.Reason(""))
+	is.Equal(f.do(workerapi.Reserve, 9, "").Refused, model.ReasonWorkerFull) // accelerator 1
+	c := f.cmd(workerapi.Reserve, 2, "")
+	c.Spec.MemoryMiB = 1000
+	is.Equal(f.w.Do(context.Background(), c).Refused, model.ReasonWorkerFull)
+}
+
+// Guards against usage figures without the lie that was asked for.
+func TestUsage(t *testing.T) {
+	is := is.New(t)
+	f := start(t, func(o *Options) { o.Faults = `{"usage_factor":3}` })
+	f.do(workerapi.Reserve, 1, "never-end,memory=200")
+	f.do(workerapi.Start, 1, "")
+	waitFor(t, func() bool { _, n := f.sink.counts(); return n > 0 })
+	f.sink.mu.Lock()
+	defer f.sink.mu.Unlock()
+	is.Equal(f.sink.reports[0].Usage.MemoryMiB, 600)
+	is.Equal(f.sink.reports[0].Usage.CPU, 3.0)
+}
