Check the callers' answers against the workers' journals

Cause: the load tool compared little and had one arrival pattern.

Change: load modes, requests through several entries with answers dropped and sent again, and a checker for doubled, partial, false not_run, wrong, missing, conflicting answers and late starts.

--- a/cmd/standin-load/main.go
+++ b/cmd/standin-load/main.go
@@ -1,11 +1,15 @@
 // Command standin-load stands in for the callers: it submits jobs through every
 // entry instance, waits for the answers, and compares them with the workers'
-// own records.
+// own journals. It exits with 1 if they contradict each other or a job has no
+// whole answer.
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/alexflint/go-arg"
 
@@ -15,12 +19,23 @@
 func main() {
 	var o load.Options
 	arg.MustParse(&o)
-	sum, err := load.Run(&o)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	sum, err := load.Run(ctx, &o)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "standin-load:", err)
 		os.Exit(1)
 	}
-	fmt.Println(sum)
+	for i := range sum.Findings {
+		fmt.Println("finding:", &sum.Findings[i])
+	}
+	if o.Mode != load.Demo {
+		fmt.Println(sum.StatesLine())
+	}
+	fmt.Println(sum.Times())
+	if o.Mode == load.Demo {
+		fmt.Println(sum)
+	}
 	if !sum.Good() {
 		os.Exit(1)
 	}
--- /dev/null
+++ b/internal/load/caller.go
@@ -0,0 +1,265 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"teaselpaddle.example/teaselpaddle/internal/model"
+)
+
+// Limits of one call.
+const (
+	submitTimeout = 8 * time.Second // a little more than the daemons' own limit
+	waitTime      = 5 * time.Second // a get waits this long for the final state
+	loseAfter     = 3 * time.Millisecond
+	retryPause    = 100 * time.Millisecond
+	maxRetryAfter = 2 * time.Second // a longer Retry-After is cut to this
+	maxAnswer     = 32 << 20
+	stormRounds   = 3
+)
+
+// Answer is what a caller is told about a job.
+type Answer struct {
+	ID      model.JobID        `json:"id"`
+	State   model.JobState     `json:"state"`
+	Reason  model.Reason       `json:"reason"`
+	Results []model.TaskResult `json:"results"`
+	// At is when the answer arrived.
+	At time.Time `json:"-"`
+}
+
+// Problem is a problem document.
+type Problem struct {
+	Status int            `json:"status"`
+	Code   model.Reason   `json:"code"`
+	Detail string         `json:"detail"`
+	State  model.JobState `json:"state"`
+	// RetryAfter is 0 if the answer had no Retry-After.
+	RetryAfter time.Duration `json:"-"`
+	At         time.Time     `json:"-"`
+}
+
+func (p *Problem) Error() string { return fmt.Sprintf("%d %s: %s", p.Status, p.Code, p.Detail) }
+
+// Outcome is everything that a caller was told about one request.
+type Outcome struct {
+	Spec      model.JobSpec
+	Submitted time.Time
+	// Final holds the final answers in the order of arrival.
+	Final []Answer
+	// Problems holds the problem documents that carry a state or are final.
+	Problems []Problem
+}
+
+// Answer returns the first final answer, or nil.
+func (o *Outcome) Answer() *Answer {
+	if len(o.Final) == 0 {
+		return nil
+	}
+	return &o.Final[0]
+}
+
+// State returns the outcome's state: that of the final answer, or that of a
+// refusal for good, or "".
+func (o *Outcome) State() model.JobState {
+	if a := o.Answer(); a != nil {
+		return a.State
+	}
+	if n := len(o.Problems); n > 0 && o.Problems[n-1].RetryAfter == 0 {
+		return o.Problems[n-1].State
+	}
+	return ""
+}
+
+func (o *Outcome) String() string {
+	if a := o.Answer(); a != nil {
+		return fmt.Sprintf("job %s customer %s key %s state %s reason %q tasks answered %d of %d in %s",
+			a.ID, o.Spec.Customer, o.Spec.Key, a.State, a.Reason, len(a.Results), o.Spec.Tasks,
+			a.At.Sub(o.Submitted).Round(time.Millisecond))
+	}
+	if n := len(o.Problems); n > 0 {
+		return fmt.Sprintf("customer %s key %s refused: %v", o.Spec.Customer, o.Spec.Key, &o.Problems[n-1])
+	}
+	return fmt.Sprintf("customer %s key %s has no answer", o.Spec.Customer, o.Spec.Key)
+}
+
+// Caller sends requests through several entry instances.
+type Caller struct {
+	Entries []string
+	// Lose says whether the answer of the next submission is dropped; nil means
+	// never.
+	Lose   func() bool
+	client *http.Client
+}
+
+// NewCaller returns a caller.
+func NewCaller(entries []string) *Caller {
+	return &Caller{Entries: entries, client: &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: parallel, IdleConnTimeout: 5 * time.Second,
+	}}}
+}
+
+func (c *Caller) entry(i int) string { return c.Entries[i%len(c.Entries)] }
+
+// Follow submits a request and follows it until a final answer or a refusal
+// for good, or until ctx ends. After each failure it goes on with the next
+// entry instance, beginning with number i.
+func (c *Caller) Follow(ctx context.Context, i int, out *Outcome) {
+	if out.Submitted.IsZero() {
+		out.Submitted = time.Now()
+	}
+	for ; ctx.Err() == nil; i++ {
+		if c.Lose != nil && c.Lose() {
+			c.submitAndDrop(ctx, c.entry(i), &out.Spec)
+			continue
+		}
+		a, err := c.Submit(ctx, c.entry(i), &out.Spec)
+		for err == nil && !a.State.Final() {
+			a, err = c.Get(ctx, c.entry(i), a.ID, waitTime)
+		}
+		if err == nil {
+			out.Final = append(out.Final, *a)
+			return
+		}
+		if c.refused(ctx, out, err) {
+			return
+		}
+	}
+}
+
+// refused notes a failed call and waits before the next. It reports whether
+// the request was refused for good.
+func (c *Caller) refused(ctx context.Context, out *Outcome, err error) bool {
+	var p *Problem
+	if !errors.As(err, &p) {
+		pause(ctx, retryPause)
+		return false
+	}
+	final := p.RetryAfter == 0 && p.Status/100 == 4 && p.Code != model.ReasonNotFound
+	if final || p.State != "" {
+		out.Problems = append(out.Problems, *p)
+	}
+	if !final {
+		pause(ctx, min(max(p.RetryAfter, retryPause), maxRetryAfter))
+	}
+	return final
+}
+
+// submitAndDrop sends a request and closes the connection before the answer.
+func (c *Caller) submitAndDrop(ctx context.Context, entry string, spec *model.JobSpec) {
+	ctx, cancel := context.WithTimeout(ctx, loseAfter)
+	defer cancel()
+	_, _ = c.Submit(ctx, entry, spec)
+}
+
+// Storm sends the same request several times through every entry at once.
+func (c *Caller) Storm(ctx context.Context, out *Outcome) {
+	out.Submitted = time.Now()
+	var wg sync.WaitGroup
+	for range stormRounds {
+		for _, e := range c.Entries {
+			wg.Go(func() { _, _ = c.Submit(ctx, e, &out.Spec) })
+		}
+	}
+	wg.Wait()
+}
+
+// CrossCheck reads the final answer once more through another entry instance.
+func (c *Caller) CrossCheck(ctx context.Context, i int, out *Outcome) {
+	a := out.Answer()
+	if a == nil {
+		return
+	}
+	again, err := c.Get(ctx, c.entry(i), a.ID, 0)
+	if err == nil && again.State.Final() {
+		out.Final = append(out.Final, *again)
+	}
+}
+
+// Submit posts a job. The error is a *Problem if the daemon gave one.
+func (c *Caller) Submit(ctx context.Context, entry string, spec *model.JobSpec) (*Answer, error) {
+	body, err := json.Marshal(spec)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	return c.call(ctx, http.MethodPost, "http://"+entry+"/v1/jobs", body)
+}
+
+// Get reads a job and waits up to wait for its final state.
+func (c *Caller) Get(ctx context.Context, entry string, id model.JobID, wait time.Duration) (*Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout+wait)
+	defer cancel()
+	return c.call(ctx, http.MethodGet, "http://"+entry+"/v1/jobs/"+string(id)+"?wait="+wait.String(), nil)
+}
+
+// Cancel cancels a job.
+func (c *Caller) Cancel(ctx context.Context, entry string, id model.JobID) (*Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	return c.call(ctx, http.MethodDelete, "http://"+entry+"/v1/jobs/"+string(id), nil)
+}
+
+// CancelUntilAnswered cancels the job of a request, moving on to the next entry
+// instance after each failure.
+func (c *Caller) CancelUntilAnswered(ctx context.Context, i int, spec *model.JobSpec) {
+	for ; ctx.Err() == nil; i++ {
+		// A submission sent again returns the record and with it the id.
+		a, err := c.Submit(ctx, c.entry(i), spec)
+		if err == nil {
+			_, err = c.Cancel(ctx, c.entry(i), a.ID)
+		}
+		if err == nil {
+			return
+		}
+		pause(ctx, retryPause)
+	}
+}
+
+func (c *Caller) call(ctx context.Context, method, url string, body []byte) (*Answer, error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if resp.StatusCode/100 != 2 {
+		return nil, problemOf(resp, raw)
+	}
+	a := &Answer{At: time.Now()}
+	if err := json.Unmarshal(raw, a); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return a, nil
+}
+
+func problemOf(resp *http.Response, raw []byte) *Problem {
+	p := &Problem{At: time.Now()}
+	if !strings.HasPrefix(resp.Header.Get("Content-Type"), "application/problem+json") || json.Unmarshal(raw, p) != nil {
+		p.Detail = string(raw)
+	}
+	p.Status = resp.StatusCode
+	if n, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil {
+		p.RetryAfter = time.Duration(n) * time.Second
+	}
+	return p
+}
