--- a/internal/routing/remote.go
+++ b/internal/routing/remote.go
@@ -85,7 +85,10 @@
 			break
 		}
 	}
-	h.setDown(time.Now().Add(failFast))
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		// A caller that gave up says nothing about the zone.
+		h.setDown(time.Now().Add(failFast))
+	}
 	return unreachable(zone)
 }
 
