--- a/internal/routing/remote_test.go
+++ b/internal/routing/remote_test.go
@@ -25,7 +25,7 @@
 }
 func (p *fakePeers) Send(string, link.Kind, []byte) {}
 func (p *fakePeers) Handle(link.Kind, link.Handler) {}
-func refusedCall(to string) error { return &link.NotSentError{To: to, Cause: context.DeadlineExceeded} }
+func refusedCall(to string) error                   { return &link.NotSentError{To: to, Cause: context.DeadlineExceeded} }
 
 func notLeader() []byte         { b, _ := codec.Marshal(&Response{NotLeader: true}); return b }
 func instances(string) []string { return []string{"a", "b"} }
