Carry messages between daemons over WebSocket links

Cause: messages travelled as one HTTP POST each; a lost answer could not be told from a lost request, and nothing noticed a connection that went silent.

Change: one WebSocket connection per pair and direction with CBOR envelopes, heartbeats, redial with jittered backoff, resend under the same operation number, recent operations with their replies at the receiver, bounded queues and handlers, a watermill publisher and subscriber, and counters of bytes per kind.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -46,7 +46,8 @@
 	for i := range s.Instances {
 		addresses[s.Instances[i].Name] = s.Instances[i].PeerAddress
 	}
-	peers := link.NewHTTP(s.Name, addresses)
+	peers := link.New(link.Config{Self: s.Name, Addresses: addresses, Logger: log})
+	defer peers.Close()
 	machine := jobs.New()
 	board := blackboard.New()
 	group := newGroup(s, machine)
@@ -74,7 +75,7 @@
 		Ready:    func() bool { return ctx.Err() == nil && group.Status().Ready },
 	}
 	client := &http.Server{Handler: api.Handler(), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout}
-	peer := &http.Server{Handler: peers, ReadHeaderTimeout: readHeaderTimeout}
+	peer := &http.Server{Handler: peers.Handler(), ReadHeaderTimeout: readHeaderTimeout}
 	go func() { _ = client.Serve(clientLn) }()
 	go func() { _ = peer.Serve(peerLn) }()
 	log.Info("serving", "instance", s.Name, "zone", self.AvailabilityZone, "clients", self.ClientAddress)
--- /dev/null
+++ b/internal/link/config.go
@@ -0,0 +1,94 @@
+package link
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+)
+
+// Defaults of Config.
+const (
+	defaultHeartbeat      = 500 * time.Millisecond
+	defaultIdle           = 4 * time.Second
+	defaultDialTimeout    = time.Second
+	defaultWriteTimeout   = 5 * time.Second // 16 MiB at 27 Mbit/s
+	defaultCallTimeout    = 30 * time.Second
+	defaultBackoffMin     = 50 * time.Millisecond
+	defaultBackoffMax     = time.Second
+	defaultMaxMessage     = 16 << 20 // bytes; a snapshot of a zone's group must fit
+	defaultQueueLength    = 256
+	defaultQueueBytes     = 32 << 20
+	defaultMaxRequests    = 1024
+	defaultMaxHandlers    = 1024
+	defaultPeerHandlers   = 256
+	defaultMaxReplies     = 8192
+	defaultMaxReplyBytes  = 8 << 20
+	silentHeartbeats      = 3
+	replyMargin           = 10 * time.Second // kept beyond a request's deadline; longer than a connection can delay a resend
+	sweepInterval         = 5 * time.Second
+	frameOverhead         = 256 // bytes; an envelope without its body, kind and group of usual length
+	websocketReadBufBytes = 32 << 10
+)
+
+// Config are the settings of the links of one daemon. Zero values stand for the
+// defaults.
+type Config struct {
+	Self      string            // this instance's name
+	Addresses map[string]string // IP:port by instance name
+	Logger    logr.Logger
+	Metrics   *metrics.Set // nil: the default set
+
+	Heartbeat    time.Duration // a frame is sent at least this often
+	Idle         time.Duration // an unused connection is closed after this time
+	DialTimeout  time.Duration // for the connection and its handshake
+	WriteTimeout time.Duration // for one frame
+	CallTimeout  time.Duration // for a call whose context has no deadline
+	BackoffMin   time.Duration // pause after a failed dial, doubled with each failure
+	BackoffMax   time.Duration
+
+	MaxMessage    int // bytes of one message
+	QueueLength   int // one-way messages waiting for one instance
+	QueueBytes    int // bytes of those messages
+	MaxRequests   int // requests without a reply to one instance
+	MaxHandlers   int // requests being handled
+	PeerHandlers  int // requests being handled for one instance
+	MaxReplies    int // operation numbers kept for one instance
+	MaxReplyBytes int // bytes of replies kept for one instance
+
+	// version is offered and accepted in handshakes; tests change it.
+	version string
+}
+
+func orDefault[T int | time.Duration](v *T, def T) {
+	if *v <= 0 {
+		*v = def
+	}
+}
+
+func (c *Config) setDefaults() {
+	orDefault(&c.Heartbeat, defaultHeartbeat)
+	orDefault(&c.Idle, defaultIdle)
+	orDefault(&c.DialTimeout, defaultDialTimeout)
+	orDefault(&c.WriteTimeout, defaultWriteTimeout)
+	orDefault(&c.CallTimeout, defaultCallTimeout)
+	orDefault(&c.BackoffMin, defaultBackoffMin)
+	orDefault(&c.BackoffMax, defaultBackoffMax)
+	orDefault(&c.MaxMessage, defaultMaxMessage)
+	orDefault(&c.QueueLength, defaultQueueLength)
+	orDefault(&c.QueueBytes, defaultQueueBytes)
+	orDefault(&c.MaxRequests, defaultMaxRequests)
+	orDefault(&c.MaxHandlers, defaultMaxHandlers)
+	orDefault(&c.PeerHandlers, defaultPeerHandlers)
+	orDefault(&c.MaxReplies, defaultMaxReplies)
+	orDefault(&c.MaxReplyBytes, defaultMaxReplyBytes)
+	if c.Metrics == nil {
+		c.Metrics = metrics.GetDefaultSet()
+	}
+	if c.Logger.GetSink() == nil {
+		c.Logger = logr.Discard()
+	}
+	if c.version == "" {
+		c.version = protocolVersion
+	}
+}
--- /dev/null
+++ b/internal/link/conn.go
@@ -0,0 +1,231 @@
+package link
+
+import (
+	"context"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+)
+
+// outgoing is an encoded frame.
+type outgoing struct {
+	kind Kind // for the counters
+	data []byte
+}
+
+// conn is one WebSocket connection, dialled or accepted.
+type conn struct {
+	l      *Links
+	ws     *websocket.Conn
+	peer   string
+	dialed bool
+	limit  int    // largest frame that the other side takes, bytes
+	remote uint64 // session of the other process
+
+	oneway chan outgoing // one-way messages to the dialling side; accepted connections only
+	reply  chan outgoing // accepted connections only
+
+	lanes     map[Kind]chan *envelope // owned by the read loop
+	readEnded chan struct{}           // closed when the read loop has returned
+
+	// Times since Links.start, in nanoseconds.
+	lastRecv   atomic.Int64 // last bytes received
+	lastUse    atomic.Int64 // last frame that is not a heartbeat, either direction
+	writeStart atomic.Int64 // start of the write in progress, 0 if there is none
+	lastSent   int64        // owned by the write loop
+
+	watchdog *time.Timer
+	once     sync.Once
+	done     chan struct{}
+	cause    error // set before done is closed
+}
+
+func (l *Links) newConn(ws *websocket.Conn, peer string, dialed bool) *conn {
+	c := &conn{
+		l: l, ws: ws, peer: peer, dialed: dialed, done: make(chan struct{}),
+		lanes: map[Kind]chan *envelope{}, readEnded: make(chan struct{}),
+	}
+	if !dialed {
+		c.oneway = make(chan outgoing, l.cfg.QueueLength)
+		c.reply = make(chan outgoing, l.cfg.PeerHandlers)
+	}
+	ws.SetReadLimit(int64(l.cfg.MaxMessage + frameOverhead))
+	now := l.now()
+	c.lastRecv.Store(now)
+	c.lastUse.Store(now)
+	c.lastSent = now
+	c.watchdog = time.AfterFunc(l.silence, c.watch)
+	return c
+}
+
+// close ends the connection. The first cause is kept.
+func (c *conn) close(cause error) {
+	c.once.Do(func() {
+		c.cause = cause
+		close(c.done)
+		_ = c.ws.CloseNow()
+	})
+}
+
+func (c *conn) closed() bool {
+	select {
+	case <-c.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// watch closes the connection when nothing was received or a write did not
+// finish in time. It runs outside of the write loop because a write blocks when
+// the other side does not read.
+func (c *conn) watch() {
+	if c.closed() {
+		return
+	}
+	now := c.l.now()
+	quiet := time.Duration(now - c.lastRecv.Load())
+	if quiet >= c.l.silence {
+		c.l.count.silent.Inc()
+		c.close(&SilentError{Peer: c.peer, For: quiet})
+		return
+	}
+	if started := c.writeStart.Load(); started != 0 && time.Duration(now-started) >= c.l.cfg.WriteTimeout {
+		c.close(&StalledError{Peer: c.peer, For: time.Duration(now - started)})
+		return
+	}
+	c.watchdog.Reset(c.l.silence - quiet)
+}
+
+// write sends one frame; an empty one is a heartbeat.
+func (c *conn) write(f outgoing) error {
+	now := c.l.now()
+	c.writeStart.Store(now)
+	err := c.ws.Write(context.Background(), websocket.MessageBinary, f.data)
+	c.writeStart.Store(0)
+	c.lastSent = c.l.now()
+	if err != nil {
+		c.close(err)
+		return err
+	}
+	c.l.count.addSent(f.kind, wireBytes(len(f.data), c.dialed))
+	if len(f.data) > 0 {
+		c.lastUse.Store(c.lastSent)
+	}
+	return nil
+}
+
+// readLoop hands each frame to f until the connection ends.
+func (c *conn) readLoop(f func(*envelope) error) {
+	defer close(c.readEnded)
+	buf := make([]byte, websocketReadBufBytes)
+	for {
+		data, err := c.readFrame(buf)
+		if err != nil {
+			c.close(err)
+			return
+		}
+		now := c.l.now()
+		c.lastRecv.Store(now)
+		if len(data) == 0 {
+			c.l.count.addReceived(kindHeartbeat, wireBytes(0, !c.dialed))
+			continue
+		}
+		c.lastUse.Store(now)
+		e, err := decodeEnvelope(c.peer, data)
+		if err == nil {
+			c.l.count.addReceived(c.l.label(e), wireBytes(len(data), !c.dialed))
+			err = f(e)
+		}
+		if err != nil {
+			c.l.log.Error(err, "connection closed because of a frame", "peer", c.peer)
+			c.close(err)
+			return
+		}
+	}
+}
+
+// readFrame reads one frame. Each piece counts as a sign of life, because a
+// large frame can take longer than three heartbeats. The result is valid until
+// the next call.
+func (c *conn) readFrame(buf []byte) ([]byte, error) {
+	_, r, err := c.ws.Reader(context.Background())
+	if err != nil {
+		return nil, err
+	}
+	n := 0
+	for {
+		if n == len(buf) {
+			buf = append(buf, make([]byte, len(buf))...)
+		}
+		m, err := r.Read(buf[n:])
+		n += m
+		c.lastRecv.Store(c.l.now())
+		if err == io.EOF {
+			return buf[:n], nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// writeSources are what a write loop sends; nil channels are never ready.
+type writeSources struct {
+	requests <-chan *op
+	request  func(*op) error
+	oneway   <-chan outgoing
+	sent     func(outgoing) // called for each one-way message taken
+	reply    <-chan outgoing
+	idle     func() bool // true if the connection may be closed when unused
+}
+
+// writeLoop sends frames and heartbeats until the connection ends.
+func (c *conn) writeLoop(s writeSources) {
+	timer := time.NewTimer(c.l.cfg.Heartbeat)
+	defer timer.Stop()
+	for {
+		var err error
+		select {
+		case <-c.done:
+			return
+		case o := <-s.requests:
+			err = s.request(o)
+		case f := <-s.reply:
+			err = c.write(f)
+		case f := <-s.oneway:
+			if s.sent != nil {
+				s.sent(f)
+			}
+			err = c.write(f)
+		case <-timer.C:
+			err = c.beat(s.idle)
+			timer.Reset(c.untilBeat())
+		}
+		if err != nil {
+			c.close(err)
+			return
+		}
+	}
+}
+
+// beat sends a heartbeat if nothing else was sent, or closes an unused
+// connection.
+func (c *conn) beat(idle func() bool) error {
+	now := c.l.now()
+	if idle != nil && time.Duration(now-c.lastUse.Load()) >= c.l.cfg.Idle && idle() {
+		return &IdleError{Peer: c.peer}
+	}
+	if time.Duration(now-c.lastSent) < c.l.cfg.Heartbeat {
+		return nil
+	}
+	return c.write(outgoing{kind: kindHeartbeat})
+}
+
+func (c *conn) untilBeat() time.Duration {
+	left := c.l.cfg.Heartbeat - time.Duration(c.l.now()-c.lastSent)
+	return max(left, time.Millisecond)
+}
--- /dev/null
+++ b/internal/link/limits_test.go
@@ -0,0 +1,183 @@
+package link
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/juju/errors"
+	"github.com/matryer/is"
+)
+
+// Guards against a peer that accepts connections and never answers: it must not
+// hold up messages to others, and its queue must stay bounded.
+func TestSlowPeerAndFullQueue(t *testing.T) {
+	is := is.New(t)
+	hole := listen(t, "127.0.0.1:0") // the system accepts, nobody reads
+	defer func() { _ = hole.Close() }()
+	la, lb := listen(t, "127.0.0.1:0"), listen(t, "127.0.0.1:0")
+	addresses := map[string]string{"a": la.Addr().String(), "b": lb.Addr().String(), "slow": hole.Addr().String()}
+	a := start(t, la, Config{Self: "a", Addresses: addresses, QueueLength: 4, MaxRequests: 2})
+	b := start(t, lb, Config{Self: "b", Addresses: addresses})
+	b.Handle(KindRequest, echo)
+	for range 10 {
+		a.Send("slow", KindRaft, make([]byte, 100))
+	}
+	is.Equal(a.counter(`teaselpaddle_link_dropped_total{kind="raft",reason="queue_full"}`), 6)
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			_, err := a.Call(within(t, 200*time.Millisecond), "slow", KindRequest, nil)
+			var notSent *NotSentError
+			is.True(errors.As(err, &notSent)) // waited in the queue until its deadline
+		})
+	}
+	begin := time.Now()
+	_, err := a.Call(within(t, testTimeout), "b", KindRequest, nil)
+	is.NoErr(err)
+	is.True(time.Since(begin) < time.Second)
+	wg.Wait()
+}
+
+// Guards against a handler that blocks the connection: others of the same
+// connection go on, and requests beyond the limit are refused without a run.
+func TestHandlerLimit(t *testing.T) {
+	is := is.New(t)
+	a, b, _ := pair(t, Config{}, Config{PeerHandlers: 2})
+	release := make(chan struct{})
+	var runs atomic.Int32
+	b.Handle(KindRequest, func(context.Context, string, []byte) ([]byte, error) {
+		runs.Add(1)
+		<-release
+		return nil, nil
+	})
+	var wg sync.WaitGroup
+	for range 2 {
+		wg.Go(func() {
+			_, err := a.Call(within(t, testTimeout), "b", KindRequest, nil)
+			is.NoErr(err)
+		})
+	}
+	eventually(t, testTimeout, func() bool { return runs.Load() == 2 })
+	_, err := a.Call(within(t, testTimeout), "b", KindRequest, nil)
+	var remote *RemoteError
+	is.True(errors.As(err, &remote) && remote.Busy)
+	close(release)
+	wg.Wait()
+	is.Equal(runs.Load(), int32(2))
+}
+
+// Guards against connections that stay open between pairs that do not talk, and
+// against the loss of requests around the closing of an unused connection.
+func TestIdleClose(t *testing.T) {
+	is := is.New(t)
+	a, b, p := pair(t, Config{Idle: 100 * time.Millisecond, Heartbeat: 50 * time.Millisecond}, Config{})
+	b.Handle(KindRequest, echo)
+	_, err := a.Call(within(t, testTimeout), "b", KindRequest, nil)
+	is.NoErr(err)
+	eventually(t, testTimeout, func() bool { return p.Open() == 0 && !a.Reachable("b") })
+	for i := range 10 {
+		_, err = a.Call(within(t, testTimeout), "b", KindRequest, nil)
+		is.NoErr(err)
+		time.Sleep(time.Duration(95+i) * time.Millisecond)
+	}
+}
+
+// Guards against replies that are kept for good.
+func TestRepliesAreBounded(t *testing.T) {
+	is := is.New(t)
+	a, b, _ := pair(t, Config{}, Config{})
+	b.Handle(KindRequest, echo)
+	for range 100 {
+		_, err := a.Call(within(t, testTimeout), "b", KindRequest, make([]byte, 1000))
+		is.NoErr(err)
+	}
+	in := b.inbound["a"]
+	in.mu.Lock()
+	is.Equal(len(in.records), 1) // only the last one; the next request acknowledges it
+	in.mu.Unlock()
+	in.expire(time.Now().Add(time.Hour))
+	is.Equal(len(in.records), 0)
+	is.Equal(in.bytes, 0)
+}
+
+// Guards against one-way messages that get lost on a healthy link, arrive out of
+// order, or cannot go back over the connection that the peer dialled.
+func TestOneWay(t *testing.T) {
+	for _, kind := range []Kind{KindRaft, KindEvent} {
+		t.Run(string(kind), func(t *testing.T) {
+			is := is.New(t)
+			a, b, _ := pair(t, Config{}, Config{})
+			got, back := make(chan string, 100), make(chan string, 100)
+			b.Handle(kind, func(ctx context.Context, from string, body []byte) ([]byte, error) {
+				got <- Group(ctx) + string(body)
+				b.Send(from, kind, body)
+				return nil, nil
+			})
+			a.Handle(kind, func(_ context.Context, _ string, body []byte) ([]byte, error) {
+				back <- string(body)
+				return nil, nil
+			})
+			for i := range 100 {
+				a.SendGroup("b", kind, "g", fmt.Append(nil, i))
+			}
+			for i := range 100 {
+				is.Equal(<-got, fmt.Sprint("g", i))
+				is.Equal(<-back, fmt.Sprint(i))
+			}
+			is.Equal(b.counter("teaselpaddle_link_dials_total"), 0)
+		})
+	}
+}
+
+// Guards against a publisher or subscriber that breaks watermill's contract:
+// order, acknowledgement, end of the subscription.
+func TestPubSub(t *testing.T) {
+	is := is.New(t)
+	a, b, _ := pair(t, Config{}, Config{})
+	sub := b.Subscriber()
+	ch, err := sub.Subscribe(t.Context(), Topic(KindEvent, "a"))
+	is.NoErr(err)
+	pub := a.Publisher()
+	for _, s := range []string{"1", "2"} {
+		is.NoErr(pub.Publish(Topic(KindEvent, "b"), message.NewMessage("", []byte(s))))
+	}
+	for _, s := range []string{"1", "2"} {
+		m := <-ch
+		is.Equal(string(m.Payload), s)
+		is.Equal(m.Metadata.Get(MetadataFrom), "a")
+		m.Nack() // not delivered again
+	}
+	var topic *TopicError
+	is.True(errors.As(pub.Publish("event", message.NewMessage("", nil)), &topic))
+	var dropped *DroppedError
+	is.True(errors.As(pub.Publish(Topic(KindEvent, "c"), message.NewMessage("", nil)), &dropped))
+	is.NoErr(sub.Close())
+	_, open := <-ch
+	is.True(!open)
+}
+
+// Guards against a call that outlives the links.
+func TestCloseEndsCalls(t *testing.T) {
+	is := is.New(t)
+	a, b, _ := pair(t, Config{}, Config{})
+	started := make(chan struct{})
+	b.Handle(KindRequest, func(ctx context.Context, _ string, _ []byte) ([]byte, error) {
+		close(started)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	go func() {
+		<-started
+		a.Close()
+	}()
+	_, err := a.Call(within(t, testTimeout), "b", KindRequest, nil)
+	var closed *ClosedError
+	is.True(errors.As(err, &closed))
+	_, err = a.Call(within(t, testTimeout), "b", KindRequest, nil)
+	is.True(errors.As(err, &closed))
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -1,10 +1,16 @@
-// Package link carries messages between the daemons.
+// Package link carries messages between the daemons over WebSocket connections
+// with CBOR frames.
+//
+// The sender of a message dials. A connection is opened on first use and closed
+// when it was not used for a while, so that hundreds of daemons do not hold a
+// connection between every pair. Each side sends an empty frame when it sent
+// nothing else for one heartbeat; a side that received nothing for three
+// heartbeats closes the connection. A request without a reply is sent again over
+// the next connection under its operation number, and the receiver keeps the
+// numbers with their replies, so that it is carried out at most once.
 package link
 
-import (
-	"context"
-	"fmt"
-)
+import "context"
 
 // Kind selects the handler of a message.
 type Kind string
@@ -16,6 +22,7 @@
 	KindAnnounce Kind = "announce" // a worker's announcement; one-way
 	KindProbe    Kind = "probe"    // failure detection between instances
 	KindConfig   Kind = "config"   // configuration from the configuration group
+	KindEvent    Kind = "event"    // notice to other instances; one-way
 )
 
 // Handler answers a message. Its error reaches the caller as *RemoteError.
@@ -27,43 +34,10 @@
 	// *NotSentError if the request certainly did not reach the other instance,
 	// *NoReplyError if it may have, and *RemoteError if the handler failed.
 	Call(ctx context.Context, to string, kind Kind, body []byte) ([]byte, error)
-	// Send sends a one-way message if a link is up and has room; otherwise the
-	// message is dropped.
+	// Send sends a one-way message, opening a link if there is none. The message
+	// is dropped and counted if the queue is full or the instance could not be
+	// reached a moment ago.
 	Send(to string, kind Kind, body []byte)
 	// Handle sets the handler of a kind. It is called before the first message.
 	Handle(kind Kind, h Handler)
 }
-
-// NotSentError says that a request did not reach the other instance.
-type NotSentError struct {
-	To    string
-	Cause error
-}
-
-func (e *NotSentError) Error() string {
-	return fmt.Sprintf("request to instance %q was not sent: %v", e.To, e.Cause)
-}
-
-// Unwrap returns the cause.
-func (e *NotSentError) Unwrap() error { return e.Cause }
-
-// NoReplyError says that a request was sent and no reply came.
-type NoReplyError struct {
-	To    string
-	Cause error
-}
-
-func (e *NoReplyError) Error() string {
-	return fmt.Sprintf("no reply from instance %q: %v", e.To, e.Cause)
-}
-
-// Unwrap returns the cause.
-func (e *NoReplyError) Unwrap() error { return e.Cause }
-
-// RemoteError is a failure that the other instance's handler reported.
-type RemoteError struct {
-	To     string
-	Detail string
-}
-
-func (e *RemoteError) Error() string { return fmt.Sprintf("instance %q: %s", e.To, e.Detail) }
--- /dev/null
+++ b/internal/link/links.go
@@ -0,0 +1,334 @@
+package link
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+)
+
+// Links are the links of one daemon. They implement Peers.
+type Links struct {
+	cfg     Config
+	log     logr.Logger
+	count   *counters
+	start   time.Time
+	silence time.Duration
+	session uint64 // names this process to the others; never 0
+	client  *http.Client
+	peers   map[string]*peer
+
+	ctx     context.Context // of the handlers; ends with Close
+	cancel  context.CancelFunc
+	closing chan struct{}
+	wg      sync.WaitGroup
+	workers chan struct{} // one for each request being handled
+
+	mu       sync.Mutex
+	isClosed bool
+	handlers map[Kind]Handler
+	conns    map[*conn]struct{}
+	inbound  map[string]*inbound
+
+	bus *bus
+}
+
+var _ Peers = (*Links)(nil)
+
+// New returns the links of an instance. Close must be called when they are no
+// longer needed.
+func New(cfg Config) *Links {
+	cfg.setDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &Links{
+		cfg: cfg, log: cfg.Logger.WithName("link"), count: newCounters(cfg.Metrics),
+		start: time.Now(), silence: silentHeartbeats * cfg.Heartbeat, session: rand.Uint64() | 1,
+		// Failed handshakes must not leave idle connections behind.
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: -1}},
+		peers:  map[string]*peer{}, ctx: ctx, cancel: cancel,
+		closing: make(chan struct{}), workers: make(chan struct{}, cfg.MaxHandlers),
+		handlers: map[Kind]Handler{}, conns: map[*conn]struct{}{}, inbound: map[string]*inbound{},
+	}
+	l.bus = newBus(l)
+	for name, address := range cfg.Addresses {
+		if name == cfg.Self {
+			continue
+		}
+		p := l.newPeer(name, address)
+		l.peers[name] = p
+		l.inbound[name] = newInbound(l, name)
+		l.wg.Add(1)
+		go p.run()
+	}
+	l.wg.Add(1)
+	go l.sweep()
+	return l
+}
+
+// Close ends the connections. Calls that wait end with ClosedError as the cause.
+// It returns when the handlers have returned.
+func (l *Links) Close() {
+	l.mu.Lock()
+	if l.isClosed {
+		l.mu.Unlock()
+		return
+	}
+	l.isClosed = true
+	close(l.closing)
+	l.cancel()
+	conns := l.conns
+	l.conns = map[*conn]struct{}{}
+	l.mu.Unlock()
+	for c := range conns {
+		c.close(&ClosedError{})
+	}
+	l.bus.close()
+	l.wg.Wait()
+	l.client.CloseIdleConnections()
+}
+
+// now is the time since the links were made, in nanoseconds.
+func (l *Links) now() int64 { return int64(time.Since(l.start)) }
+
+// track registers a connection. It returns false and closes the connection if
+// the links are closed.
+func (l *Links) track(c *conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.isClosed {
+		c.close(&ClosedError{})
+		return false
+	}
+	l.conns[c] = struct{}{}
+	l.wg.Add(1)
+	return true
+}
+
+func (l *Links) untrack(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+	c.watchdog.Stop()
+	l.wg.Done()
+}
+
+// Handle implements Peers. One-way messages of the kinds announce, probe and
+// event reach the handler through watermill's router; messages of the other
+// kinds reach it directly.
+func (l *Links) Handle(kind Kind, h Handler) {
+	l.mu.Lock()
+	l.handlers[kind] = h
+	l.mu.Unlock()
+	if routed(kind) {
+		l.bus.handle(kind)
+	}
+}
+
+func (l *Links) handler(kind Kind) Handler {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.handlers[kind]
+}
+
+// label is the kind under which received bytes are counted. Kinds that are not
+// known here are counted together, so that an instance cannot add counters.
+func (l *Links) label(e *envelope) Kind {
+	if e.Type == frameReply {
+		return kindReply
+	}
+	switch e.Kind {
+	case KindRaft, KindRequest, KindAnnounce, KindProbe, KindConfig, KindEvent:
+		return e.Kind
+	}
+	return "other"
+}
+
+// Call implements Peers.
+func (l *Links) Call(ctx context.Context, to string, kind Kind, body []byte) ([]byte, error) {
+	p := l.peers[to]
+	if p == nil {
+		return nil, &NotSentError{To: to, Cause: &UnknownPeerError{Peer: to}}
+	}
+	if len(body) > l.cfg.MaxMessage {
+		return nil, &NotSentError{To: to, Cause: &TooLargeError{Bytes: len(body), Limit: l.cfg.MaxMessage}}
+	}
+	if err := p.unreachable(); err != nil {
+		return nil, &NotSentError{To: to, Cause: err}
+	}
+	ctx, cancel := l.withDeadline(ctx)
+	defer cancel()
+	select {
+	case p.slots <- struct{}{}:
+	case <-ctx.Done():
+		return nil, &NotSentError{To: to, Cause: ctx.Err()}
+	case <-l.closing:
+		return nil, &NotSentError{To: to, Cause: &ClosedError{}}
+	}
+	deadline, _ := ctx.Deadline()
+	o := &op{kind: kind, group: Group(ctx), body: body, deadline: deadline, done: make(chan struct{})}
+	p.requests <- o // has room for every holder of a slot
+	p.signal()
+	select {
+	case <-o.done:
+	case <-ctx.Done():
+		p.abandon(o, ctx.Err())
+	case <-l.closing:
+		p.abandon(o, &ClosedError{})
+	}
+	<-o.done
+	return o.result, o.err
+}
+
+func (l *Links) withDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
+	if _, ok := ctx.Deadline(); ok {
+		return ctx, func() {}
+	}
+	return context.WithTimeout(ctx, l.cfg.CallTimeout)
+}
+
+// Send implements Peers.
+func (l *Links) Send(to string, kind Kind, body []byte) { l.SendGroup(to, kind, "", body) }
+
+// SendGroup is Send for a message of a consensus group; the receiver's handler
+// gets the group with Group.
+func (l *Links) SendGroup(to string, kind Kind, group string, body []byte) {
+	if why := l.send(to, kind, group, body); why != "" {
+		l.count.dropped(kind, why)
+	}
+}
+
+// send returns why the message was dropped, or nothing.
+func (l *Links) send(to string, kind Kind, group string, body []byte) dropReason {
+	p := l.peers[to]
+	if p == nil {
+		return dropUnreachable
+	}
+	if len(body) > l.cfg.MaxMessage {
+		return dropTooLarge
+	}
+	e := envelope{Type: frameOneWay, Kind: kind, Group: group, Body: body}
+	data, err := e.encode()
+	if err != nil {
+		return dropFailed
+	}
+	f := outgoing{kind: kind, data: data}
+	// A connection that the other side dialled is used as well, because a second
+	// one for the opposite direction would double the heartbeats.
+	if c := l.backward(p); c != nil {
+		return enqueue(c.oneway, f)
+	}
+	if p.unreachable() != nil {
+		return dropUnreachable
+	}
+	if p.onewayBytes.Add(int64(len(data))) > int64(l.cfg.QueueBytes) {
+		p.onewayBytes.Add(-int64(len(data)))
+		return dropQueueFull
+	}
+	if why := enqueue(p.oneway, f); why != "" {
+		p.onewayBytes.Add(-int64(len(data)))
+		return why
+	}
+	p.signal()
+	return ""
+}
+
+func enqueue(q chan<- outgoing, f outgoing) dropReason {
+	select {
+	case q <- f:
+		return ""
+	default:
+		return dropQueueFull
+	}
+}
+
+// backward returns the connection that the other instance dialled if there is
+// no dialled one, or nil.
+func (l *Links) backward(p *peer) *conn {
+	p.mu.Lock()
+	up := p.conn != nil
+	p.mu.Unlock()
+	if up {
+		return nil
+	}
+	return l.inbound[p.name].current()
+}
+
+// Reachable is true if a connection with the instance is open.
+func (l *Links) Reachable(name string) bool {
+	p := l.peers[name]
+	if p == nil {
+		return false
+	}
+	p.mu.Lock()
+	up := p.conn != nil
+	p.mu.Unlock()
+	return up || l.inbound[name].current() != nil
+}
+
+// dial opens a connection. n is its number within this process.
+func (l *Links) dial(p *peer, n uint64) (*conn, error) {
+	ctx, cancel := context.WithTimeout(l.ctx, l.cfg.DialTimeout)
+	defer cancel()
+	h := http.Header{}
+	h.Set(headerFrom, l.cfg.Self)
+	h.Set(headerSession, formatNumber(l.session))
+	h.Set(headerConn, formatNumber(n))
+	ws, resp, err := websocket.Dial(ctx, "ws://"+p.address+linkPath, &websocket.DialOptions{
+		HTTPClient: l.client, HTTPHeader: h, Subprotocols: []string{l.cfg.version},
+	})
+	if err != nil {
+		return nil, l.dialError(p, resp, err)
+	}
+	c := l.newConn(ws, p.name, true)
+	c.remote = parseNumber(resp.Header, headerSession)
+	limit, _ := strconv.Atoi(resp.Header.Get(headerLimit))
+	c.limit = min(limit, l.cfg.MaxMessage)
+	return c, nil
+}
+
+func (l *Links) dialError(p *peer, resp *http.Response, err error) error {
+	switch {
+	case resp == nil:
+		return errors.Trace(err)
+	case resp.StatusCode == http.StatusUpgradeRequired:
+		return &VersionError{Peer: p.name, Ours: l.cfg.version, Theirs: resp.Header.Get(headerVersion)}
+	default:
+		return &RefusedError{Peer: p.name, Status: resp.StatusCode}
+	}
+}
+
+// sweep drops replies that are kept beyond their time.
+func (l *Links) sweep() {
+	defer l.wg.Done()
+	t := time.NewTicker(sweepInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-l.closing:
+			return
+		case <-t.C:
+		}
+		for _, in := range l.inbound {
+			in.expire(time.Now())
+		}
+	}
+}
+
+type groupKey struct{}
+
+// WithGroup adds a group to the context of a call.
+func WithGroup(ctx context.Context, group string) context.Context {
+	return context.WithValue(ctx, groupKey{}, group)
+}
+
+// Group returns the group of a message in its handler, or "".
+func Group(ctx context.Context) string {
+	g, _ := ctx.Value(groupKey{}).(string)
+	return g
+}
