Add cells of a zone and the check that guarantees fit the racks

Cause: a configuration whose guarantees do not fit the configured racks has to be refused when it is published. Change: internal/sched/cell keeps workers and racks with what is free and what can be reclaimed, binds shapes to disjoint cells, and exports CheckFit, which returns a FitError that names customer, zone, shape and what is missing.

--- /dev/null
+++ b/internal/sched/cell/fit.go
@@ -0,0 +1,134 @@
+package cell
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+
+	"teaselpaddle.example/teaselpaddle/internal/model"
+	"teaselpaddle.example/teaselpaddle/internal/sched"
+)
+
+// FitError says which guarantee does not fit the configured racks.
+type FitError struct {
+	Customer string
+	Zone     string
+	Shape    model.Shape
+	Count    int // shapes promised
+	// Missing is how many of them have no cell beside the other guarantees.
+	Missing int
+	// Free is the number of accelerators of the zone that no guarantee holds.
+	Free int
+}
+
+func (e *FitError) Error() string {
+	return fmt.Sprintf("customer %q, availability zone %q: %d of %d guaranteed shapes of %d accelerators do not fit the configured racks (%d accelerators are in no other guarantee)",
+		e.Customer, e.Zone, e.Missing, e.Count, e.Shape.Accelerators, e.Free)
+}
+
+// Refusal returns the error as the answer to a publisher.
+func (e *FitError) Refusal() *model.Refusal {
+	return model.Refuse(model.ReasonGuaranteesTooBig, "%s", e.Error())
+}
+
+// promise is one guarantee of one customer.
+type promise struct {
+	customer string
+	model.Guarantee
+}
+
+// CheckFit checks that the guarantees of a configuration fit its configured
+// racks. It returns nil or a *FitError for the first guarantee, largest shape
+// first, that does not.
+func CheckFit(cfg *model.Configuration) error {
+	if cfg == nil {
+		return nil
+	}
+	byZone := map[string][]promise{}
+	for i := range cfg.Services {
+		for _, c := range cfg.Services[i].Customers {
+			for _, g := range c.Guarantees {
+				byZone[g.AvailabilityZone] = append(byZone[g.AvailabilityZone], promise{c.Name, g})
+			}
+		}
+	}
+	zones := make([]string, 0, len(byZone))
+	for z := range byZone {
+		zones = append(zones, z)
+	}
+	sort.Strings(zones)
+	for _, z := range zones {
+		if err := checkZone(z, PlannedWorkers(cfg, z), byZone[z]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkZone(zone string, planned []sched.Worker, ps []promise) error {
+	slices.SortStableFunc(ps, func(a, b promise) int { return b.Shape.Accelerators - a.Shape.Accelerators })
+	z := NewZone(planned)
+	b := NewBinding(z)
+	for _, p := range ps {
+		if p.Shape.Accelerators <= 0 {
+			continue
+		}
+		for n := range p.Count {
+			if b.Bind(p.Shape.Accelerators) != nil {
+				continue
+			}
+			free := 0
+			for _, l := range b.left {
+				free += l
+			}
+			return &FitError{
+				Customer: p.customer, Zone: zone, Shape: p.Shape,
+				Count: p.Count, Missing: p.Count - n, Free: free,
+			}
+		}
+	}
+	return nil
+}
+
+// kind is racks of one make-up.
+type kind struct{ workers, accelerators int }
+
+// PlannedWorkers returns the workers that the configured racks of a zone have.
+// Services that name the same kind of rack in a zone mean the same racks: the
+// largest number that one service names counts.
+func PlannedWorkers(cfg *model.Configuration, zone string) []sched.Worker {
+	racks := map[kind]int{}
+	for i := range cfg.Services {
+		own := map[kind]int{}
+		for _, r := range cfg.Services[i].Racks {
+			if r.AvailabilityZone == zone {
+				own[kind{r.WorkersPerRack, r.AcceleratorsPerWorker}] += r.Racks
+			}
+		}
+		for k, n := range own {
+			racks[k] = max(racks[k], n)
+		}
+	}
+	var kinds []kind
+	for k := range racks {
+		kinds = append(kinds, k)
+	}
+	slices.SortFunc(kinds, func(a, b kind) int {
+		if a.accelerators != b.accelerators {
+			return b.accelerators - a.accelerators
+		}
+		return b.workers - a.workers
+	})
+	var out []sched.Worker
+	for ki, k := range kinds {
+		for r := range racks[k] {
+			for w := range k.workers {
+				out = append(out, sched.Worker{
+					Name: fmt.Sprintf("%03d-%06d-%06d", ki, r, w), Rack: fmt.Sprintf("%03d-%06d", ki, r),
+					Accelerators: k.accelerators, Usable: true,
+				})
+			}
+		}
+	}
+	return out
+}
