--- /dev/null
+++ b/internal/sched/cell/place.go
@@ -0,0 +1,365 @@
+package cell
+
+import (
+	"math/bits"
+	"slices"
+
+	"teaselpaddle.example/teaselpaddle/internal/model"
+)
+
+// Request asks for a place for a whole job on free resources.
+type Request struct {
+	Spec  *model.JobSpec
+	Avoid []string
+	// Keep is set for work that cannot be taken off: it leaves the cells of the
+	// binding alone.
+	Keep *Binding
+	// Closed reports whether a worker is held for another job; nil if none is.
+	Closed func(worker int) bool
+	// FirstFit takes the first place instead of the best.
+	FirstFit bool
+}
+
+// Place finds a place for all tasks, or returns nil. It changes nothing.
+//
+// The best place is that which splits the least: a worker that has the fewest
+// free accelerators, a rack with the fewest free accelerators.
+func (z *Zone) Place(q *Request) []model.TaskPlacement {
+	s := q.Spec
+	if s.Tasks < 1 {
+		return nil
+	}
+	if s.Tasks == 1 {
+		return z.placeOne(q)
+	}
+	if !s.Adjacent {
+		return z.placeIn(q, 0, len(z.Racks))
+	}
+	best := -1
+	need := s.TotalAccelerators()
+	for i := range z.Racks {
+		r := &z.Racks[i]
+		if r.free < need || r.slots < s.Tasks || (best >= 0 && r.free >= z.Racks[best].free) {
+			continue
+		}
+		if z.tasksIn(q, r.First, r.Last, s.Tasks) < s.Tasks {
+			continue
+		}
+		best = i
+		if q.FirstFit {
+			break
+		}
+	}
+	if best >= 0 {
+		return z.placeIn(q, best, best+1)
+	}
+	return z.placeNeighbours(q)
+}
+
+// placeNeighbours places an adjacent gang that is larger than any rack on
+// neighbouring racks.
+func (z *Zone) placeNeighbours(q *Request) []model.TaskPlacement {
+	if z.fitsARack(q.Spec) {
+		return nil
+	}
+	first, last := groupOfRacks(len(z.Racks), func(i int) int {
+		return z.tasksIn(q, z.Racks[i].First, z.Racks[i].Last, q.Spec.Tasks)
+	}, q.Spec.Tasks)
+	if first < 0 {
+		return nil
+	}
+	return z.placeIn(q, first, last)
+}
+
+// fitsARack reports whether a single rack could hold the job if it were empty.
+func (z *Zone) fitsARack(s *model.JobSpec) bool {
+	for i := range z.Racks {
+		n := 0
+		for k := z.Racks[i].First; k < z.Racks[i].Last; k++ {
+			n += z.Workers[k].EmptyTasks(s)
+		}
+		if n >= s.Tasks {
+			return true
+		}
+	}
+	return false
+}
+
+// placeOne places a job of one task.
+func (z *Zone) placeOne(q *Request) []model.TaskPlacement {
+	if q.FirstFit {
+		return z.placeIn(q, 0, len(z.Racks))
+	}
+	need := q.Spec.Accelerators
+	if need > maxAccelerators {
+		return nil
+	}
+	best, bestFree := -1, maxAccelerators+1
+	for i := range z.Racks {
+		r := &z.Racks[i]
+		m := r.freeMask >> need << need
+		if m == 0 || r.slots < 1 || bits.TrailingZeros64(m) >= bestFree {
+			continue
+		}
+		for k := r.First; k < r.Last; k++ {
+			w := &z.Workers[k]
+			if w.free >= need && w.free < bestFree && z.tasksOn(q, k) > 0 {
+				best, bestFree = k, w.free
+			}
+		}
+		if bestFree == need {
+			break
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	return z.fill(q.Spec, []Slot{{best, 1}})
+}
+
+// tasksIn counts the tasks that fit on workers [first, last), up to limit.
+func (z *Zone) tasksIn(q *Request, first, last, limit int) int {
+	n := 0
+	for k := first; k < last && n < limit; k++ {
+		n += z.tasksOn(q, k)
+	}
+	return n
+}
+
+// placeIn places all tasks on racks [first, last): on the workers that they
+// fill best, so that whole workers stay whole.
+func (z *Zone) placeIn(q *Request, first, last int) []model.TaskPlacement {
+	var slots []Slot
+	found := 0
+	for i := first; i < last; i++ {
+		r := &z.Racks[i]
+		if r.slots < 1 || bits.Len64(r.freeMask)-1 < q.Spec.Accelerators {
+			continue
+		}
+		for k := r.First; k < r.Last; k++ {
+			n := z.tasksOn(q, k)
+			if n == 0 {
+				continue
+			}
+			slots = append(slots, Slot{k, n})
+			found += n
+		}
+		if q.FirstFit && found >= q.Spec.Tasks {
+			break
+		}
+	}
+	if found < q.Spec.Tasks {
+		return nil
+	}
+	if !q.FirstFit {
+		slices.SortStableFunc(slots, func(a, b Slot) int {
+			return z.Workers[a.Worker].free - z.Workers[b.Worker].free
+		})
+		slots = z.trim(slots, q.Spec.Tasks)
+	}
+	return z.fill(q.Spec, slots)
+}
+
+// trim drops workers from the front while the rest still holds all tasks if
+// that uses fewer workers, so that a large gang takes whole workers.
+func (z *Zone) trim(slots []Slot, tasks int) []Slot {
+	byTasks := slices.Clone(slots)
+	slices.SortStableFunc(byTasks, func(a, b Slot) int { return b.Tasks - a.Tasks })
+	n, sum := 0, 0
+	for sum < tasks {
+		sum += byTasks[n].Tasks
+		n++
+	}
+	// The last worker is the one that the remaining tasks fill best.
+	rest := tasks - (sum - byTasks[n-1].Tasks)
+	last := byTasks[n-1]
+	for _, c := range byTasks[n:] {
+		if c.Tasks >= rest && z.Workers[c.Worker].free < z.Workers[last.Worker].free {
+			last = c
+		}
+	}
+	return append(byTasks[:n-1:n-1], last)
+}
+
+// fill assigns tasks and accelerators to the slots in order.
+func (z *Zone) fill(s *model.JobSpec, slots []Slot) []model.TaskPlacement {
+	out := make([]model.TaskPlacement, 0, s.Tasks)
+	for _, sl := range slots {
+		w := &z.Workers[sl.Worker]
+		used := w.used
+		for n := 0; n < sl.Tasks && len(out) < s.Tasks; n++ {
+			a := pick(&used, w.Accelerators, s.Accelerators)
+			out = append(out, model.TaskPlacement{Task: len(out), Worker: w.Name, Accelerators: a})
+		}
+	}
+	return out
+}
+
+// pick takes n free accelerators: an aligned group if one is free, the smallest
+// split buddy first, else the lowest.
+func pick(used *uint64, all, n int) []int {
+	out := make([]int, 0, n)
+	if n == 0 {
+		return out
+	}
+	size := 1
+	for size < n {
+		size *= 2
+	}
+	group := uint64(1)<<size - 1
+	best, bestFree := -1, maxAccelerators+1
+	for at := 0; at+size <= all; at += size {
+		if *used>>at&group != 0 {
+			continue
+		}
+		// Free accelerators of the next larger cell tell how split it already is.
+		parent := at / (2 * size) * (2 * size)
+		wide := uint64(1)<<(2*size) - 1
+		free := 2*size - bits.OnesCount64(*used>>parent&wide)
+		if free < bestFree {
+			best, bestFree = at, free
+		}
+	}
+	for a := max(best, 0); a < all && len(out) < n; a++ {
+		if *used>>a&1 == 0 {
+			*used |= 1 << a
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// tasksOn returns how many tasks of the request fit on a worker now.
+func (z *Zone) tasksOn(q *Request, k int) int {
+	w := &z.Workers[k]
+	s := q.Spec
+	if !w.Usable || w.freeSlots < 1 || w.free < s.Accelerators {
+		return 0
+	}
+	if (q.Closed != nil && q.Closed(k)) || slices.Contains(q.Avoid, w.Name) {
+		return 0
+	}
+	n := fits(s, w.free, w.freeCores, w.freeMem, w.freeSlots)
+	if q.Keep == nil {
+		return n
+	}
+	return z.KeepTasks(q.Keep, s, k, n)
+}
+
+func fits(s *model.JobSpec, accel, cores, mem, slots int) int {
+	n := slots
+	if s.Accelerators > 0 {
+		n = min(n, accel/s.Accelerators)
+	}
+	if s.CPU > 0 {
+		n = min(n, cores/s.CPU)
+	}
+	if s.MemoryMiB > 0 {
+		n = min(n, mem/s.MemoryMiB)
+	}
+	return max(n, 0)
+}
+
+// availWith returns what avail would be with n more tasks that cannot be taken
+// off.
+func (w *Worker) availWith(s *model.JobSpec, n int) int {
+	c := *w
+	c.hardAccel += n * s.Accelerators
+	c.hardCores += n * s.CPU
+	c.hardMem += n * s.MemoryMiB
+	c.hardSlots += n
+	c.update()
+	return c.avail
+}
+
+// EmptyTasks returns how many tasks of spec the worker holds if nothing else
+// runs on it, whether it is usable or not.
+func (w *Worker) EmptyTasks(s *model.JobSpec) int {
+	return fits(s, w.Accelerators, w.Cores, w.MemoryMiB, w.Slots)
+}
+
+// FreeTasks returns how many tasks of spec the worker holds now with the given
+// resources added to what is free.
+func (w *Worker) FreeTasks(s *model.JobSpec, extra Amount) int {
+	return fits(s, w.free+extra.Accelerators, w.freeCores+extra.Cores, w.freeMem+extra.MemoryMiB, w.freeSlots+extra.Slots)
+}
+
+// Amount is resources of one worker.
+type Amount struct{ Accelerators, Cores, MemoryMiB, Slots int }
+
+// Add adds n tasks of spec.
+func (a *Amount) Add(s *model.JobSpec, n int) {
+	a.Accelerators += n * s.Accelerators
+	a.Cores += n * s.CPU
+	a.MemoryMiB += n * s.MemoryMiB
+	a.Slots += n
+}
+
+// Free returns the number of free accelerators of the worker.
+func (w *Worker) Free() int { return w.free }
+
+// Avail returns the accelerators that a guarantee can get when all borrowers
+// are taken off.
+func (w *Worker) Avail() int { return w.avail }
+
+// RackIndex returns the index of the worker's rack.
+func (w *Worker) RackIndex() int { return w.rack }
+
+// FitsEmpty reports whether the zone could hold the job if nothing ran on it,
+// unusable workers included.
+func (z *Zone) FitsEmpty(s *model.JobSpec) bool {
+	total := 0
+	for i := range z.Workers {
+		total += z.Workers[i].EmptyTasks(s)
+		if total >= s.Tasks && !s.Adjacent {
+			return true
+		}
+	}
+	if total < s.Tasks {
+		return false
+	}
+	if s.Tasks == 1 || z.fitsARack(s) {
+		return true
+	}
+	first, _ := groupOfRacks(len(z.Racks), func(i int) int {
+		n := 0
+		for k := z.Racks[i].First; k < z.Racks[i].Last; k++ {
+			n += z.Workers[k].EmptyTasks(s)
+		}
+		return n
+	}, s.Tasks)
+	return first >= 0
+}
+
+// Plus returns the sum of two amounts.
+func (a Amount) Plus(b Amount) Amount {
+	return Amount{a.Accelerators + b.Accelerators, a.Cores + b.Cores, a.MemoryMiB + b.MemoryMiB, a.Slots + b.Slots}
+}
+
+// Minus returns a less b, no part below 0.
+func (a Amount) Minus(b Amount) Amount {
+	return Amount{
+		max(a.Accelerators-b.Accelerators, 0), max(a.Cores-b.Cores, 0),
+		max(a.MemoryMiB-b.MemoryMiB, 0), max(a.Slots-b.Slots, 0),
+	}
+}
+
+// Span returns how many neighbouring racks an empty zone needs for the job: 1 if
+// it fits a rack, else the smallest aligned group that holds it.
+func (z *Zone) Span(s *model.JobSpec) int {
+	if len(z.Racks) == 0 || z.fitsARack(s) {
+		return 1
+	}
+	for n := 2; n < 2*len(z.Racks); n *= 2 {
+		for i := 0; i < len(z.Racks); i += n {
+			tasks := 0
+			for k := z.Racks[i].First; k < z.Racks[min(i+n, len(z.Racks))-1].Last; k++ {
+				tasks += z.Workers[k].EmptyTasks(s)
+			}
+			if tasks >= s.Tasks {
+				return n
+			}
+		}
+	}
+	return len(z.Racks)
+}
--- a/internal/sched/cell/zone.go
+++ b/internal/sched/cell/zone.go
@@ -41,6 +41,7 @@
 	free     int    // free accelerators on usable workers
 	freeMask uint64 // bit k is set if a usable worker has k free accelerators
 	slots    int    // free slots on usable workers
+	reclaim  int    // accelerators that no work holds for good
 	avail    int
 	whole    int    // accelerators of workers that are wholly available
 	mask     uint64 // bit k is set if a worker has avail k
@@ -54,7 +55,7 @@
 	byName  map[string]int
 	// version changes with each change of what can be reclaimed.
 	version uint64
-	ops     uint64 // changes of what is free
+	trial   trial
 }
 
 // NewZone returns a zone in which nothing runs.
@@ -141,6 +142,7 @@
 	if !ok {
 		return
 	}
+	z.save(i)
 	w := &z.Workers[i]
 	w.freeCores -= sign * spec.CPU
 	w.freeMem -= sign * spec.MemoryMiB
@@ -169,7 +171,6 @@
 	w := &z.Workers[i]
 	w.free = w.Accelerators - bits.OnesCount64(w.used)
 	w.update()
-	z.ops++
 	z.updateRack(w.rack)
 }
 
@@ -212,7 +213,7 @@
 
 func (z *Zone) updateRack(i int) {
 	r := &z.Racks[i]
-	r.free, r.freeMask, r.slots = 0, 0, 0
+	r.free, r.freeMask, r.slots, r.reclaim = 0, 0, 0, 0
 	r.avail, r.whole, r.mask = 0, 0, 0
 	for k := r.First; k < r.Last; k++ {
 		w := &z.Workers[k]
@@ -221,6 +222,7 @@
 		}
 		r.free += w.free
 		r.freeMask |= 1 << w.free
+		r.reclaim += w.Accelerators - w.hardAccel
 		r.slots += max(w.freeSlots, 0)
 		r.avail += w.avail
 		r.mask |= 1 << w.avail
@@ -249,3 +251,10 @@
 	}
 	return n
 }
+
+// Free returns the number of free accelerators on usable workers of the rack.
+func (r *Rack) Free() int { return r.free }
+
+// Reclaimable returns the number of accelerators of the rack that are free or
+// held by work that can be taken off.
+func (r *Rack) Reclaimable() int { return r.reclaim }
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -22,19 +22,45 @@
 	Usable bool
 }
 
+// Claim names the guaranteed shape that an attempt runs in. The zero value is
+// an attempt outside its customer's guarantee.
+type Claim struct {
+	// Accelerators is the size of the shape.
+	Accelerators int
+	// Number tells the customer's shapes of this size apart, from 0.
+	Number int
+}
+
 // Running is an attempt that holds resources.
 type Running struct {
 	ID        model.JobID
 	Customer  string
 	Spec      model.JobSpec
+	Seq       uint64
 	Placement []model.TaskPlacement
-	Borrowed  bool
+	// Borrowed is true if the attempt runs outside its customer's guarantee. It
+	// can be taken off if its job is repeatable as well.
+	Borrowed bool
+	// Claim is the Claim of the attempt's Start. If it is zero for an attempt
+	// that is not borrowed, the smallest shape that holds the job is assumed.
+	Claim     Claim
 	StartedAt time.Time
 	// Stopping is set once the attempt was told to stop; its resources are not
 	// free yet.
 	Stopping bool
+	// UsedMemoryMiB is the largest memory use that a worker reported for a task;
+	// 0 if none has.
+	UsedMemoryMiB int
+	// Throttled and Checkpointed are set once the attempt was told to throttle
+	// or to checkpoint because it used more than it declared.
+	Throttled    bool
+	Checkpointed bool
 }
 
+// Preemptible reports whether the attempt can be taken off: it runs outside its
+// customer's guarantee, and its job can run again.
+func (r *Running) Preemptible() bool { return r.Borrowed && r.Spec.Repeatable }
+
 // Waiting is a queued job.
 type Waiting struct {
 	ID          model.JobID
@@ -45,6 +71,13 @@
 	Avoid []string
 }
 
+// Correction is what was seen of a customer's run times, as factors on the
+// declared time. The zero value means that nothing was seen.
+type Correction struct {
+	Low, Median, High float64
+	Samples           int
+}
+
 // Snapshot is the state of one availability zone at Now.
 type Snapshot struct {
 	Now     time.Time
@@ -53,8 +86,22 @@
 	Workers []Worker
 	Running []Running
 	Waiting []Waiting // in the order of submission
-	// Estimates correct the declared run time by customer: seen/declared.
-	Estimates map[string]float64
+	// Estimates are the corrections of declared run times by customer.
+	Estimates map[string]Correction
+	// Rules turns single rules off, for measurements.
+	Rules Rules
+}
+
+// Rules turns single rules of the decision off. The zero value has all in force.
+type Rules struct {
+	NoReservation bool // blocked jobs hold no cells
+	NoBackfill    bool // nothing starts behind a blocked job of the same customer
+	NoFairShare   bool // order of submission over all customers
+	NoPacking     bool // first fit instead of best fit
+	NoCorrection  bool // declared run times are believed
+	NoOveruse     bool // nothing is done about jobs over their declaration
+	NoTakeoff     bool // a reservation takes no borrower off
+	NoCheapest    bool // a reclaim takes the first cell instead of the cheapest
 }
 
 // Start places a whole job.
@@ -62,12 +109,15 @@
 	ID        model.JobID
 	Placement []model.TaskPlacement
 	Borrowed  bool
+	Claim     Claim
 }
 
 // Preemption takes a running attempt off its workers: checkpoint, then stop.
 type Preemption struct {
 	ID  model.JobID
 	For model.JobID // the job that needs the cells
+	// Bound is the time to checkpoint before the stop.
+	Bound time.Duration
 }
 
 // Rejection gives a waiting job its final answer.
@@ -76,9 +126,37 @@
 	Reason model.Reason
 }
 
+// ActionKind is what is done about an attempt that uses more than it declared.
+type ActionKind string
+
+// The actions, in the order in which they are tried.
+const (
+	Throttle   ActionKind = "throttle"
+	Checkpoint ActionKind = "checkpoint"
+	Stop       ActionKind = "stop" // final: the job is not queued again
+)
+
+// Action acts on a running attempt that blocks others while it uses more than
+// it declared.
+type Action struct {
+	ID     model.JobID
+	Kind   ActionKind
+	Reason model.Reason // over_declared_time or over_declared_memory
+}
+
+// Shortfall is a guarantee that too few healthy workers are left for.
+type Shortfall struct {
+	Customer string
+	Shape    model.Shape
+	// Missing is the number of shapes that have no whole cell.
+	Missing int
+}
+
 // Plan is the result of a decision.
 type Plan struct {
 	Starts      []Start
 	Preemptions []Preemption
 	Rejections  []Rejection
+	Actions     []Action
+	Shortfalls  []Shortfall
 }
