--- /dev/null
+++ b/internal/replay/measure.go
@@ -0,0 +1,198 @@
+package replay
+
+import (
+	"slices"
+	"time"
+
+	"teaselpaddle.example/teaselpaddle/internal/model"
+)
+
+// largeWorkers is the number of whole workers from which a job counts as large.
+const largeWorkers = 1
+
+// missSlack is the time beyond the checkpoint bound after which a guarantee that
+// was not met counts as a miss.
+const missSlack = time.Second
+
+// Spread sums up times in seconds.
+type Spread struct {
+	Jobs int     `json:"jobs"`
+	Mean float64 `json:"mean_seconds"`
+	P50  float64 `json:"p50_seconds"`
+	P95  float64 `json:"p95_seconds"`
+	P99  float64 `json:"p99_seconds"`
+	Max  float64 `json:"max_seconds"`
+}
+
+func spread(v []float64) Spread {
+	if len(v) == 0 {
+		return Spread{}
+	}
+	slices.Sort(v)
+	sum := 0.0
+	for _, x := range v {
+		sum += x
+	}
+	q := func(p float64) float64 { return v[int(p*float64(len(v)-1))] }
+	return Spread{len(v), sum / float64(len(v)), q(0.5), q(0.95), q(0.99), v[len(v)-1]}
+}
+
+// measures collects the results of one zone.
+type measures struct {
+	unusable int
+	starved  bool
+	free     int
+
+	seconds, unusableSum, starvedSum, freeSum float64
+
+	complete, small, large, smallWait, largeWait, urgentWait, reclaims []float64
+	misses, preemptions, stopped, rejected, unfinished, failed         int
+}
+
+func newMeasures() *measures { return &measures{} }
+
+// over adds the present state over a time.
+func (m *measures) over(t time.Duration) {
+	s := t.Seconds()
+	m.seconds += s
+	m.unusableSum += s * float64(m.unusable)
+	m.freeSum += s * float64(m.free)
+	if m.starved {
+		m.starvedSum += s
+	}
+}
+
+// sample reads the present state.
+func (m *measures) sample(d *driver) {
+	var waiting []*model.JobSpec
+	for _, j := range d.open {
+		if j.run == nil {
+			waiting = append(waiting, &j.Spec)
+		}
+	}
+	m.unusable, m.starved = d.cells.Fragmentation(waiting, d.large())
+	m.free = d.cells.FreeAccelerators()
+}
+
+// large is the number of accelerators from which a job counts as large.
+func (d *driver) large() int {
+	n := 1
+	for i := range d.list {
+		n = max(n, d.list[i].Accelerators)
+	}
+	return n * largeWorkers
+}
+
+// bound is the checkpoint bound of a job's customer.
+func (m *measures) bound(cfg *model.Configuration, j *job) time.Duration {
+	_, svc := cfg.Customer(j.Spec.Customer)
+	if svc == nil {
+		return 0
+	}
+	return time.Duration(svc.Policy.CheckpointBoundSeconds * float64(time.Second))
+}
+
+// close adds up the jobs. Jobs that are not final at the end count with the time
+// until then.
+func (m *measures) close(d *driver, end time.Time) {
+	large := d.large()
+	for _, j := range d.order {
+		if j.rejected != "" {
+			m.rejected++
+			continue
+		}
+		m.closeJob(d, j, large, end)
+	}
+}
+
+func (m *measures) closeJob(d *driver, j *job, large int, end time.Time) {
+	if !j.final {
+		j.finished = end
+		m.unfinished++
+	}
+	wait := j.startedAt.Sub(j.SubmittedAt)
+	if !j.started {
+		wait = j.finished.Sub(j.SubmittedAt)
+	}
+	if j.entitled && !j.cancelled {
+		m.reclaims = append(m.reclaims, wait.Seconds())
+		if wait > m.bound(d.cfg, j)+missSlack {
+			m.misses++
+		}
+	}
+	if j.Spec.Urgent {
+		m.urgentWait = append(m.urgentWait, wait.Seconds())
+	}
+	isLarge := j.Spec.TotalAccelerators() >= large
+	if isLarge {
+		m.largeWait = append(m.largeWait, wait.Seconds())
+	} else {
+		m.smallWait = append(m.smallWait, wait.Seconds())
+	}
+	if j.final && !j.done {
+		m.failed++
+		return
+	}
+	if j.truth.Endless {
+		return
+	}
+	took := j.finished.Sub(j.SubmittedAt).Seconds()
+	m.complete = append(m.complete, took)
+	if isLarge {
+		m.large = append(m.large, took)
+	} else {
+		m.small = append(m.small, took)
+	}
+}
+
+// entitlements tells, apart from the decision code, which jobs a guarantee has
+// room for: each job of a customer enters the first shape with enough left.
+type entitlements struct {
+	shapes []*entitlement
+	held   map[*job]*entitlement
+}
+
+type entitlement struct {
+	customer   string
+	size, used int
+}
+
+func (e *entitlements) configure(cfg *model.Configuration, zone string) {
+	if e.held != nil {
+		return // jobs keep the shapes that they entered
+	}
+	e.held = map[*job]*entitlement{}
+	for i := range cfg.Services {
+		for _, c := range cfg.Services[i].Customers {
+			for _, g := range c.Guarantees {
+				for range g.Count {
+					if g.AvailabilityZone == zone {
+						e.shapes = append(e.shapes, &entitlement{customer: c.Name, size: g.Shape.Accelerators})
+					}
+				}
+			}
+		}
+	}
+}
+
+// enter reports whether the job is entitled to a shape's accelerators. A shape
+// that already holds jobs may have its rest on other workers than a large job
+// needs, so only whole shapes count.
+func (e *entitlements) enter(j *job) bool {
+	n := j.Spec.TotalAccelerators()
+	for _, s := range e.shapes {
+		if s.customer == j.Spec.Customer && s.used == 0 && n > 0 && n <= s.size {
+			s.used = s.size
+			e.held[j] = s
+			return true
+		}
+	}
+	return false
+}
+
+func (e *entitlements) leave(j *job) {
+	if s := e.held[j]; s != nil {
+		s.used = 0
+		delete(e.held, j)
+	}
+}
--- a/internal/sched/naive/naive.go
+++ b/internal/sched/naive/naive.go
@@ -95,26 +95,62 @@
 // place puts all tasks of a job or none.
 func place(state []*free, j *sched.Waiting) []model.TaskPlacement {
 	if !j.Spec.Adjacent {
-		return placeIn(state, j, "")
+		return placeIn(state, j, nil)
 	}
-	seen := map[string]bool{}
-	for _, f := range state {
-		if seen[f.w.Rack] {
-			continue
-		}
-		seen[f.w.Rack] = true
-		if p := placeIn(state, j, f.w.Rack); p != nil {
+	racks := rackNames(state)
+	for _, r := range racks {
+		if p := placeIn(state, j, []string{r}); p != nil {
 			return p
 		}
 	}
+	if fitsRack(state, j, racks) {
+		return nil
+	}
+	return placeNeighbours(state, j, racks)
+}
+
+// rackNames returns the racks by name; racks next to each other are neighbours.
+func rackNames(state []*free) []string {
+	var out []string
+	for _, f := range state {
+		out = append(out, f.w.Rack)
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// fitsRack reports whether an empty rack could hold the job.
+func fitsRack(state []*free, j *sched.Waiting, racks []string) bool {
+	empty := make([]*free, 0, len(state))
+	for _, f := range state {
+		w := *f.w
+		w.Usable = true
+		empty = append(empty, &free{w: &w, cores: w.Cores, mem: w.MemoryMiB, slots: w.Slots, accel: make([]bool, w.Accelerators)})
+	}
+	any := *j
+	any.Avoid = nil
+	return slices.ContainsFunc(racks, func(r string) bool { return placeIn(empty, &any, []string{r}) != nil })
+}
+
+// placeNeighbours places a gang larger than a rack on the first aligned group of
+// 2, 4, 8 ... neighbouring racks with room.
+func placeNeighbours(state []*free, j *sched.Waiting, racks []string) []model.TaskPlacement {
+	for n := 2; n < 2*len(racks); n *= 2 {
+		for i := 0; i < len(racks); i += n {
+			if p := placeIn(state, j, racks[i:min(i+n, len(racks))]); p != nil {
+				return p
+			}
+		}
+	}
 	return nil
 }
 
-func placeIn(state []*free, j *sched.Waiting, rack string) []model.TaskPlacement {
+// placeIn places all tasks on the named racks; on all if there are none named.
+func placeIn(state []*free, j *sched.Waiting, racks []string) []model.TaskPlacement {
 	var out []model.TaskPlacement
 	held := map[int]*free{}
 	for _, f := range state {
-		for len(out) < j.Spec.Tasks && (rack == "" || f.w.Rack == rack) {
+		for len(out) < j.Spec.Tasks && (racks == nil || slices.Contains(racks, f.w.Rack)) {
 			accel, ok := f.fit(j)
 			if !ok {
 				break
