Decide with guarantees, reservations and fair sharing

Cause: the daemon still placed jobs first come, first served. Change: the controller uses the policy package, keeps the claimed shape with the attempt, learns run-time corrections from finished jobs, carries out throttle, checkpoint and stop actions, and reports guarantees that lack healthy workers. Usage within the declaration stays at the entry instance.

--- a/internal/control/attempt.go
+++ b/internal/control/attempt.go
@@ -49,8 +49,13 @@
 	spec  model.JobSpec
 	phase model.Phase
 
-	preempted atomic.Bool // a reclaim takes the attempt off
-	stopping  atomic.Bool // the tasks are being stopped
+	preempted    atomic.Bool                  // a reclaim takes the attempt off
+	bound        atomic.Int64                 // time to checkpoint before the stop, in ns
+	stopping     atomic.Bool                  // the tasks are being stopped
+	throttled    atomic.Bool                  // the tasks were told to throttle
+	checkpointed atomic.Bool                  // the tasks were told to checkpoint
+	overuse      atomic.Pointer[model.Reason] // set once the attempt is stopped for good
+	wake         chan struct{}                // makes watch look again
 
 	mu    sync.Mutex // guards the tasks' fields
 	tasks []*task
@@ -59,6 +64,7 @@
 func newAttempt(c *Controller, j *model.Job, term uint64) *attempt {
 	a := &attempt{
 		c: c, job: j.ID, fence: j.Attempt.Fence, term: term, spec: j.Spec, phase: j.Attempt.Phase,
+		wake: make(chan struct{}, 1),
 	}
 	var leaseEnd time.Time
 	if a.phase != model.PhaseReserve {
@@ -73,8 +79,6 @@
 	return a
 }
 
-func (a *attempt) preempt() { a.preempted.Store(true) }
-
 // drive carries the attempt from its present phase to its end.
 func (a *attempt) drive(ctx context.Context) {
 	if a.phase == model.PhaseReserve {
@@ -232,6 +236,7 @@
 		select {
 		case <-ctx.Done():
 		case <-changed:
+		case <-a.wake:
 		case <-poll.C:
 			a.poll(ctx, j)
 		}
@@ -246,6 +251,8 @@
 		return model.ReasonCancelled
 	case a.preempted.Load():
 		return model.ReasonReclaimed
+	case a.overusedReason() != "":
+		return a.overusedReason()
 	case anyFailed(j.Attempt.Results):
 		return model.ReasonTaskFailed
 	case !j.Spec.Deadline.IsZero() && now.After(j.Spec.Deadline):
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -45,6 +45,9 @@
 	number atomic.Uint64 // last operation number
 
 	health   workerHealth
+	learned  estimates
+	usage    usageTable
+	short    int       // guaranteed shapes that were missing at the last report
 	contacts *contacts // of the present term
 
 	mu       sync.Mutex // guards attempts
@@ -55,6 +58,8 @@
 func (c *Controller) Run(ctx context.Context) {
 	c.health.tracker = health.New()
 	c.Machine.Subscribe(c.health.observe)
+	c.Machine.Subscribe(c.learned.observe)
+	c.Machine.Subscribe(c.usage.observe)
 	go c.applySuspensions(ctx)
 	for ctx.Err() == nil {
 		if st := c.Group.Status(); st.Leads {
@@ -150,9 +155,13 @@
 		s := &plan.Starts[i]
 		c.propose(ctx, &jobs.Command{
 			Kind: jobs.KindIntend, ID: s.ID,
-			Intend: &jobs.Intend{Placement: s.Placement, Borrowed: s.Borrowed},
+			Intend: &jobs.Intend{Placement: s.Placement, Borrowed: s.Borrowed, Claim: s.Claim},
 		})
 	}
+	for i := range plan.Actions {
+		c.act(&plan.Actions[i])
+	}
+	c.reportShortfalls(plan.Shortfalls)
 }
 
 // concludeLate gives queued jobs whose deadline has passed their final answer.
@@ -174,50 +183,6 @@
 	}
 }
 
-// preempt tells a running attempt to stop.
-func (c *Controller) preempt(p *sched.Preemption) {
-	c.mu.Lock()
-	a := c.attempts[p.ID]
-	c.mu.Unlock()
-	if a != nil {
-		c.Log.Info("job preempted", "job", p.ID, "for", p.For)
-		a.preempt()
-	}
-}
-
-// snapshot copies the present state for a decision.
-func (c *Controller) snapshot(cfg *model.Configuration, now time.Time) *sched.Snapshot {
-	s := &sched.Snapshot{Now: now, Zone: c.Zone, Config: cfg}
-	for _, e := range c.Board.List() {
-		w := &e.Worker
-		usable := !w.Leaving && !c.health.suspended(w.Name, now) && now.Sub(e.Health.LastSeen) < workerSilence
-		s.Workers = append(s.Workers, sched.Worker{
-			Name: w.Name, Rack: w.Rack, Cores: w.Cores, MemoryMiB: w.MemoryMiB,
-			Accelerators: w.Accelerators, Slots: w.Slots, Usable: usable,
-		})
-	}
-	for _, j := range c.Machine.Active() {
-		if j.Attempt == nil {
-			s.Waiting = append(s.Waiting, sched.Waiting{
-				ID: j.ID, Spec: j.Spec, Seq: j.Seq, SubmittedAt: j.SubmittedAt, Avoid: j.FailedOn,
-			})
-			continue
-		}
-		s.Running = append(s.Running, sched.Running{
-			ID: j.ID, Customer: j.Spec.Customer, Spec: j.Spec, Placement: j.Attempt.Placement,
-			Borrowed: j.Attempt.Borrowed, StartedAt: j.Attempt.StartedAt, Stopping: c.stopping(j.ID),
-		})
-	}
-	return s
-}
-
-func (c *Controller) stopping(id model.JobID) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	a := c.attempts[id]
-	return a != nil && a.preempted.Load()
-}
-
 // propose replicates a command. It reports whether the command was applied and
 // accepted.
 func (c *Controller) propose(ctx context.Context, cmd *jobs.Command) bool {
--- a/internal/control/stop.go
+++ b/internal/control/stop.go
@@ -10,8 +10,8 @@
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
 
-// defaultCheckpointBound is the time a task has to checkpoint if no policy says
-// otherwise.
+// defaultCheckpointBound is the time a task has to checkpoint if the plan does not
+// say.
 const defaultCheckpointBound = 5 * time.Second
 
 // end stops every task, then concludes the attempt with what is certain.
@@ -34,8 +34,8 @@
 		"reason", reason, "outcome", out.String())
 	telemetry.Retried(reason)
 	cmd := &jobs.Command{Kind: jobs.KindEndAttempt, Outcome: out, Reason: reason}
-	if reason == model.ReasonDeadlinePassed {
-		cmd.State = model.Failed
+	if reason == model.ReasonDeadlinePassed || reason == a.overusedReason() {
+		cmd.State = model.Failed // not queued again
 	}
 	a.conclude(ctx, cmd)
 }
@@ -54,9 +54,9 @@
 // checkpoint asks every task to save its state, within the policy's bound. A
 // worker answers once the checkpoint is saved.
 func (a *attempt) checkpoint(ctx context.Context) {
-	bound := defaultCheckpointBound
-	if _, svc := a.c.Machine.Config().Customer(a.spec.Customer); svc != nil && svc.Policy.CheckpointBoundSeconds > 0 {
-		bound = time.Duration(svc.Policy.CheckpointBoundSeconds * float64(time.Second))
+	bound := time.Duration(a.bound.Load())
+	if bound <= 0 {
+		bound = defaultCheckpointBound
 	}
 	ctx, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,7 +19,7 @@
 	"teaselpaddle.example/teaselpaddle/internal/model"
 	"teaselpaddle.example/teaselpaddle/internal/replica"
 	"teaselpaddle.example/teaselpaddle/internal/routing"
-	"teaselpaddle.example/teaselpaddle/internal/sched/naive"
+	"teaselpaddle.example/teaselpaddle/internal/sched/policy"
 	"teaselpaddle.example/teaselpaddle/internal/settings"
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
@@ -58,9 +58,10 @@
 	router.Register()
 	ctl := &control.Controller{
 		Zone: self.AvailabilityZone, Group: group, Machine: machine, Board: board,
-		Client: workerapi.NewHTTPClient(), Decide: naive.Decide,
+		Client: workerapi.NewHTTPClient(), Decide: policy.Decide,
 		Lease: time.Duration(s.LeaseSeconds * float64(time.Second)), Log: log,
 	}
+	router.Usage = ctl.NoteUsage
 	spreader := &announce.Spreader{
 		Self: s.Name, Zone: self.AvailabilityZone, Board: board, Peers: peers, InZone: s.InZone,
 	}
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -181,8 +181,7 @@
 		writeError(w, err)
 		return
 	}
-	_, err := a.Router.Do(r.Context(), rep.Job.Zone(), &routing.Request{Op: routing.OpReport, Report: &rep})
-	if err != nil {
+	if err := a.Router.Report(r.Context(), &rep); err != nil {
 		writeError(w, err)
 		return
 	}
--- a/internal/jobs/apply.go
+++ b/internal/jobs/apply.go
@@ -114,7 +114,7 @@
 	j.State = model.Starting
 	j.Attempt = &model.Attempt{
 		Number: j.Attempts, Fence: index, Phase: model.PhaseReserve,
-		Placement: c.Intend.Placement, Borrowed: c.Intend.Borrowed,
+		Placement: c.Intend.Placement, Borrowed: c.Intend.Borrowed, Claim: c.Intend.Claim,
 	}
 	return &Result{}
 }
--- a/internal/jobs/command.go
+++ b/internal/jobs/command.go
@@ -74,6 +74,7 @@
 type Intend struct {
 	Placement []model.TaskPlacement `cbor:"1,keyasint"`
 	Borrowed  bool                  `cbor:"2,keyasint,omitempty"`
+	Claim     model.Claim           `cbor:"3,keyasint,omitempty"`
 }
 
 // Encode returns the command's log entry.
--- a/internal/model/job.go
+++ b/internal/model/job.go
@@ -106,11 +106,20 @@
 	Placement []TaskPlacement `json:"placement"`
 	// Borrowed is true if the attempt runs outside its customer's guarantee and
 	// may be taken off.
-	Borrowed  bool         `json:"borrowed,omitempty"`
+	Borrowed bool `json:"borrowed,omitempty"`
+	// Claim is the guaranteed shape that the attempt runs in, if any.
+	Claim     Claim        `json:"claim,omitzero"`
 	StartedAt time.Time    `json:"started_at,omitzero"`
 	Results   []TaskResult `json:"results,omitempty"`
 }
 
+// Claim names one guaranteed shape of a customer. The zero value is none.
+type Claim struct {
+	Accelerators int `json:"accelerators"` // size of the shape
+	// Number tells the customer's shapes of this size apart, from 0.
+	Number int `json:"number"`
+}
+
 // TaskResult is the answer of one task.
 type TaskResult struct {
 	Task   int    `json:"task"`
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -78,6 +78,8 @@
 	Group   replica.Group
 	Machine *jobs.Machine
 	Log     logr.Logger
+	// Usage takes usage reports on the leader; nil drops them.
+	Usage func(id model.JobID, fence uint64, memoryMiB int)
 
 	mu    sync.Mutex // guards zones
 	zones map[string]*zoneHealth
@@ -110,6 +112,20 @@
 	return resp, err
 }
 
+// Report takes a worker's report. Usage within the job's declaration ends here:
+// forwarding it from every task to the leader would cost more than all other
+// messages together. The error is a *model.Refusal.
+func (r *Router) Report(ctx context.Context, rep *workerapi.Report) error {
+	if rep.Result == nil && rep.Job.Zone() == r.Zone {
+		j := r.Machine.Get(rep.Job)
+		if j == nil || rep.Usage == nil || rep.Usage.MemoryMiB <= j.Spec.MemoryMiB {
+			return nil
+		}
+	}
+	_, err := r.Do(ctx, rep.Job.Zone(), &Request{Op: OpReport, Report: rep})
+	return err
+}
+
 // Do carries out a request in a zone. The error is a *model.Refusal.
 func (r *Router) Do(ctx context.Context, zone string, req *Request) (*Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout+time.Duration(req.WaitMillis)*time.Millisecond)
@@ -199,6 +215,9 @@
 }
 
 func (r *Router) report(ctx context.Context, rep *workerapi.Report) *Response {
+	if rep.Usage != nil && r.Usage != nil {
+		r.Usage(rep.Job, rep.Fence, rep.Usage.MemoryMiB)
+	}
 	if rep.Result == nil {
 		return &Response{}
 	}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -24,12 +24,7 @@
 
 // Claim names the guaranteed shape that an attempt runs in. The zero value is
 // an attempt outside its customer's guarantee.
-type Claim struct {
-	// Accelerators is the size of the shape.
-	Accelerators int
-	// Number tells the customer's shapes of this size apart, from 0.
-	Number int
-}
+type Claim = model.Claim
 
 // Running is an attempt that holds resources.
 type Running struct {
