--- a/internal/standin/command.go
+++ b/internal/standin/command.go
@@ -82,7 +82,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.endLeases(time.Now())
-	rep := &workerapi.Reply{Number: c.Number, Term: w.term, Incarnation: w.incarnation}
+	rep := &workerapi.Reply{
+		Number: c.Number, Term: w.term, Incarnation: w.incarnation, Clock: time.Since(w.epoch).Milliseconds(),
+	}
 	if reason, detail := w.check(c); reason != "" {
 		w.refuse(c, rep, reason, detail)
 		return rep, nil
@@ -178,9 +180,19 @@
 	}
 }
 
+// leaseEnd returns the end of the lease that a command grants: by this worker's
+// clock, counted from the answer that the command echoes. It is zero if the
+// command grants none.
+func (w *Worker) leaseEnd(c *workerapi.Command) time.Time {
+	if c.Echo == 0 || c.EchoIncarnation != w.incarnation {
+		return time.Time{}
+	}
+	return w.epoch.Add(time.Duration(c.Echo) * time.Millisecond).Add(seconds(c.LeaseSeconds))
+}
+
 // renew extends the leases of tasks that hold one.
 func (w *Worker) renew(c *workerapi.Command, rep *workerapi.Reply) {
-	until := time.Now().Add(seconds(c.LeaseSeconds))
+	until := w.leaseEnd(c)
 	known := map[uint64]bool{}
 	for k, t := range w.tasks {
 		if t.state != workerapi.TaskAbsent {
@@ -196,7 +208,7 @@
 	}
 	for k, t := range w.tasks {
 		if asked[k.fence] && t.holds() {
-			t.lease = until
+			t.extend(until)
 		}
 	}
 }
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -49,9 +49,6 @@
 	leavingPeriod = 500 * time.Millisecond // between announcements while leaving
 	leaseCheck    = 20 * time.Millisecond  // how often leases are checked
 	idlePoll      = 20 * time.Millisecond  // how often a leaving worker checks for its end
-	// maxCheckpointTime keeps a checkpoint shorter than the daemons' limit of 1 s
-	// for one command.
-	maxCheckpointTime = 800 * time.Millisecond
 )
 
 // Worker is one stand-in worker.
@@ -59,6 +56,7 @@
 	o           *Options
 	address     string
 	incarnation uint64
+	epoch       time.Time // zero of the worker's clock
 	journal     *Journal
 	client      *http.Client
 	conns       *listener
@@ -88,7 +86,7 @@
 		return nil, err
 	}
 	return &Worker{
-		o: o, incarnation: max(rand.Uint64(), 1), journal: j, faults: *f,
+		o: o, incarnation: max(rand.Uint64(), 1), epoch: time.Now().Add(-time.Millisecond), journal: j, faults: *f,
 		client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
 		tasks:  map[taskKey]*task{}, saved: map[checkpointKey]time.Duration{},
 		rng: rand.New(rand.NewPCG(rand.Uint64(), 0)),
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -126,10 +126,13 @@
 	f.number++
 	return &workerapi.Command{
 		Op: op, Number: f.number, Zone: "z-1", Term: 1, Fence: fence, Job: testJob,
+		Echo: f.clock(), EchoIncarnation: f.w.incarnation,
 		Spec: &model.JobSpec{Payload: payload, CPU: 1, MemoryMiB: 100}, Accelerators: []int{int(fence) % 8}, LeaseSeconds: 5,
 	}
 }
 
+func (f *fixture) clock() int64 { return time.Since(f.w.epoch).Milliseconds() }
+
 func (f *fixture) do(op workerapi.Operation, fence uint64, payload string) *workerapi.Reply {
 	return f.w.Do(context.Background(), f.cmd(op, fence, payload))
 }
@@ -231,6 +234,23 @@
 	is.Equal(f.do(workerapi.Start, 1, "").Refused, model.ReasonStaleFence)
 }
 
+// Guards against a start or a renewal that was delayed on its way and extends a
+// lease beyond what its sender reckons with.
+func TestDelayedMessageGrantsNothing(t *testing.T) {
+	is := is.New(t)
+	f := start(t, nil)
+	f.do(workerapi.Reserve, 1, "never-end")
+	c := f.cmd(workerapi.Start, 1, "")
+	c.LeaseSeconds = 0.05
+	time.Sleep(60 * time.Millisecond)
+	is.Equal(f.w.Do(context.Background(), c).Refused, model.ReasonTimeout)
+	c = f.cmd(workerapi.Start, 1, "")
+	c.EchoIncarnation++
+	is.Equal(f.w.Do(context.Background(), c).Refused, model.ReasonTimeout)
+	is.Equal(f.events(t, EventStart), 0)
+	is.Equal(f.do(workerapi.Stop, 1, "").State, workerapi.TaskNotStarted)
+}
+
 // Guards against a lost result: it is sent until acknowledged and kept for
 // status.
 func TestResultsAreResentAndKept(t *testing.T) {
@@ -277,8 +297,8 @@
 	f.do(workerapi.Start, 1, "")
 	time.Sleep(50 * time.Millisecond)
 	is.Equal(f.do(workerapi.Throttle, 1, "").State, workerapi.TaskRunning)
-	is.Equal(f.do(workerapi.Checkpoint, 1, "").State, workerapi.TaskRunning)
-	f.do(workerapi.Stop, 1, "")
+	is.Equal(f.do(workerapi.Checkpoint, 1, "").State, workerapi.TaskCheckpoint)
+	is.Equal(f.do(workerapi.Start, 1, "").Refused, model.ReasonStaleFence)
 	is.Equal(f.events(t, EventCheckpoint), 1)
 	is.Equal(f.events(t, EventThrottle), 1)
 	is.True(f.w.restore(testJob, 0) >= 50*time.Millisecond)
--- a/internal/standin/task.go
+++ b/internal/standin/task.go
@@ -105,20 +105,34 @@
 	return slots >= 1 && cores >= c.Spec.CPU && mem >= c.Spec.MemoryMiB
 }
 
-// start starts a reserved task. A number without a reservation is refused.
+// extend moves the lease's end; a message that arrives late never shortens it.
+func (t *task) extend(until time.Time) {
+	if until.After(t.lease) {
+		t.lease = until
+	}
+}
+
+// start starts a reserved task. A number without a reservation is refused, and
+// so is a start whose lease has already ended: the task would run without one.
 func (w *Worker) start(k taskKey, t *task, c *workerapi.Command, rep *workerapi.Reply) {
 	if t == nil || (!t.holds() && t.state != workerapi.TaskFinished) {
 		w.refuse(c, rep, model.ReasonStaleFence, "")
 		return
 	}
+	lease := w.leaseEnd(c)
 	if t.state != workerapi.TaskReserved {
+		t.extend(lease)
 		return
 	}
 	now := time.Now()
+	if !lease.After(now) {
+		w.refuse(c, rep, model.ReasonTimeout, "the lease that the start grants has ended")
+		return
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.state = workerapi.TaskRunning
 	t.cancel = cancel
-	t.lease = now.Add(seconds(c.LeaseSeconds))
+	t.lease = lease
 	t.need = time.Duration(float64(t.payload.Time) * factor(w.faults.TaskFactor))
 	t.done = w.restore(t.job, k.task)
 	t.since = now
@@ -136,16 +150,16 @@
 		w.forget()
 		return
 	}
-	w.end(k, t, "stopped")
+	w.end(k, t, workerapi.TaskStopped, "stopped")
 }
 
-// end releases a task that holds resources.
-func (w *Worker) end(k taskKey, t *task, why string) {
+// end releases a task that holds resources; state is that of a task that ran.
+func (w *Worker) end(k taskKey, t *task, state workerapi.TaskState, why string) {
 	switch t.state {
 	case workerapi.TaskReserved:
 		t.state = workerapi.TaskNotStarted
 	case workerapi.TaskRunning:
-		t.state = workerapi.TaskStopped
+		t.state = state
 		t.cancel()
 		w.record(EventStop, k, t.job, why)
 	default:
@@ -180,7 +194,7 @@
 func (w *Worker) endLeases(now time.Time) {
 	for k, t := range w.tasks {
 		if t.holds() && now.After(t.lease) {
-			w.end(k, t, "lease ran out")
+			w.end(k, t, workerapi.TaskStopped, "lease ran out")
 		}
 	}
 }
@@ -190,7 +204,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for k, t := range w.tasks {
-		w.end(k, t, "worker ends")
+		w.end(k, t, workerapi.TaskStopped, "worker ends")
 	}
 }
 
