--- a/cmd/standin-load/main.go
+++ b/cmd/standin-load/main.go
@@ -32,6 +32,7 @@
 	if o.Mode != load.Demo {
 		fmt.Println(sum.StatesLine())
 	}
+	fmt.Println(sum.RefusalsLine())
 	fmt.Println(sum.Times())
 	if o.Mode == load.Demo {
 		fmt.Println(sum)
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -59,6 +59,19 @@
 	Final []Answer
 	// Problems holds the problem documents that carry a state or are final.
 	Problems []Problem
+	// Refusals counts all problem documents by code; calls without an answer
+	// count as "no answer".
+	Refusals map[model.Reason]int
+}
+
+// noAnswer is the code of a call without an answer.
+const noAnswer = model.Reason("no answer")
+
+func (o *Outcome) count(code model.Reason) {
+	if o.Refusals == nil {
+		o.Refusals = map[model.Reason]int{}
+	}
+	o.Refusals[code]++
 }
 
 // Answer returns the first final answer, or nil.
@@ -142,9 +155,11 @@
 func (c *Caller) refused(ctx context.Context, out *Outcome, err error) bool {
 	var p *Problem
 	if !errors.As(err, &p) {
+		out.count(noAnswer)
 		pause(ctx, retryPause)
 		return false
 	}
+	out.count(p.Code)
 	final := p.RetryAfter == 0 && p.Status/100 == 4 && p.Code != model.ReasonNotFound
 	if final || p.State != "" {
 		out.Problems = append(out.Problems, *p)
--- a/internal/load/summary.go
+++ b/internal/load/summary.go
@@ -24,13 +24,14 @@
 	Jobs     int
 	Whole    int // answered as done with every task's correct output
 	States   map[model.JobState]int
+	Refusals map[model.Reason]int // problem documents by code
 	Findings Findings
 	times    *hdrhistogram.Histogram
 }
 
 func newSummary(mode Mode, outcomes []*Outcome, found Findings) *Summary {
 	s := &Summary{
-		Mode: mode, Jobs: len(outcomes), States: map[model.JobState]int{}, Findings: found,
+		Mode: mode, Jobs: len(outcomes), States: map[model.JobState]int{}, Refusals: map[model.Reason]int{}, Findings: found,
 		times: hdrhistogram.New(1, histogramMax, histogramDigits),
 	}
 	bad := map[string]bool{}
@@ -39,6 +40,9 @@
 	}
 	for _, o := range outcomes {
 		s.States[o.State()]++
+		for code, n := range o.Refusals {
+			s.Refusals[code] += n
+		}
 		a := o.Answer()
 		if a == nil || a.State != model.Done {
 			continue
@@ -80,6 +84,19 @@
 	return fmt.Sprintf("%s: %d jobs: %s; %d findings", s.Mode, s.Jobs, strings.Join(parts, ", "), len(s.Findings))
 }
 
+// RefusalsLine returns the number of refusals by code.
+func (s *Summary) RefusalsLine() string {
+	var parts []string
+	for code, n := range s.Refusals {
+		parts = append(parts, fmt.Sprintf("%d %s", n, code))
+	}
+	if len(parts) == 0 {
+		return "no refusals"
+	}
+	slices.Sort(parts)
+	return "refusals that were tried again or final: " + strings.Join(parts, ", ")
+}
+
 func (s *Summary) String() string {
 	return fmt.Sprintf("demo: %d jobs, %d whole answers, %d doubled, %d partial",
 		s.Jobs, s.Whole, s.Findings.Count(Doubled), s.Findings.Count(Partial))
