Keep a zone reachable when a caller disconnects

Cause: a call to another zone that ended because the caller had gone marked that zone as unreachable for one second. Other callers were refused with owner_zone_unreachable, and repeatable jobs were accepted in a second zone. Change: only failures that are not the caller's own cancellation count.

--- a/internal/routing/remote.go
+++ b/internal/routing/remote.go
@@ -85,7 +85,10 @@
 			break
 		}
 	}
-	h.setDown(time.Now().Add(failFast))
+	// A caller that went away says nothing about the zone.
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		h.setDown(time.Now().Add(failFast))
+	}
 	return unreachable(zone)
 }
 
