--- a/internal/control/attempt.go
+++ b/internal/control/attempt.go
@@ -306,7 +306,7 @@
 			continue
 		}
 		switch t.state {
-		case workerapi.TaskAbsent, workerapi.TaskStopped, workerapi.TaskNotStarted, workerapi.TaskCheckpoint:
+		case workerapi.TaskAbsent, workerapi.TaskStopped, workerapi.TaskNotStarted:
 			return true
 		}
 		if now.After(t.leaseEnd) {
--- a/internal/control/stop.go
+++ b/internal/control/stop.go
@@ -51,7 +51,8 @@
 	}
 }
 
-// checkpoint asks every task to save its state, within the policy's bound.
+// checkpoint asks every task to save its state, within the policy's bound. A
+// worker answers once the checkpoint is saved.
 func (a *attempt) checkpoint(ctx context.Context) {
 	bound := defaultCheckpointBound
 	if _, svc := a.c.Machine.Config().Customer(a.spec.Customer); svc != nil && svc.Policy.CheckpointBoundSeconds > 0 {
@@ -62,7 +63,7 @@
 	a.each(ctx, func(ctx context.Context, t *task) bool {
 		cmd := a.command(workerapi.Checkpoint, t)
 		for ctx.Err() == nil {
-			if r := a.ask(ctx, t, cmd); r != nil && r.State != workerapi.TaskRunning {
+			if a.ask(ctx, t, cmd) != nil {
 				return true
 			}
 			sleep(ctx, commandRetry)
@@ -116,5 +117,5 @@
 
 // ended reports whether a worker has said that a task ran and has ended.
 func ended(s workerapi.TaskState) bool {
-	return s == workerapi.TaskStopped || s == workerapi.TaskCheckpoint || s == workerapi.TaskFinished
+	return s == workerapi.TaskStopped || s == workerapi.TaskFinished
 }
--- a/internal/routing/remote.go
+++ b/internal/routing/remote.go
@@ -85,8 +85,8 @@
 			break
 		}
 	}
-	// A caller that went away says nothing about the zone.
 	if !errors.Is(ctx.Err(), context.Canceled) {
+		// A caller that gave up says nothing about the zone.
 		h.setDown(time.Now().Add(failFast))
 	}
 	return unreachable(zone)
--- a/internal/standin/task.go
+++ b/internal/standin/task.go
@@ -150,16 +150,16 @@
 		w.forget()
 		return
 	}
-	w.end(k, t, workerapi.TaskStopped, "stopped")
+	w.end(k, t, "stopped")
 }
 
-// end releases a task that holds resources; state is that of a task that ran.
-func (w *Worker) end(k taskKey, t *task, state workerapi.TaskState, why string) {
+// end releases a task that holds resources.
+func (w *Worker) end(k taskKey, t *task, why string) {
 	switch t.state {
 	case workerapi.TaskReserved:
 		t.state = workerapi.TaskNotStarted
 	case workerapi.TaskRunning:
-		t.state = state
+		t.state = workerapi.TaskStopped
 		t.cancel()
 		w.record(EventStop, k, t.job, why)
 	default:
@@ -194,7 +194,7 @@
 func (w *Worker) endLeases(now time.Time) {
 	for k, t := range w.tasks {
 		if t.holds() && now.After(t.lease) {
-			w.end(k, t, workerapi.TaskStopped, "lease ran out")
+			w.end(k, t, "lease ran out")
 		}
 	}
 }
@@ -204,7 +204,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for k, t := range w.tasks {
-		w.end(k, t, workerapi.TaskStopped, "worker ends")
+		w.end(k, t, "worker ends")
 	}
 }
 
--- a/internal/workerapi/workerapi.go
+++ b/internal/workerapi/workerapi.go
@@ -33,10 +33,9 @@
 	TaskReserved   TaskState = "reserved"
 	TaskRunning    TaskState = "running"
 	TaskFinished   TaskState = "finished"
-	TaskCheckpoint TaskState = "checkpointed" // it ran, its state was saved, and it was stopped
-	TaskStopped    TaskState = "stopped"      // it ran and was stopped
-	TaskNotStarted TaskState = "not_started"  // it can never start under this number
-	TaskAbsent     TaskState = "absent"       // nothing is known of it
+	TaskStopped    TaskState = "stopped"     // it ran and was stopped
+	TaskNotStarted TaskState = "not_started" // it can never start under this number
+	TaskAbsent     TaskState = "absent"      // nothing is known of it
 )
 
 // Command is one message to a worker. Operation numbers are unique for one
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -146,6 +146,7 @@
 done
 bin/teaselpaddle --server "${entries[0]}" publish examples/authority
 
+: >"$dir/answers"
 bin/standin-load --verbose --entries "${entries[@]}" --journals "$dir/journals" --jobs "$JOBS" --timeout 35s \
   --customers ministry-of-works water-utility workshop-irbid workshop-zarqa >"$dir/answers" &
 load=$!
