Check every setting and report all problems with their lines

Cause: settings stopped at the first problem, accepted duplicate keys and keys in another letter case, and did not check ranges of addresses, names and the data folder. The daemon checks that its data folder can be written before it serves.

--- a/cmd/teaselpaddled/main.go
+++ b/cmd/teaselpaddled/main.go
@@ -39,6 +39,9 @@
 	if err != nil {
 		return err
 	}
+	if err := s.PrepareDataFolder(); err != nil {
+		return err
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	return daemon.Run(ctx, s, telemetry.NewLogger(os.Stderr, s.LogLevel))
--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,155 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"path/filepath"
+	"strings"
+
+	"teaselpaddle.example/teaselpaddle/internal/strictjson"
+	"teaselpaddle.example/teaselpaddle/internal/telemetry"
+)
+
+// Ranges of the values.
+const (
+	minLeaseSeconds = 1
+	maxLeaseSeconds = 600
+	minRequests     = 16
+	maxRequests     = 100000
+	maxNameBytes    = 63
+	maxInstances    = 1000
+	maxZones        = 64
+	maxPathBytes    = 4000
+)
+
+// InvalidError lists the values that are missing or out of range.
+type InvalidError struct{ Problems []strictjson.Problem }
+
+func (e *InvalidError) Error() string {
+	return (&strictjson.Error{Problems: e.Problems}).Error()
+}
+
+// checker collects the problems of one file.
+type checker struct {
+	s        *Settings
+	lines    map[string]int
+	problems []strictjson.Problem
+	names    map[string]bool
+	addrs    map[netip.AddrPort]string // path by address
+	regions  map[string]string         // region by availability zone
+}
+
+// check checks all values; lines gives their lines by path.
+func (s *Settings) check(lines map[string]int) error {
+	c := &checker{
+		s: s, lines: lines,
+		names: map[string]bool{}, addrs: map[netip.AddrPort]string{}, regions: map[string]string{},
+	}
+	c.top()
+	for i := range s.Instances {
+		c.instance(i)
+	}
+	c.self()
+	if len(c.problems) > 0 {
+		return &InvalidError{Problems: c.problems}
+	}
+	return nil
+}
+
+// add notes a problem. A value that is not in the file has the line of what
+// contains it.
+func (c *checker) add(path, format string, args ...any) {
+	line, ok := c.lines[path]
+	for at := path; !ok && at != ""; {
+		at = at[:max(strings.LastIndexAny(at, ".["), 0)]
+		line, ok = c.lines[at]
+	}
+	c.problems = append(c.problems, strictjson.Problem{Path: path, Line: line, Detail: fmt.Sprintf(format, args...)})
+}
+
+func (c *checker) top() {
+	s := c.s
+	if _, ok := telemetry.Levels[s.LogLevel]; !ok {
+		c.add("log_level", "must be debug, info or error, not %q", s.LogLevel)
+	}
+	if s.LeaseSeconds < minLeaseSeconds || s.LeaseSeconds > maxLeaseSeconds {
+		c.add("lease_seconds", "must be between %d and %d seconds, not %g", minLeaseSeconds, maxLeaseSeconds, s.LeaseSeconds)
+	}
+	if s.MaxRequests < minRequests || s.MaxRequests > maxRequests {
+		c.add("max_requests", "must be between %d and %d requests, not %d", minRequests, maxRequests, s.MaxRequests)
+	}
+	if n := len(s.Instances); n < 1 || n > maxInstances {
+		c.add("instances", "must have 1 to %d entries, not %d", maxInstances, n)
+	}
+	if n := len(s.Zones()); n > maxZones {
+		c.add("instances", "must name at most %d availability zones, not %d", maxZones, n)
+	}
+}
+
+func (c *checker) instance(i int) {
+	in := &c.s.Instances[i]
+	path := func(field string) string { return fmt.Sprintf("instances[%d].%s", i, field) }
+	c.name(path("name"), in.Name)
+	if in.Name != "" && c.names[in.Name] {
+		c.add(path("name"), "%q is the name of an earlier instance", in.Name)
+	}
+	c.names[in.Name] = true
+	c.name(path("availability_zone"), in.AvailabilityZone)
+	if in.Region != "" {
+		c.name(path("region"), in.Region)
+	}
+	if r, ok := c.regions[in.AvailabilityZone]; ok && r != in.Region {
+		c.add(path("region"), "is %q, but %q on an earlier instance of availability zone %q", in.Region, r, in.AvailabilityZone)
+	} else {
+		c.regions[in.AvailabilityZone] = in.Region
+	}
+	c.address(path("client_address"), in.ClientAddress)
+	c.address(path("peer_address"), in.PeerAddress)
+}
+
+// name checks a name: it becomes part of ids, file names and metrics.
+func (c *checker) name(path, s string) {
+	if s == "" || len(s) > maxNameBytes {
+		c.add(path, "must have 1 to %d characters, not %d", maxNameBytes, len(s))
+		return
+	}
+	for _, r := range s {
+		if (r < 'a' || r > 'z') && (r < 'A' || r > 'Z') && (r < '0' || r > '9') && r != '-' && r != '_' {
+			c.add(path, "must consist of ASCII letters, digits, - and _, not %q", s)
+			return
+		}
+	}
+}
+
+func (c *checker) address(path, s string) {
+	a, err := netip.ParseAddrPort(s)
+	switch {
+	case err != nil:
+		c.add(path, "must be IP:port, not %q", s)
+	case a.Port() == 0:
+		c.add(path, "must have a port between 1 and 65535, not 0")
+	case a.Addr().IsUnspecified() || a.Addr().IsMulticast():
+		c.add(path, "must be an address that others can dial, not %s", a.Addr())
+	case c.addrs[a] != "":
+		c.add(path, "%s is used by %s too", a, c.addrs[a])
+	default:
+		c.addrs[a] = path
+	}
+}
+
+// self checks this daemon's own entry.
+func (c *checker) self() {
+	self := c.s.Self()
+	folder := c.s.DataFolder
+	switch {
+	case self == nil:
+		c.add("name", "%q is not the name of an entry of instances", c.s.Name)
+	case self.Disk && folder == "":
+		c.add("data_folder", "is required, since instance %q has disk set", self.Name)
+	case !self.Disk && folder != "":
+		c.add("data_folder", "must not be set, since instance %q does not have disk set", self.Name)
+	}
+	if folder != "" && (!filepath.IsAbs(folder) || len(folder) > maxPathBytes) {
+		c.add("data_folder", "must be an absolute path of at most %d bytes, not %.80q", maxPathBytes, folder)
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,48 +2,65 @@
 package settings
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
-	"net/netip"
+	"io"
 	"os"
+	"path/filepath"
+	"strings"
 
+	"github.com/juju/errors"
 	"github.com/tailscale/hujson"
 
-	"teaselpaddle.example/teaselpaddle/internal/telemetry"
+	"teaselpaddle.example/teaselpaddle/internal/strictjson"
 )
 
 // Instance is one instance of the deployment.
 type Instance struct {
+	// Name is unique in the deployment.
 	Name             string `json:"name"`
 	AvailabilityZone string `json:"availability_zone"`
-	Region           string `json:"region,omitempty"`
-	ClientAddress    string `json:"client_address"` // IP:port for callers, workers and operators
-	PeerAddress      string `json:"peer_address"`   // IP:port for other instances
-	Disk             bool   `json:"disk,omitempty"`
+	// Region is the same for all instances of an availability zone.
+	Region string `json:"region,omitempty"`
+	// ClientAddress is the IP:port for callers, workers and operators.
+	ClientAddress string `json:"client_address"`
+	// PeerAddress is the IP:port for other instances.
+	PeerAddress string `json:"peer_address"`
+	// Disk is set on instances that keep state on a disk.
+	Disk bool `json:"disk,omitempty"`
 }
 
-// Settings are the settings of one daemon.
+// Settings are the settings of one daemon. examples/settings describes each key.
 type Settings struct {
+	// Name names the entry of Instances that is this daemon.
 	Name string `json:"name"`
 	// DataFolder is set on instances with a disk.
-	DataFolder   string     `json:"data_folder,omitempty"`
-	LogLevel     string     `json:"log_level,omitempty"`
-	LeaseSeconds float64    `json:"lease_seconds,omitempty"`
-	Instances    []Instance `json:"instances"`
+	DataFolder string `json:"data_folder,omitempty"`
+	// LogLevel is debug, info or error; default: info.
+	LogLevel string `json:"log_level,omitempty"`
+	// LeaseSeconds is how long a worker runs a task without hearing from the
+	// leader; default: 10.
+	LeaseSeconds float64 `json:"lease_seconds,omitempty"`
+	// MaxRequests is the number of requests in work at the same time; more are
+	// refused as overloaded; default: 1024.
+	MaxRequests int        `json:"max_requests,omitempty"`
+	Instances   []Instance `json:"instances"`
 }
 
-// defaultLeaseSeconds is several times the longest election, so that a change
-// of leader does not cut leases.
-const defaultLeaseSeconds = 10
-
-// FieldError is a value that is missing or out of range.
-type FieldError struct {
-	Path   string
-	Detail string
-}
+// Defaults.
+const (
+	defaultLogLevel = "info"
+	// defaultLeaseSeconds is several times the longest election, so that a change
+	// of leader does not cut leases.
+	defaultLeaseSeconds = 10
+	defaultMaxRequests  = 1024
+)
 
-func (e *FieldError) Error() string { return fmt.Sprintf("setting %s: %s", e.Path, e.Detail) }
+// Limits on a settings file.
+const (
+	maxFileBytes = 256 << 10
+	maxNesting   = 8
+	maxTokens    = 20000
+)
 
 // FileError is a settings file that cannot be used.
 type FileError struct {
@@ -56,9 +73,26 @@
 // Unwrap returns the cause.
 func (e *FileError) Unwrap() error { return e.Cause }
 
-// Load reads and checks a settings file.
+// SyntaxError is a settings file that is not JSON with comments.
+type SyntaxError struct{ Cause error }
+
+func (e *SyntaxError) Error() string {
+	return strings.TrimPrefix(e.Cause.Error(), "hujson: ")
+}
+
+// Unwrap returns the cause.
+func (e *SyntaxError) Unwrap() error { return e.Cause }
+
+// TooLargeError is a settings file beyond the limit.
+type TooLargeError struct{}
+
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("is larger than %d KiB", maxFileBytes>>10)
+}
+
+// Load reads and checks a settings file. The error is a *FileError.
 func Load(file string) (*Settings, error) {
-	raw, err := os.ReadFile(file)
+	raw, err := readFile(file)
 	if err != nil {
 		return nil, &FileError{File: file, Cause: err}
 	}
@@ -69,54 +103,35 @@
 	return s, nil
 }
 
-// Parse reads and checks settings.
-func Parse(raw []byte) (*Settings, error) {
-	std, err := hujson.Standardize(raw)
+func readFile(file string) ([]byte, error) {
+	f, err := os.Open(file)
 	if err != nil {
-		return nil, err
-	}
-	s := Settings{LogLevel: "info", LeaseSeconds: defaultLeaseSeconds}
-	dec := json.NewDecoder(bytes.NewReader(std))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&s); err != nil {
-		return nil, err
-	}
-	return &s, s.check()
-}
-
-func (s *Settings) check() error {
-	if _, ok := telemetry.Levels[s.LogLevel]; !ok {
-		return &FieldError{Path: "log_level", Detail: "must be debug, info or error"}
-	}
-	if s.LeaseSeconds < 1 || s.LeaseSeconds > 600 {
-		return &FieldError{Path: "lease_seconds", Detail: "must be between 1 and 600 seconds"}
-	}
-	for i := range s.Instances {
-		if err := s.Instances[i].check(i); err != nil {
-			return err
+		var pe *os.PathError
+		if errors.As(err, &pe) {
+			err = pe.Err
 		}
+		return nil, err
 	}
-	if s.Self() == nil {
-		return &FieldError{Path: "name", Detail: fmt.Sprintf("%q is not in instances", s.Name)}
-	}
-	return nil
+	defer func() { _ = f.Close() }()
+	return io.ReadAll(io.LimitReader(f, maxFileBytes+1))
 }
 
-func (in *Instance) check(i int) error {
-	path := func(f string) string { return fmt.Sprintf("instances[%d].%s", i, f) }
-	if in.Name == "" {
-		return &FieldError{Path: path("name"), Detail: "must not be empty"}
-	}
-	if in.AvailabilityZone == "" {
-		return &FieldError{Path: path("availability_zone"), Detail: "must not be empty"}
+// Parse reads and checks settings. The error is a *SyntaxError, a
+// *TooLargeError, a *strictjson.Error for keys and types, or an *InvalidError
+// for values; the last two list all problems with their lines.
+func Parse(raw []byte) (*Settings, error) {
+	if len(raw) > maxFileBytes {
+		return nil, &TooLargeError{}
 	}
-	if _, err := netip.ParseAddrPort(in.ClientAddress); err != nil {
-		return &FieldError{Path: path("client_address"), Detail: "must be IP:port"}
+	std, err := hujson.Standardize(raw)
+	if err != nil {
+		return nil, &SyntaxError{Cause: err}
 	}
-	if _, err := netip.ParseAddrPort(in.PeerAddress); err != nil {
-		return &FieldError{Path: path("peer_address"), Detail: "must be IP:port"}
+	s := &Settings{LogLevel: defaultLogLevel, LeaseSeconds: defaultLeaseSeconds, MaxRequests: defaultMaxRequests}
+	if err := strictjson.Decode(std, s, strictjson.Limits{Nesting: maxNesting, Tokens: maxTokens}); err != nil {
+		return nil, err
 	}
-	return nil
+	return s, s.check(strictjson.Lines(std, s))
 }
 
 // Self returns this daemon's own instance.
@@ -153,3 +168,50 @@
 	}
 	return out
 }
+
+// DataFolderError is a data folder that cannot be written.
+type DataFolderError struct {
+	Folder string
+	Cause  error
+}
+
+func (e *DataFolderError) Error() string {
+	return fmt.Sprintf("data folder %s cannot be written: %v", e.Folder, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *DataFolderError) Unwrap() error { return e.Cause }
+
+// PrepareDataFolder makes the data folder, if one is set, and checks that files
+// in it can be written and synced. The error is a *DataFolderError.
+func (s *Settings) PrepareDataFolder() error {
+	if s.DataFolder == "" {
+		return nil
+	}
+	if err := probe(s.DataFolder); err != nil {
+		return &DataFolderError{Folder: s.DataFolder, Cause: err}
+	}
+	return nil
+}
+
+func probe(folder string) error {
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return err
+	}
+	name := filepath.Join(folder, "write-check")
+	f, err := os.OpenFile(name, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	_, err = f.WriteString("written at each start\n")
+	if err == nil {
+		err = f.Sync()
+	}
+	if cerr := f.Close(); err == nil {
+		err = cerr
+	}
+	if err != nil {
+		return err
+	}
+	return os.Remove(name)
+}
--- /dev/null
+++ b/internal/strictjson/strictjson.go
@@ -0,0 +1,371 @@
+// Package strictjson decodes JSON that people or other programs wrote and
+// refuses what encoding/json accepts silently: unknown and duplicate keys, keys
+// in other letter case, null, invalid UTF-8 and unpaired surrogates. It reports
+// all problems of a document with their path and line.
+package strictjson
+
+import (
+	"bytes"
+	"encoding"
+	"encoding/json"
+	"fmt"
+	"io"
+	"reflect"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/juju/errors"
+)
+
+// Limits bound the work for one document.
+type Limits struct {
+	Nesting int // levels of arrays and objects
+	Tokens  int // keys, values and brackets
+}
+
+// maxProblems bounds the problems that are reported of one document.
+const maxProblems = 20
+
+// Problem is one fault of a document.
+type Problem struct {
+	// Path names the value, for example "instances[2].name"; empty for the whole
+	// document.
+	Path   string
+	Line   int // 1 is the first; 0 if it is not known
+	Detail string
+}
+
+func (p *Problem) String() string {
+	var b strings.Builder
+	if p.Line > 0 {
+		fmt.Fprintf(&b, "line %d: ", p.Line)
+	}
+	if p.Path != "" {
+		b.WriteString(p.Path + ": ")
+	}
+	return b.String() + p.Detail
+}
+
+// Error lists the problems of a document.
+type Error struct{ Problems []Problem }
+
+func (e *Error) Error() string {
+	var parts []string
+	for i := range e.Problems {
+		parts = append(parts, e.Problems[i].String())
+	}
+	return strings.Join(parts, "; ")
+}
+
+// Decode decodes data into v, a pointer. The error is an *Error.
+func Decode(data []byte, v any, l Limits) error {
+	c := &checker{data: data, limits: l, dec: json.NewDecoder(bytes.NewReader(data))}
+	c.dec.UseNumber()
+	if c.text() {
+		c.document(reflect.TypeOf(v).Elem())
+	}
+	if len(c.problems) > 0 {
+		return &Error{Problems: c.problems}
+	}
+	if err := json.Unmarshal(data, v); err != nil {
+		return &Error{Problems: []Problem{{Detail: err.Error()}}}
+	}
+	return nil
+}
+
+// Lines returns the line of every value of a valid document by its path.
+func Lines(data []byte, v any) map[string]int {
+	c := &checker{
+		data: data, limits: Limits{Nesting: 64, Tokens: 1 << 20},
+		dec: json.NewDecoder(bytes.NewReader(data)), lines: map[string]int{},
+	}
+	c.dec.UseNumber()
+	c.document(reflect.TypeOf(v).Elem())
+	return c.lines
+}
+
+// checker walks a document along a Go type.
+type checker struct {
+	data     []byte
+	dec      *json.Decoder
+	limits   Limits
+	tokens   int
+	depth    int
+	problems []Problem
+	lines    map[string]int // nil if not wanted
+	stopped  bool           // nothing after the present position can be checked
+}
+
+func (c *checker) line() int {
+	at := min(int(c.dec.InputOffset()), len(c.data))
+	return 1 + bytes.Count(c.data[:at], []byte{'\n'})
+}
+
+func (c *checker) add(path, format string, args ...any) {
+	c.problems = append(c.problems, Problem{Path: path, Line: c.line(), Detail: fmt.Sprintf(format, args...)})
+	if len(c.problems) >= maxProblems {
+		c.stopped = true
+	}
+}
+
+// fatal adds a problem after which the rest cannot be checked.
+func (c *checker) fatal(path, format string, args ...any) {
+	c.add(path, format, args...)
+	c.stopped = true
+}
+
+// text checks the encoding of the document.
+func (c *checker) text() bool {
+	switch {
+	case !utf8.Valid(c.data):
+		c.problems = append(c.problems, Problem{Detail: "is not valid UTF-8"})
+	case unpaired(c.data):
+		c.problems = append(c.problems, Problem{Detail: "has a \\u escape of an unpaired surrogate"})
+	}
+	return len(c.problems) == 0
+}
+
+// unpaired reports whether data has an escaped surrogate without its partner.
+// encoding/json would replace it, so that different strings become equal.
+func unpaired(data []byte) bool {
+	for i := 0; i+1 < len(data); i++ {
+		if data[i] != '\\' {
+			continue
+		}
+		i++
+		if data[i] != 'u' {
+			continue
+		}
+		u := escaped(data, i+1)
+		if u < 0xd800 || u > 0xdfff {
+			continue
+		}
+		low := -1
+		if i+6 < len(data) && data[i+5] == '\\' && data[i+6] == 'u' {
+			low = escaped(data, i+7)
+		}
+		if u > 0xdbff || low < 0xdc00 || low > 0xdfff {
+			return true
+		}
+		i += 10
+	}
+	return false
+}
+
+// escaped returns the four hex digits at i, or -1.
+func escaped(data []byte, i int) int {
+	if i+4 > len(data) {
+		return -1
+	}
+	n, err := strconv.ParseUint(string(data[i:i+4]), 16, 16)
+	if err != nil {
+		return -1
+	}
+	return int(n)
+}
+
+func (c *checker) document(t reflect.Type) {
+	c.value(t, "")
+	if c.stopped {
+		return
+	}
+	if _, err := c.dec.Token(); err != io.EOF {
+		c.fatal("", "has data after the JSON value")
+	}
+}
+
+// next returns the next token, or nil if there is none.
+func (c *checker) next(path string) json.Token {
+	c.tokens++
+	if c.tokens > c.limits.Tokens {
+		c.fatal("", "has more than %d values and keys", c.limits.Tokens)
+		return nil
+	}
+	tok, err := c.dec.Token()
+	if err == nil {
+		return tok
+	}
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		c.fatal(path, "ends too early")
+	} else {
+		c.fatal(path, "is not JSON: %v", err)
+	}
+	return nil
+}
+
+// value checks the next value against t. A nil t accepts anything.
+func (c *checker) value(t reflect.Type, path string) {
+	tok := c.next(path)
+	if c.stopped {
+		return
+	}
+	if c.lines != nil {
+		c.lines[path] = c.line()
+	}
+	c.token(tok, t, path)
+}
+
+var textType = reflect.TypeFor[encoding.TextUnmarshaler]()
+
+func (c *checker) token(tok json.Token, t reflect.Type, path string) {
+	for t != nil && t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	switch x := tok.(type) {
+	case json.Delim:
+		c.nested(x, t, path)
+	case string:
+		if t != nil && t.Kind() != reflect.String && !reflect.PointerTo(t).Implements(textType) {
+			c.add(path, "must be %s, not a string", kindName(t))
+		}
+	case bool:
+		if t != nil && t.Kind() != reflect.Bool {
+			c.add(path, "must be %s, not a boolean", kindName(t))
+		}
+	case json.Number:
+		c.number(x, t, path)
+	case nil:
+		c.add(path, "must not be null")
+	}
+}
+
+func (c *checker) nested(open json.Delim, t reflect.Type, path string) {
+	c.depth++
+	defer func() { c.depth-- }()
+	if c.depth > c.limits.Nesting {
+		c.fatal("", "is nested deeper than %d levels", c.limits.Nesting)
+		return
+	}
+	if open == '{' {
+		c.object(t, path)
+		return
+	}
+	var elem reflect.Type
+	if t != nil {
+		if t.Kind() != reflect.Slice {
+			c.add(path, "must be %s, not an array", kindName(t))
+		} else {
+			elem = t.Elem()
+		}
+	}
+	for i := 0; c.dec.More() && !c.stopped; i++ {
+		c.value(elem, path+"["+strconv.Itoa(i)+"]")
+	}
+	c.close(path)
+}
+
+// close reads the bracket that ends an array or an object.
+func (c *checker) close(path string) {
+	if !c.stopped {
+		c.next(path)
+	}
+}
+
+func (c *checker) object(t reflect.Type, path string) {
+	var known map[string]reflect.Type
+	var elem reflect.Type
+	if t != nil {
+		switch t.Kind() {
+		case reflect.Struct:
+			known = fields(t)
+		case reflect.Map:
+			elem = t.Elem()
+		default:
+			c.add(path, "must be %s, not an object", kindName(t))
+		}
+	}
+	seen := map[string]bool{}
+	for c.dec.More() && !c.stopped {
+		key, ok := c.next(path).(string)
+		if c.stopped {
+			return
+		}
+		if !ok {
+			c.fatal(path, "is not JSON: a key must be a string")
+			return
+		}
+		at := join(path, key)
+		if seen[key] {
+			c.add(at, "is there twice")
+		}
+		seen[key] = true
+		ft := elem
+		if known != nil {
+			ft, ok = known[key]
+			if !ok {
+				c.add(at, "is not known")
+			}
+		}
+		c.value(ft, at)
+	}
+	c.close(path)
+}
+
+func join(path, key string) string {
+	if len(key) > 64 {
+		key = strings.ToValidUTF8(key[:64], "") + "..."
+	}
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
+
+// fields returns the types of a struct's fields by JSON name.
+func fields(t reflect.Type) map[string]reflect.Type {
+	out := map[string]reflect.Type{}
+	for f := range t.Fields() {
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		if name == "-" || !f.IsExported() {
+			continue
+		}
+		if name == "" {
+			name = f.Name
+		}
+		out[name] = f.Type
+	}
+	return out
+}
+
+func (c *checker) number(n json.Number, t reflect.Type, path string) {
+	if t == nil {
+		return
+	}
+	var err error
+	switch t.Kind() {
+	case reflect.Int, reflect.Int8, reflect.Int16, reflect.Int32, reflect.Int64:
+		_, err = strconv.ParseInt(n.String(), 10, t.Bits())
+	case reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64:
+		_, err = strconv.ParseUint(n.String(), 10, t.Bits())
+	case reflect.Float32, reflect.Float64:
+		_, err = strconv.ParseFloat(n.String(), t.Bits())
+	default:
+		c.add(path, "must be %s, not a number", kindName(t))
+		return
+	}
+	if err != nil {
+		c.add(path, "must be %s, not %.40s", kindName(t), n.String())
+	}
+}
+
+func kindName(t reflect.Type) string {
+	if reflect.PointerTo(t).Implements(textType) {
+		return "a string"
+	}
+	switch t.Kind() {
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Slice:
+		return "an array"
+	case reflect.Struct, reflect.Map:
+		return "an object"
+	case reflect.Float32, reflect.Float64:
+		return "a number"
+	case reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64:
+		return "a whole number of at least 0"
+	}
+	return "a whole number"
+}
