Bound and check what callers and workers send

Cause: duplicate keys, keys in other letter case and control characters in a customer's name were accepted (the last let two identities share one id), announcements and reports were not checked, refusals were counted under the wrong reason or not at all, answers showed internal fields, and nothing limited the requests in work. A refusal of a repeatable job no longer claims not_run, since another zone may have accepted it.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -27,7 +27,6 @@
 // Limits of the HTTP servers.
 const (
 	readHeaderTimeout = 5 * time.Second
-	readTimeout       = 15 * time.Second
 	stopTimeout       = 90 * time.Second // the longest open request and its answer
 )
 
@@ -68,10 +67,10 @@
 	go spreader.Run(ctx)
 	api := &httpapi.API{
 		Router: router, Board: board, Log: log, Publisher: &publisher{router},
-		Announce: spreader.Announce,
-		Ready:    func() bool { return ctx.Err() == nil && group.Status().Ready },
+		Announce: spreader.Announce, MaxRequests: s.MaxRequests,
+		Ready: func() bool { return ctx.Err() == nil && group.Status().Ready },
 	}
-	client := &http.Server{Handler: api.Handler(), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout}
+	client := httpapi.NewServer(api.Handler())
 	peer := &http.Server{Handler: peers.Handler(), ReadHeaderTimeout: readHeaderTimeout}
 	go func() { _ = client.Serve(clientLn) }()
 	go func() { _ = peer.Serve(peerLn) }()
--- /dev/null
+++ b/internal/httpapi/jobs.go
@@ -0,0 +1,141 @@
+package httpapi
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/juju/errors"
+
+	"teaselpaddle.example/teaselpaddle/internal/model"
+	"teaselpaddle.example/teaselpaddle/internal/routing"
+)
+
+// Job is a job as callers see it. docs/api.md describes it.
+type Job struct {
+	ID              model.JobID    `json:"id"`
+	Spec            model.JobSpec  `json:"spec"`
+	State           model.JobState `json:"state"`
+	Reason          model.Reason   `json:"reason,omitempty"`
+	SubmittedAt     time.Time      `json:"submitted_at"`
+	FinishedAt      time.Time      `json:"finished_at,omitzero"`
+	Attempts        int            `json:"attempts"`
+	CancelRequested bool           `json:"cancel_requested,omitempty"`
+	// Expired is set when the results were dropped after the retention time.
+	Expired bool     `json:"expired,omitempty"`
+	Attempt *Attempt `json:"attempt,omitempty"`
+	// Results is the whole answer: one entry per task, in task order.
+	Results []model.TaskResult `json:"results,omitempty"`
+}
+
+// Attempt is the present attempt of a job.
+type Attempt struct {
+	Number    int                   `json:"number"`
+	Placement []model.TaskPlacement `json:"placement"`
+	StartedAt time.Time             `json:"started_at,omitzero"`
+}
+
+// NewJob returns the callers' view of a record. Results of a job that is not
+// final are left out: they are not a whole answer.
+func NewJob(j *model.Job) *Job {
+	out := &Job{
+		ID: j.ID, Spec: j.Spec, State: j.State, Reason: j.Reason, SubmittedAt: j.SubmittedAt,
+		FinishedAt: j.FinishedAt, Attempts: j.Attempts, CancelRequested: j.CancelRequested,
+		Expired: j.Expired, Results: j.Results,
+	}
+	if a := j.Attempt; a != nil {
+		out.Attempt = &Attempt{Number: a.Number, Placement: a.Placement, StartedAt: a.StartedAt}
+	}
+	return out
+}
+
+func (a *API) submit(w http.ResponseWriter, r *http.Request) {
+	var spec model.JobSpec
+	if err := decode(w, r, &spec); err != nil {
+		writeError(w, err)
+		return
+	}
+	if ref := checkSpec(&spec); ref != nil {
+		refuse(w, ref)
+		return
+	}
+	resp, err := a.Router.Submit(r.Context(), &spec)
+	if err != nil {
+		writeError(w, certain(err, &spec))
+		return
+	}
+	status := http.StatusAccepted
+	if resp.Existing {
+		status = http.StatusOK
+	}
+	writeJSON(w, status, NewJob(resp.Job))
+}
+
+// certain removes the state not_run from the refusal of a repeatable job. An
+// earlier request with the same key may have been accepted by another zone
+// while the owner zone was unreachable, so it is not certain.
+func certain(err error, spec *model.JobSpec) error {
+	var ref *model.Refusal
+	if !spec.Repeatable || !errors.As(err, &ref) || ref.State != model.NotRun {
+		return err
+	}
+	out := *ref
+	out.State = ""
+	return &out
+}
+
+func (a *API) get(w http.ResponseWriter, r *http.Request) {
+	id, zone, ref := a.jobID(r)
+	if ref != nil {
+		refuse(w, ref)
+		return
+	}
+	req := &routing.Request{Op: routing.OpGet, ID: id}
+	if s := r.URL.Query().Get("wait"); s != "" {
+		d, err := time.ParseDuration(s)
+		if err != nil || d < 0 || d > maxWait {
+			refuse(w, model.RefuseField("wait", "must be a duration between 0s and %s", maxWait))
+			return
+		}
+		req.WaitMillis = d.Milliseconds()
+	}
+	a.job(w, r, zone, req)
+}
+
+func (a *API) cancel(w http.ResponseWriter, r *http.Request) {
+	id, zone, ref := a.jobID(r)
+	if ref != nil {
+		refuse(w, ref)
+		return
+	}
+	a.job(w, r, zone, &routing.Request{Op: routing.OpCancel, ID: id})
+}
+
+// job answers a request about one job with its record.
+func (a *API) job(w http.ResponseWriter, r *http.Request, zone string, req *routing.Request) {
+	resp, err := a.Router.Do(r.Context(), zone, req)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, NewJob(resp.Job))
+}
+
+func (a *API) jobID(r *http.Request) (model.JobID, string, *model.Refusal) {
+	id := model.JobID(chi.URLParam(r, "id"))
+	if !a.knownID(id) {
+		return "", "", model.Refuse(model.ReasonNotFound, "job %.200q is not known", id)
+	}
+	return id, id.Zone(), nil
+}
+
+// knownID reports whether id has the form of an id of this deployment.
+func (a *API) knownID(id model.JobID) bool {
+	zone := id.Zone()
+	if zone == "" || !slices.Contains(a.Router.Zones, zone) {
+		return false
+	}
+	return strings.Trim(string(id[len(zone)+1:]), "0123456789abcdef") == ""
+}
--- a/internal/httpapi/problem.go
+++ b/internal/httpapi/problem.go
@@ -5,6 +5,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -36,21 +37,54 @@
 	model.ReasonDeadlineUnmet:    http.StatusUnprocessableEntity,
 	model.ReasonQueueFull:        http.StatusTooManyRequests,
 	model.ReasonInternal:         http.StatusInternalServerError,
+	model.ReasonTimeout:          http.StatusRequestTimeout,
+	model.ReasonStaleFence:       http.StatusConflict,
+	model.ReasonStaleTerm:        http.StatusConflict,
 }
 
-// writeError answers with a problem document. Errors that are not a Refusal are
-// answered as internal errors.
+// retryAfter is the Retry-After of refusals whose origin does not say when a
+// retry can help.
+var retryAfter = map[model.Reason]time.Duration{
+	model.ReasonQueueFull:        5 * time.Second, // until jobs have left the queue
+	model.ReasonNoConfiguration:  2 * time.Second,
+	model.ReasonNoDurableReplica: 5 * time.Second, // until a disk voter is back
+	model.ReasonOverloaded:       overloadRetry,
+	model.ReasonStopping:         time.Second, // another instance takes over
+	model.ReasonOutcomeUnknown:   2 * time.Second,
+	model.ReasonNoLeader:         2 * time.Second, // longer than an election
+}
+
+// stateless removes the job state from a refusal of a request that is not about
+// running a job.
+func stateless(err error) error {
+	var ref *model.Refusal
+	if !errors.As(err, &ref) || ref.State == "" {
+		return err
+	}
+	out := *ref
+	out.State = ""
+	return &out
+}
+
+// writeError answers with a problem document for a refusal that has been counted
+// already. Errors that are not a Refusal are counted and answered as internal
+// errors; their text may tell too much.
 func writeError(w http.ResponseWriter, err error) {
 	var ref *model.Refusal
 	if !errors.As(err, &ref) {
-		ref = model.Refuse(model.ReasonInternal, "%v", err)
+		refuse(w, model.Refuse(model.ReasonInternal, "the request failed"))
+		return
 	}
 	status := statusOf[ref.Reason]
 	if status == 0 {
 		status = http.StatusServiceUnavailable
 	}
-	if ref.RetryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(ref.RetryAfter.Seconds()))))
+	after := ref.RetryAfter
+	if after == 0 {
+		after = retryAfter[ref.Reason]
+	}
+	if after > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(after.Seconds()))))
 	}
 	w.Header().Set("Content-Type", "application/problem+json")
 	w.WriteHeader(status)
--- /dev/null
+++ b/internal/httpapi/workers.go
@@ -0,0 +1,42 @@
+package httpapi
+
+import (
+	"net/http"
+
+	"teaselpaddle.example/teaselpaddle/internal/model"
+	"teaselpaddle.example/teaselpaddle/internal/routing"
+	"teaselpaddle.example/teaselpaddle/internal/workerapi"
+)
+
+func (a *API) announce(w http.ResponseWriter, r *http.Request) {
+	var wk model.Worker
+	if err := decode(w, r, &wk); err != nil {
+		writeError(w, err)
+		return
+	}
+	if ref := checkWorker(&wk, a.Router.Zones); ref != nil {
+		refuse(w, ref)
+		return
+	}
+	a.Announce(wk)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// report answers once the report is committed.
+func (a *API) report(w http.ResponseWriter, r *http.Request) {
+	var rep workerapi.Report
+	if err := decode(w, r, &rep); err != nil {
+		writeError(w, err)
+		return
+	}
+	if ref := a.checkReport(&rep); ref != nil {
+		refuse(w, ref)
+		return
+	}
+	_, err := a.Router.Do(r.Context(), rep.Job.Zone(), &routing.Request{Op: routing.OpReport, Report: &rep})
+	if err != nil {
+		writeError(w, stateless(err))
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/internal/jobs/apply.go
+++ b/internal/jobs/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"teaselpaddle.example/teaselpaddle/internal/model"
 )
@@ -75,6 +76,12 @@
 		}
 		return &Result{Job: old, Existing: true}
 	}
+	if d := c.Spec.Deadline; !d.IsZero() && !d.After(c.At) {
+		// Only new requests: one sent again after its deadline finds its record.
+		r := refused(model.ReasonDeadlineUnmet, "the deadline %s has passed", d.Format(time.RFC3339))
+		r.Refusal.State = model.NotRun
+		return r
+	}
 	cust, _ := m.Config().Customer(c.Spec.Customer)
 	if cust == nil {
 		r := refused(model.ReasonUnknownCustomer, "customer %q does not exist", c.Spec.Customer)
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -1,6 +1,6 @@
 // Package strictjson decodes JSON that people or other programs wrote and
 // refuses what encoding/json accepts silently: unknown and duplicate keys, keys
-// in other letter case, null, invalid UTF-8 and unpaired surrogates. It reports
+// in other letter case, null for scalars, invalid UTF-8 and unpaired surrogates. It reports
 // all problems of a document with their path and line.
 package strictjson
 
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"reflect"
 	"strconv"
 	"strings"
@@ -206,17 +207,54 @@
 	c.token(tok, t, path)
 }
 
-var textType = reflect.TypeFor[encoding.TextUnmarshaler]()
+var (
+	textType = reflect.TypeFor[encoding.TextUnmarshaler]()
+	jsonType = reflect.TypeFor[json.Unmarshaler]()
+)
 
-func (c *checker) token(tok json.Token, t reflect.Type, path string) {
+// shape returns the type to check a value against: nil for types that decode
+// themselves.
+func shape(t reflect.Type) reflect.Type {
 	for t != nil && t.Kind() == reflect.Pointer {
 		t = t.Elem()
 	}
+	if t == nil || t.Kind() == reflect.Interface || reflect.PointerTo(t).Implements(jsonType) {
+		return nil
+	}
+	return t
+}
+
+// isText reports whether values of t are JSON strings. []byte is base64.
+func isText(t reflect.Type) bool {
+	if t.Kind() == reflect.Slice && t.Elem().Kind() == reflect.Uint8 {
+		return true
+	}
+	return t.Kind() == reflect.String || reflect.PointerTo(t).Implements(textType)
+}
+
+// canBeNull reports whether null decodes to the nil of t, which means the same
+// as leaving the key out.
+func canBeNull(t reflect.Type) bool {
+	if t == nil {
+		return true
+	}
+	switch t.Kind() {
+	case reflect.Pointer, reflect.Slice, reflect.Map, reflect.Interface:
+		return true
+	}
+	return false
+}
+
+func (c *checker) token(tok json.Token, t reflect.Type, path string) {
+	if tok == nil && canBeNull(t) {
+		return
+	}
+	t = shape(t)
 	switch x := tok.(type) {
 	case json.Delim:
 		c.nested(x, t, path)
 	case string:
-		if t != nil && t.Kind() != reflect.String && !reflect.PointerTo(t).Implements(textType) {
+		if t != nil && !isText(t) {
 			c.add(path, "must be %s, not a string", kindName(t))
 		}
 	case bool:
@@ -317,6 +355,10 @@
 	out := map[string]reflect.Type{}
 	for f := range t.Fields() {
 		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		if f.Anonymous && name == "" && f.Type.Kind() == reflect.Struct {
+			maps.Copy(out, fields(f.Type))
+			continue
+		}
 		if name == "-" || !f.IsExported() {
 			continue
 		}
@@ -350,12 +392,10 @@
 }
 
 func kindName(t reflect.Type) string {
-	if reflect.PointerTo(t).Implements(textType) {
+	if isText(t) {
 		return "a string"
 	}
 	switch t.Kind() {
-	case reflect.String:
-		return "a string"
 	case reflect.Bool:
 		return "true or false"
 	case reflect.Slice:
--- a/internal/strictjson/strictjson_test.go
+++ b/internal/strictjson/strictjson_test.go
@@ -19,6 +19,12 @@
 	Sub   *doc      `json:"sub"`
 	List  []doc     `json:"list"`
 	ByKey map[string]int
+	Raw   []byte `json:"raw"`
+	base
+}
+
+type base struct {
+	Deep string `json:"deep"`
 }
 
 var limits = Limits{Nesting: 4, Tokens: 100}
@@ -29,30 +35,32 @@
 		`{"name":"a","count":-1,"seq":1,"share":0.5,"on":true,"at":"2026-01-01T00:00:00Z"}`: "",
 		`{"sub":{"list":[{"name":"x"}]},"ByKey":{"k":1}}`:                                   "",
 		`{"name":"\ud83d\ude00"}`:                                                           "",
-		`{"nam":"a"}`:                                                                       "nam: is not known",
-		`{"Name":"a"}`:                                                                      "Name: is not known",
-		"{\"name\":\"a\",\n\"name\":\"b\"}":                                                 "line 2: name: is there twice",
-		`{"name":null}`:                                                                     "name: must not be null",
-		`{"name":1}`:                                                                        "name: must be a string, not a number",
-		`{"count":"1"}`:                                                                     "count: must be a whole number, not a string",
-		`{"count":1.5}`:                                                                     "count: must be a whole number, not 1.5",
-		`{"seq":-1}`:                                                                        "seq: must be a whole number of at least 0, not -1",
-		`{"share":1e999}`:                                                                   "share: must be a number, not 1e999",
-		`{"on":[]}`:                                                                         "on: must be true or false, not an array",
-		`{"at":"x"}`:                                                                        "parsing time",
-		`{"list":[{},{"x":1}]}`:                                                             "list[1].x: is not known",
-		`{"ByKey":{"k":1,"k":2}}`:                                                           "ByKey.k: is there twice",
-		`{"sub":{"sub":{"sub":{"sub":{}}}}}`:                                                "nested deeper than 4",
-		`{"list":[` + strings.Repeat(`{},`, 60) + `{}]}`:                                    "more than 100 values",
-		`{"name":"a"`:                                                                       "ends too early",
-		``:                                                                                  "ends too early",
-		`{"name":"a"} {}`:                                                                   "has data after",
-		`{"name":"a",}`:                                                                     "is not JSON",
-		`nonsense`:                                                                          "is not JSON",
-		"{\"name\":\"\xff\"}":                                                               "is not valid UTF-8",
-		`{"name":"\ud800"}`:                                                                 "unpaired surrogate",
-		`{"name":"\udc00\ud800"}`:                                                           "unpaired surrogate",
-		`{"a":1,"b":2}`:                                                                     "line 1: a: is not known; line 1: b: is not known",
+		`{"sub":null,"list":null,"deep":"x","raw":"AAA="}`:                                  "",
+		`{"list":[null]}`:                    "list[0]: must not be null",
+		`{"nam":"a"}`:                        "nam: is not known",
+		`{"Name":"a"}`:                       "Name: is not known",
+		"{\"name\":\"a\",\n\"name\":\"b\"}":  "line 2: name: is there twice",
+		`{"name":null}`:                      "name: must not be null",
+		`{"name":1}`:                         "name: must be a string, not a number",
+		`{"count":"1"}`:                      "count: must be a whole number, not a string",
+		`{"count":1.5}`:                      "count: must be a whole number, not 1.5",
+		`{"seq":-1}`:                         "seq: must be a whole number of at least 0, not -1",
+		`{"share":1e999}`:                    "share: must be a number, not 1e999",
+		`{"on":[]}`:                          "on: must be true or false, not an array",
+		`{"at":"x"}`:                         "parsing time",
+		`{"list":[{},{"x":1}]}`:              "list[1].x: is not known",
+		`{"ByKey":{"k":1,"k":2}}`:            "ByKey.k: is there twice",
+		`{"sub":{"sub":{"sub":{"sub":{}}}}}`: "nested deeper than 4",
+		`{"list":[` + strings.Repeat(`{},`, 60) + `{}]}`: "more than 100 values",
+		`{"name":"a"`:             "ends too early",
+		``:                        "ends too early",
+		`{"name":"a"} {}`:         "has data after",
+		`{"name":"a",}`:           "is not JSON",
+		`nonsense`:                "is not JSON",
+		"{\"name\":\"\xff\"}":     "is not valid UTF-8",
+		`{"name":"\ud800"}`:       "unpaired surrogate",
+		`{"name":"\udc00\ud800"}`: "unpaired surrogate",
+		`{"a":1,"b":2}`:           "line 1: a: is not known; line 1: b: is not known",
 	} {
 		t.Run(in, func(t *testing.T) {
 			is := is.New(t)
