--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -59,13 +60,16 @@
 	Final []Answer
 	// Problems holds the problem documents that carry a state or are final.
 	Problems []Problem
-	// Refusals counts all problem documents by code; calls without an answer
-	// count as "no answer".
+	// Refusals counts all problem documents by code, and calls without an answer
+	// as NotConnected or NoAnswer.
 	Refusals map[model.Reason]int
 }
 
-// noAnswer is the code of a call without an answer.
-const noAnswer = model.Reason("no answer")
+// Codes of calls without an answer.
+const (
+	NotConnected model.Reason = "not connected" // the request was not sent
+	NoAnswer     model.Reason = "no answer"     // the request was sent
+)
 
 func (o *Outcome) count(code model.Reason) {
 	if o.Refusals == nil {
@@ -122,6 +126,14 @@
 	}}}
 }
 
+// WithoutKeepAlive makes each call use its own connection. An instance that is
+// stopped closes idle connections, which a call on one cannot tell from a
+// request that was interrupted.
+func (c *Caller) WithoutKeepAlive() *Caller {
+	c.client.Transport.(*http.Transport).DisableKeepAlives = true
+	return c
+}
+
 func (c *Caller) entry(i int) string { return c.Entries[i%len(c.Entries)] }
 
 // Follow submits a request and follows it until a final answer or a refusal
@@ -155,7 +167,7 @@
 func (c *Caller) refused(ctx context.Context, out *Outcome, err error) bool {
 	var p *Problem
 	if !errors.As(err, &p) {
-		out.count(noAnswer)
+		out.count(failureCode(err))
 		pause(ctx, retryPause)
 		return false
 	}
@@ -170,6 +182,14 @@
 	return final
 }
 
+func failureCode(err error) model.Reason {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return NotConnected
+	}
+	return NoAnswer
+}
+
 // submitAndDrop sends a request and closes the connection before the answer.
 func (c *Caller) submitAndDrop(ctx context.Context, entry string, spec *model.JobSpec) {
 	ctx, cancel := context.WithTimeout(ctx, loseAfter)
