--- a/internal/standin/task.go
+++ b/internal/standin/task.go
@@ -50,13 +50,6 @@
 	return t.state == workerapi.TaskReserved || t.state == workerapi.TaskRunning
 }
 
-// extend moves the end of the task's lease; it never moves it back.
-func (t *task) extend(until time.Time) {
-	if until.After(t.lease) {
-		t.lease = until
-	}
-}
-
 // advance brings t.done up to date.
 func (t *task) advance(now time.Time) {
 	t.done += time.Duration(float64(now.Sub(t.since)) * t.rate)
@@ -112,21 +105,34 @@
 	return slots >= 1 && cores >= c.Spec.CPU && mem >= c.Spec.MemoryMiB
 }
 
-// start starts a reserved task. A number without a reservation is refused.
+// extend moves the lease's end; a message that arrives late never shortens it.
+func (t *task) extend(until time.Time) {
+	if until.After(t.lease) {
+		t.lease = until
+	}
+}
+
+// start starts a reserved task. A number without a reservation is refused, and
+// so is a start whose lease has already ended: the task would run without one.
 func (w *Worker) start(k taskKey, t *task, c *workerapi.Command, rep *workerapi.Reply) {
 	if t == nil || (!t.holds() && t.state != workerapi.TaskFinished) {
 		w.refuse(c, rep, model.ReasonStaleFence, "")
 		return
 	}
+	lease := w.leaseEnd(c)
 	if t.state != workerapi.TaskReserved {
-		t.extend(w.leaseEnd(c))
+		t.extend(lease)
 		return
 	}
 	now := time.Now()
+	if !lease.After(now) {
+		w.refuse(c, rep, model.ReasonTimeout, "the lease that the start grants has ended")
+		return
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.state = workerapi.TaskRunning
 	t.cancel = cancel
-	t.lease = w.leaseEnd(c)
+	t.lease = lease
 	t.need = time.Duration(float64(t.payload.Time) * factor(w.faults.TaskFactor))
 	t.done = w.restore(t.job, k.task)
 	t.since = now
