--- a/internal/replay/driver.go
+++ b/internal/replay/driver.go
@@ -104,7 +104,6 @@
 	table   estimate.Table
 	changed bool
 	m       *measures
-	virtual *entitlements
 }
 
 // workerState is a worker with its health.
@@ -122,7 +121,7 @@
 func newDriver(o *Options, zone string) *driver {
 	return &driver{
 		o: o, zone: zone, now: epoch, workers: map[string]*workerState{}, jobs: map[model.JobID]*job{},
-		m: newMeasures(), virtual: &entitlements{},
+		m: newMeasures(),
 	}
 }
 
@@ -173,7 +172,6 @@
 	switch e.Kind {
 	case KindConfig:
 		d.cfg = d.o.config(e.Config)
-		d.virtual.configure(d.cfg, d.zone)
 		if d.state != nil {
 			d.state.SetConfig(d.cfg)
 		}
@@ -236,7 +234,7 @@
 	d.jobs[e.Job] = j
 	d.order = append(d.order, j)
 	d.open = append(d.open, j)
-	j.entitled = d.virtual.enter(j)
+	j.entitled = d.entitled(j)
 	d.queue(j)
 }
 
@@ -280,7 +278,6 @@
 	d.endRun(j)
 	j.final, j.done, j.finished = true, done, d.now
 	d.open = slices.DeleteFunc(d.open, func(o *job) bool { return o == j })
-	d.virtual.leave(j)
 	d.changed = true
 }
 
--- a/internal/replay/measure.go
+++ b/internal/replay/measure.go
@@ -145,54 +145,33 @@
 	}
 }
 
-// entitlements tells, apart from the decision code, which jobs a guarantee has
-// room for: each job of a customer enters the first shape with enough left.
-type entitlements struct {
-	shapes []*entitlement
-	held   map[*job]*entitlement
-}
-
-type entitlement struct {
-	customer   string
-	size, used int
-}
-
-func (e *entitlements) configure(cfg *model.Configuration, zone string) {
-	if e.held != nil {
-		return // jobs keep the shapes that they entered
-	}
-	e.held = map[*job]*entitlement{}
-	for i := range cfg.Services {
-		for _, c := range cfg.Services[i].Customers {
-			for _, g := range c.Guarantees {
-				for range g.Count {
-					if g.AvailabilityZone == zone {
-						e.shapes = append(e.shapes, &entitlement{customer: c.Name, size: g.Shape.Accelerators})
-					}
-				}
-			}
-		}
-	}
-}
-
-// enter reports whether the job is entitled to a shape's accelerators. A shape
-// that already holds jobs may have its rest on other workers than a large job
-// needs, so only whole shapes count.
-func (e *entitlements) enter(j *job) bool {
+// entitled tells, apart from the decision code, whether a guarantee of the job's
+// customer certainly has room for it: each open job uses at most one shape, so
+// there is room while the customer has fewer open jobs than shapes that are
+// large enough. Jobs larger than every shape use none.
+func (d *driver) entitled(j *job) bool {
 	n := j.Spec.TotalAccelerators()
-	for _, s := range e.shapes {
-		if s.customer == j.Spec.Customer && s.used == 0 && n > 0 && n <= s.size {
-			s.used = s.size
-			e.held[j] = s
-			return true
+	if n == 0 || d.cfg == nil {
+		return false
+	}
+	c, _ := d.cfg.Customer(j.Spec.Customer)
+	if c == nil {
+		return false
+	}
+	fit, largest := 0, 0
+	for _, g := range c.Guarantees {
+		if g.AvailabilityZone != d.zone {
+			continue
+		}
+		largest = max(largest, g.Shape.Accelerators)
+		if g.Shape.Accelerators >= n {
+			fit += g.Count
 		}
 	}
-	return false
-}
-
-func (e *entitlements) leave(j *job) {
-	if s := e.held[j]; s != nil {
-		s.used = 0
-		delete(e.held, j)
+	for _, o := range d.open {
+		if o != j && o.Spec.Customer == c.Name && o.Spec.TotalAccelerators() <= largest {
+			fit--
+		}
 	}
+	return fit > 0
 }
--- a/internal/sched/cell/bind.go
+++ b/internal/sched/cell/bind.go
@@ -22,7 +22,7 @@
 
 // rackLeft sums up what is left in a rack.
 type rackLeft struct {
-	whole int
+	whole int // accelerators of workers that are left whole
 	mask  uint64
 }
 
@@ -39,8 +39,7 @@
 		b.left[i] = b.z.Workers[i].avail
 	}
 	for i := range b.z.Racks {
-		r := &b.z.Racks[i]
-		b.racks[i] = rackLeft{whole: r.whole, mask: r.mask}
+		b.updateRack(i)
 	}
 }
 
@@ -63,13 +62,6 @@
 	}
 }
 
-// Consume notes that work which cannot be taken off now uses n accelerators of
-// a worker. The caller has dropped the cell that the work was bound to.
-func (b *Binding) Consume(worker, n int) {
-	b.left[worker] -= n
-	b.updateRack(b.z.Workers[worker].rack)
-}
-
 func (b *Binding) updateRack(i int) {
 	r := &b.z.Racks[i]
 	s := rackLeft{}
@@ -78,7 +70,7 @@
 			continue
 		}
 		s.mask |= 1 << b.left[k]
-		if b.left[k] == b.z.Workers[k].Accelerators {
+		if b.whole(k) {
 			s.whole += b.left[k]
 		}
 	}
@@ -86,9 +78,9 @@
 }
 
 // Bind finds a cell for a shape of size accelerators and holds it. A shape that
-// fits on a worker gets the worker with the least left; a larger one gets whole
-// workers of the rack with the least left, and one larger than a rack those of
-// neighbouring racks. It returns nil if there is none.
+// fits on a worker gets a part of the worker with the least left; a larger one
+// gets whole workers of the rack with the least left, and one larger than a rack
+// those of neighbouring racks. It returns nil if there is none.
 func (b *Binding) Bind(size int) Cell {
 	c := b.onWorker(size)
 	if c == nil {
@@ -144,13 +136,13 @@
 	return b.cover(first, last, size)
 }
 
-// block returns the smallest aligned group of workers of a rack whose whole
-// workers hold size accelerators; among equal ones that with the least.
+// block returns the smallest aligned group of workers of a rack that holds size
+// accelerators; among equal ones that with the least.
 func (b *Binding) block(first, last, size int) (int, int) {
 	for n := 2; n < last-first; n *= 2 {
 		at, least := -1, 0
 		for k := first; k < last; k += n {
-			sum := b.wholeSum(k, min(k+n, last))
+			sum := b.holds(k, min(k+n, last))
 			if sum >= size && (at < 0 || sum < least) {
 				at, least = k, sum
 			}
@@ -167,7 +159,7 @@
 	return w.Usable && w.Accelerators > 0 && b.left[k] == w.Accelerators
 }
 
-func (b *Binding) wholeSum(first, last int) int {
+func (b *Binding) holds(first, last int) int {
 	sum := 0
 	for k := first; k < last; k++ {
 		if b.whole(k) {
@@ -177,27 +169,47 @@
 	return sum
 }
 
-// cover takes whole workers of a range in order; the last may be taken in part.
+// cover takes whole workers of a range in order until they hold size; for what
+// is less than the next worker it takes the smallest that holds it.
 func (b *Binding) cover(first, last, size int) Cell {
 	var c Cell
+	rest := -1
 	for k := first; k < last && size > 0; k++ {
-		if b.whole(k) {
-			n := min(size, b.left[k])
-			c = append(c, Part{Worker: k, Count: n})
-			size -= n
+		switch {
+		case !b.whole(k):
+		case b.left[k] <= size:
+			c = append(c, Part{Worker: k, Count: b.left[k]})
+			size -= b.left[k]
+		case rest < 0 || b.left[k] < b.left[rest]:
+			rest = k
 		}
 	}
+	if size > 0 && rest >= 0 {
+		c = append(c, Part{Worker: rest, Count: b.left[rest]})
+	}
 	return c
 }
 
 // inRacks serves shapes that no single rack can hold, from the smallest aligned
 // group of neighbouring racks.
 func (b *Binding) inRacks(size int) Cell {
-	first, last := groupOfRacks(len(b.racks), func(i int) int { return b.racks[i].whole }, size)
-	if first < 0 {
-		return nil
+	for n := 2; n < 2*len(b.racks); n *= 2 {
+		at, least := -1, 0
+		for i := 0; i < len(b.racks); i += n {
+			sum := 0
+			for k := i; k < min(i+n, len(b.racks)); k++ {
+				sum += b.racks[k].whole
+			}
+			if sum >= size && (at < 0 || sum < least) {
+				at, least = i, sum
+			}
+		}
+		if at >= 0 {
+			last := min(at+n, len(b.racks)) - 1
+			return b.cover(b.z.Racks[at].First, b.z.Racks[last].Last, size)
+		}
 	}
-	return b.cover(b.z.Racks[first].First, b.z.Racks[last-1].Last, size)
+	return nil
 }
 
 // groupOfRacks returns the smallest aligned group of racks that holds size,
@@ -221,33 +233,49 @@
 	return -1, -1
 }
 
-// BindNear finds size accelerators next to the workers that a shape already
-// uses: on these workers, then on whole workers of their rack, then on the rest
-// of the rack. It holds and returns what it finds, and how many are missing.
-func (b *Binding) BindNear(used []int, size int) (Cell, int) {
+// BindNear finds room for the need that is left of a shape of size accelerators,
+// next to the workers that it already uses. A shape that is smaller than its
+// worker keeps to that; a larger one has its workers to itself, and gets further
+// whole workers from their racks, then from the zone. It holds and returns the
+// cell, and how many accelerators are missing.
+func (b *Binding) BindNear(used []int, size, need int) (Cell, int) {
+	if need <= 0 {
+		return nil, 0
+	}
 	var c Cell
-	take := func(k int) {
-		if n := min(size, b.left[k]); n > 0 && b.z.Workers[k].Usable {
+	take := func(k, n int) {
+		if n > 0 {
 			c = append(c, Part{Worker: k, Count: n})
-			size -= n
-			b.Consume(k, n)
+			need -= n
+			b.left[k] -= n
+			b.updateRack(b.z.Workers[k].rack)
 		}
 	}
 	for _, k := range used {
-		take(k)
+		if !b.z.Workers[k].Usable {
+			continue
+		}
+		if size < b.z.Workers[k].Accelerators {
+			take(k, min(need, b.left[k]))
+		} else {
+			take(k, b.left[k])
+		}
 	}
-	for _, onlyWhole := range []bool{true, false} {
-		for _, u := range used {
-			if size == 0 {
-				return c, 0
-			}
-			r := &b.z.Racks[b.z.Workers[u].rack]
-			for k := r.First; k < r.Last; k++ {
-				if !onlyWhole || b.whole(k) {
-					take(k)
-				}
+	for _, u := range used {
+		r := &b.z.Racks[b.z.Workers[u].rack]
+		for k := r.First; k < r.Last && need > 0; k++ {
+			if b.whole(k) {
+				take(k, b.left[k])
 			}
 		}
 	}
-	return c, size
+	for k := range b.left {
+		if need <= 0 {
+			break
+		}
+		if b.whole(k) {
+			take(k, b.left[k])
+		}
+	}
+	return c, max(need, 0)
 }
--- a/internal/sched/cell/journal.go
+++ b/internal/sched/cell/journal.go
@@ -51,21 +51,6 @@
 	t.saved = append(t.saved, saved{i, z.Workers[i]})
 }
 
-// TakeHard takes a placement that cannot be taken off and keeps the binding in
-// step: what the work uses is no longer left for cells.
-func (z *Zone) TakeHard(b *Binding, spec *model.JobSpec, ps []model.TaskPlacement) {
-	for i := range ps {
-		k, ok := z.byName[ps[i].Worker]
-		if !ok {
-			continue
-		}
-		before := z.Workers[k].avail
-		z.Take(spec, &ps[i], true)
-		b.left[k] += z.Workers[k].avail - before
-		b.updateRack(z.Workers[k].rack)
-	}
-}
-
 // Block takes free resources of a worker out of use until the trial ends, as far
 // as they are free: they are kept for a job that waits for borrowers to leave.
 func (z *Zone) Block(k int, a Amount) {
--- a/internal/sched/cell/zone.go
+++ b/internal/sched/cell/zone.go
@@ -42,9 +42,6 @@
 	freeMask uint64 // bit k is set if a usable worker has k free accelerators
 	slots    int    // free slots on usable workers
 	reclaim  int    // accelerators that no work holds for good
-	avail    int
-	whole    int    // accelerators of workers that are wholly available
-	mask     uint64 // bit k is set if a worker has avail k
 }
 
 // Zone is the workers of one availability zone. It is not safe for concurrent
@@ -214,7 +211,6 @@
 func (z *Zone) updateRack(i int) {
 	r := &z.Racks[i]
 	r.free, r.freeMask, r.slots, r.reclaim = 0, 0, 0, 0
-	r.avail, r.whole, r.mask = 0, 0, 0
 	for k := r.First; k < r.Last; k++ {
 		w := &z.Workers[k]
 		if !w.Usable {
@@ -224,11 +220,6 @@
 		r.freeMask |= 1 << w.free
 		r.reclaim += w.Accelerators - w.hardAccel
 		r.slots += max(w.freeSlots, 0)
-		r.avail += w.avail
-		r.mask |= 1 << w.avail
-		if w.avail == w.Accelerators {
-			r.whole += w.avail
-		}
 	}
 }
 
--- a/internal/sched/policy/decide.go
+++ b/internal/sched/policy/decide.go
@@ -27,11 +27,13 @@
 	s       *State
 	now     time.Time
 	b       *bindings
-	moved   bool // the bindings no longer match the running attempts
+	starts  []*sched.Running // claims that this plan starts
+	waits   []pending
 	plan    sched.Plan
 	handled map[*sched.Waiting]bool
 	gone    map[model.JobID]bool // attempts taken off for a job of this plan
 	holds   map[int]*hold        // by worker
+	wanted  map[int]bool         // workers that the oldest blocked jobs are about to get
 	failed  map[signature]bool
 	counts  []queue.Customer
 }
@@ -52,12 +54,13 @@
 	d := &decision{
 		s: s, now: now, b: s.bind(),
 		handled: map[*sched.Waiting]bool{}, gone: map[model.JobID]bool{},
-		holds: map[int]*hold{}, failed: map[signature]bool{},
+		holds: map[int]*hold{}, wanted: map[int]bool{}, failed: map[signature]bool{},
 	}
 	d.begin()
 	defer d.undo()
 	d.plan.Shortfalls = d.b.shortfalls()
 	d.reject()
+	d.want()
 	d.claims()
 	d.urgent()
 	d.reserve()
@@ -80,30 +83,32 @@
 		c.Rewind()
 	}
 	d.s.cells.Rollback()
-	if d.moved {
-		d.s.bindings = nil
-	}
 }
 
-// start puts a job into the plan. claim is nil if it runs outside its
-// customer's guarantee.
-func (d *decision) start(w *sched.Waiting, p []model.TaskPlacement, claim *sched.Claim) {
-	d.handled[w] = true
-	c := d.s.customers[w.Spec.Customer]
-	c.Used += w.Spec.TotalAccelerators()
+// start puts a job into the plan. claim is nil if it runs outside its customer's
+// guarantee. It does nothing and returns false if the job cannot be taken off
+// and a guaranteed shape would lose its cell.
+func (d *decision) start(w *sched.Waiting, p []model.TaskPlacement, claim *sched.Claim) bool {
+	hard := claim != nil || !w.Spec.Repeatable
+	d.s.cells.TakeAll(&w.Spec, p, hard)
 	st := sched.Start{ID: w.ID, Placement: p, Borrowed: claim == nil}
+	var r *sched.Running
 	if claim != nil {
 		st.Claim = *claim
-	} else {
+		r = &sched.Running{ID: w.ID, Customer: w.Spec.Customer, Spec: w.Spec, Seq: w.Seq, Placement: p, Claim: *claim}
+	}
+	if hard && !d.rebind(r, nil) {
+		d.s.cells.ReleaseAll(&w.Spec, p, hard)
+		return false
+	}
+	d.handled[w] = true
+	c := d.s.customers[w.Spec.Customer]
+	c.Used += w.Spec.TotalAccelerators()
+	if claim == nil {
 		c.Shared += units(&w.Spec)
 	}
 	d.plan.Starts = append(d.plan.Starts, st)
-	if claim == nil && w.Spec.Repeatable {
-		d.s.cells.TakeAll(&w.Spec, p, false)
-		return
-	}
-	d.s.cells.TakeHard(d.b.cells, &w.Spec, p)
-	d.moved = true
+	return true
 }
 
 // takeOff stops the victims of a choice and keeps the room for the job.
@@ -162,7 +167,7 @@
 
 // request asks for free resources for a job outside its customer's guarantee.
 func (d *decision) request(w *sched.Waiting) *cell.Request {
-	q := &cell.Request{Spec: &w.Spec, Avoid: w.Avoid, FirstFit: d.s.rules.NoPacking}
+	q := &cell.Request{Spec: &w.Spec, Avoid: d.s.empty.avoid(w), FirstFit: d.s.rules.NoPacking}
 	if !w.Spec.Repeatable {
 		q.Keep = d.b.cells
 	}
@@ -188,8 +193,7 @@
 			return true
 		}
 	}
-	if p := d.s.cells.Place(q); p != nil {
-		d.start(w, p, nil)
+	if p := d.s.cells.Place(q); p != nil && d.start(w, p, nil) {
 		return true
 	}
 	if !closed && len(w.Avoid) == 0 {
--- a/internal/sched/policy/guarantee.go
+++ b/internal/sched/policy/guarantee.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
 
 	"teaselpaddle.example/teaselpaddle/internal/model"
@@ -14,6 +15,11 @@
 // otherCells is how many cells beside the bound ones are compared in a reclaim.
 const otherCells = 8
 
+// wantedCost keeps guaranteed jobs off the workers that a blocked job is about
+// to get, while their shape has another cell: they would block a whole rack for
+// as long as they run. It outweighs any borrower.
+const wantedCost = 1e7
+
 // shape is one guaranteed shape of a customer. An unused shape has a cell that
 // it could be bound to; a used one has the rest of its cell.
 type shape struct {
@@ -29,18 +35,41 @@
 // bindings proves that each shape can be reclaimed: the cells are disjoint and
 // hold only attempts that can be taken off.
 type bindings struct {
-	cells  *cell.Binding
-	shapes []*shape // largest first
-	of     map[*customer][]*shape
+	cells   *cell.Binding
+	shapes  []*shape // in the order in which they get cells
+	missing int      // accelerators that shapes are short of
+	of      map[*customer][]*shape
+}
+
+// pending is a job that uses a part of a shape as soon as borrowers have left.
+type pending struct {
+	customer string
+	claim    sched.Claim
+	cell     cell.Cell
 }
 
 // bind returns the cells of all shapes, computed anew if anything that cannot be
 // taken off has changed.
 func (s *State) bind() *bindings {
-	if s.bindings != nil && s.bindingOf == s.cells.Version() {
-		return s.bindings
+	if s.bindings == nil || s.bindingOf != s.cells.Version() {
+		s.bindings, s.bindingOf = s.bindWith(nil, nil), s.cells.Version()
 	}
-	b := &bindings{cells: cell.NewBinding(s.cells), of: map[*customer][]*shape{}}
+	return s.bindings
+}
+
+// Largest first is not always enough where the sizes of workers, racks and shapes
+// differ. bindRounds is how often cells are sought with the shapes that found
+// none moved to the front; afterwards as many orders from a fixed seed are tried
+// if there are at most shuffleShapes shapes.
+const (
+	bindRounds    = 40
+	shuffleShapes = 64
+)
+
+// bindWith computes the cells of all shapes. starts are claims that the running
+// attempts do not have yet; waits are those that wait for borrowers to leave.
+func (s *State) bindWith(starts []*sched.Running, waits []pending) *bindings {
+	b := &bindings{of: map[*customer][]*shape{}}
 	for _, c := range s.order {
 		for _, g := range c.guarantees {
 			b.add(c, g)
@@ -49,21 +78,92 @@
 	for _, r := range s.claimed {
 		s.attach(b, r)
 	}
-	for _, sh := range b.sorted() {
-		if len(sh.workers) > 0 {
-			sh.cell, sh.missing = b.cells.BindNear(sh.workers, sh.size-sh.used)
+	for _, r := range starts {
+		s.attach(b, r)
+	}
+	for i := range waits {
+		b.wait(s.customers[waits[i].customer], &waits[i])
+	}
+	slices.SortStableFunc(b.shapes, func(x, y *shape) int {
+		if used := len(x.workers) > 0; used != (len(y.workers) > 0) {
+			if used {
+				return -1
+			}
+			return 1
+		}
+		return y.size - x.size
+	})
+	b.cells = cell.NewBinding(s.cells)
+	best := -1
+	var order []*shape
+	rnd := rand.New(rand.NewPCG(1, 1))
+	for range bindRounds {
+		if b.assign(waits); best < 0 || b.missing < best {
+			best, order = b.missing, slices.Clone(b.shapes)
+		}
+		if b.missing == 0 {
+			return b
 		}
+		if b.bump() {
+			continue
+		}
+		if len(b.shapes) > shuffleShapes {
+			break
+		}
+		rnd.Shuffle(len(b.shapes), func(i, j int) { b.shapes[i], b.shapes[j] = b.shapes[j], b.shapes[i] })
+	}
+	b.shapes = order
+	b.assign(waits)
+	return b
+}
+
+// assign gives each shape a cell, in the order of the shapes.
+func (b *bindings) assign(waits []pending) {
+	b.cells.Reset()
+	b.missing = 0
+	for i := range waits {
+		b.cells.Hold(waits[i].cell)
 	}
 	for _, sh := range b.shapes {
+		sh.missing = 0
 		if len(sh.workers) > 0 {
+			sh.cell, sh.missing = b.cells.BindNear(sh.workers, sh.size, sh.size-sh.used)
+		} else if sh.cell = b.cells.Bind(sh.size); sh.cell == nil {
+			sh.missing = sh.size
+		}
+		b.missing += sh.missing
+	}
+}
+
+// bump moves the shapes that are missing something to the front. It reports
+// whether that changed the order.
+func (b *bindings) bump() bool {
+	before := slices.Clone(b.shapes)
+	slices.SortStableFunc(b.shapes, func(x, y *shape) int {
+		switch {
+		case (x.missing > 0) == (y.missing > 0):
+			return 0
+		case x.missing > 0:
+			return -1
+		}
+		return 1
+	})
+	return !slices.Equal(before, b.shapes)
+}
+
+// wait marks the part of a shape that a pending job will use.
+func (b *bindings) wait(c *customer, p *pending) {
+	for _, sh := range b.of[c] {
+		if sh.size != p.claim.Accelerators || sh.number != p.claim.Number {
 			continue
 		}
-		if sh.cell = b.cells.Bind(sh.size); sh.cell == nil {
-			sh.missing = sh.size
+		for _, part := range p.cell {
+			sh.used += part.Count
+			if !slices.Contains(sh.workers, part.Worker) {
+				sh.workers = append(sh.workers, part.Worker)
+			}
 		}
 	}
-	s.bindings, s.bindingOf = b, s.cells.Version()
-	return b
 }
 
 func (b *bindings) add(c *customer, g model.Guarantee) {
@@ -80,12 +180,6 @@
 	}
 }
 
-// sorted puts the shapes into the order in which they are bound.
-func (b *bindings) sorted() []*shape {
-	slices.SortStableFunc(b.shapes, func(x, y *shape) int { return y.size - x.size })
-	return b.shapes
-}
-
 // attach notes the shape that a running attempt uses: the one it claimed, or
 // else the smallest with room.
 func (s *State) attach(b *bindings, r *sched.Running) {
@@ -168,126 +262,138 @@
 		}
 		return (a.size - a.used) - (b.size - b.used)
 	})
+	var best *shape
+	var room *preempt.Choice
 	tried := map[int]bool{} // sizes of unused shapes
 	for _, sh := range shapes {
-		if sh.size-sh.used < total || (len(sh.workers) == 0 && tried[sh.size]) {
+		unused := len(sh.workers) == 0
+		if sh.size-sh.used < total || (unused && tried[sh.size]) || (room != nil && room.Cost == 0) {
 			continue
 		}
-		if len(sh.workers) == 0 {
-			tried[sh.size] = true
+		tried[sh.size] = tried[sh.size] || unused
+		if ch := d.chooseCell(sh, w); ch != nil && (room == nil || ch.Cost < room.Cost) {
+			best, room = sh, ch
+		}
+	}
+	if room != nil && d.occupy(best, w, room) {
+		return
+	}
+	for _, sh := range shapes {
+		if sh.size-sh.used < total {
+			continue
 		}
-		if ch := d.chooseCell(sh, w); ch != nil {
-			d.occupy(sh, w, ch)
+		if own := d.inCell(sh.cell, w, math.Inf(1)); own != nil && d.occupy(sh, w, own) {
 			return
 		}
 	}
 }
 
-// chooseCell returns the cheapest room for a job in a shape; an unused shape is
-// moved to the cell where that is.
+// chooseCell returns the cheapest room for a job in a shape. An unused shape may
+// be bound to any cell: its own, that of another unused shape of the same size,
+// or a cell that no shape needs.
 func (d *decision) chooseCell(sh *shape, w *sched.Waiting) *preempt.Choice {
 	own := d.inCell(sh.cell, w, math.Inf(1))
 	if len(sh.workers) > 0 || d.s.rules.NoCheapest || (own != nil && own.Cost == 0) {
 		return own
 	}
-	best, bestCost := own, math.Inf(1)
-	if own != nil {
-		bestCost = own.Cost
+	best := own
+	better := func(c cell.Cell) {
+		limit := math.Inf(1)
+		if best != nil {
+			limit = best.Cost
+		}
+		if ch := d.inCell(c, w, limit); ch != nil && ch.Cost < limit {
+			best = ch
+		}
 	}
-	var from *shape
 	for _, o := range d.b.shapes {
-		if o == sh || o.size != sh.size || len(o.workers) > 0 || o.cell == nil || bestCost == 0 {
-			continue
-		}
-		if ch := d.inCell(o.cell, w, bestCost); ch != nil && ch.Cost < bestCost {
-			best, bestCost, from = ch, ch.Cost, o
+		if o != sh && o.size == sh.size && len(o.workers) == 0 && (best == nil || best.Cost > 0) {
+			better(o.cell)
 		}
 	}
 	var others []cell.Cell
-	pick := -1
-	for len(others) < otherCells && bestCost > 0 {
+	for len(others) < otherCells && (best == nil || best.Cost > 0) {
 		c := d.b.cells.Bind(sh.size)
 		if c == nil {
 			break
 		}
 		others = append(others, c)
-		if ch := d.inCell(c, w, bestCost); ch != nil && ch.Cost < bestCost {
-			best, bestCost, pick = ch, ch.Cost, len(others)-1
-		}
+		better(c)
 	}
-	d.move(sh, from, others, pick)
-	return best
-}
-
-// move gives a shape the cell of another unused shape, or the picked one of
-// other cells, and drops the rest of these.
-func (d *decision) move(sh, from *shape, others []cell.Cell, pick int) {
-	for i, c := range others {
-		if i != pick {
-			d.b.cells.Drop(c)
-		}
-	}
-	switch {
-	case pick >= 0:
-		if sh.cell != nil {
-			d.b.cells.Drop(sh.cell)
-		}
-		sh.cell, sh.missing = others[pick], 0
-		d.moved = true
-	case from != nil:
-		sh.cell, from.cell = from.cell, sh.cell
-		sh.missing, from.missing = from.missing, sh.missing
-		d.moved = true
+	for _, c := range others {
+		d.b.cells.Drop(c)
 	}
+	return best
 }
 
 // inCell returns the cheapest room for a job in a cell, or nil.
 func (d *decision) inCell(c cell.Cell, w *sched.Waiting, limit float64) *preempt.Choice {
 	places := make([]preempt.Place, 0, len(c))
+	avoid := d.s.empty.avoid(w)
 	for _, p := range c {
 		wk := &d.s.cells.Workers[p.Worker]
-		if p.Count < 1 || !wk.Usable || slices.Contains(w.Avoid, wk.Name) {
+		if p.Count < 1 || !wk.Usable || slices.Contains(avoid, wk.Name) {
 			continue
 		}
 		places = append(places, preempt.Place{Worker: p.Worker, Limit: p.Count / max(wk.Charge(&w.Spec), 1)})
 	}
-	return d.finder(func(r *sched.Running) bool { return r.Preemptible() }).Find(&w.Spec, places, limit)
+	ch := d.finder(func(r *sched.Running) bool { return r.Preemptible() }).Find(&w.Spec, places, limit)
+	if ch == nil {
+		return nil
+	}
+	for _, sl := range ch.Slots {
+		if d.wanted[sl.Worker] && !d.s.rules.NoReservation {
+			ch.Cost += wantedCost
+		}
+	}
+	return ch
 }
 
 // occupy uses a part of a shape for a job: at once, or when the borrowers have
-// left.
-func (d *decision) occupy(sh *shape, w *sched.Waiting, ch *preempt.Choice) {
-	d.moved = true
+// left. It does nothing and returns false if another shape would lose its cell.
+func (d *decision) occupy(sh *shape, w *sched.Waiting, ch *preempt.Choice) bool {
+	claim := sched.Claim{Accelerators: sh.size, Number: sh.number}
+	n := 0
+	for _, sl := range ch.Slots {
+		n += sl.Tasks * d.s.cells.Workers[sl.Worker].Charge(&w.Spec)
+	}
+	if n > sh.size-sh.used {
+		return false // the job needs more cores or memory than the shape's share
+	}
+	if len(ch.Victims) == 0 {
+		return d.start(w, d.s.cells.Fill(&w.Spec, ch.Slots), &claim)
+	}
+	p := pending{customer: w.Spec.Customer, claim: claim}
 	for _, sl := range ch.Slots {
 		n := sl.Tasks * d.s.cells.Workers[sl.Worker].Charge(&w.Spec)
-		sh.used += n
-		sh.workers = append(sh.workers, sl.Worker)
-		sh.cell = take(sh.cell, sl.Worker, n)
-		if len(ch.Victims) == 0 {
-			d.b.cells.Consume(sl.Worker, -n)
-		}
+		p.cell = append(p.cell, cell.Part{Worker: sl.Worker, Count: n})
 	}
-	if len(ch.Victims) > 0 {
-		d.takeOff(w, ch)
-		return
+	if !d.rebind(nil, &p) {
+		return false
 	}
-	d.start(w, d.s.cells.Fill(&w.Spec, ch.Slots), &sched.Claim{Accelerators: sh.size, Number: sh.number})
+	d.takeOff(w, ch)
+	return true
 }
 
-// take removes n accelerators of a worker from a cell.
-func take(c cell.Cell, worker, n int) cell.Cell {
-	out := make(cell.Cell, 0, len(c))
-	for _, p := range c {
-		if p.Worker == worker {
-			m := min(n, p.Count)
-			p.Count -= m
-			n -= m
-		}
-		if p.Count > 0 {
-			out = append(out, p)
-		}
+// rebind computes the cells again with one more claim. It returns false and
+// changes nothing if the shapes would miss more than now.
+func (d *decision) rebind(r *sched.Running, p *pending) bool {
+	if len(d.b.shapes) == 0 {
+		return true
 	}
-	return out
+	starts, waits := d.starts, d.waits
+	if r != nil {
+		starts = append(starts, r)
+	}
+	if p != nil {
+		waits = append(waits, *p)
+	}
+	b := d.s.bindWith(starts, waits)
+	if b.missing > d.b.missing {
+		return false
+	}
+	d.b, d.starts, d.waits = b, starts, waits
+	return true
 }
 
 // shortfalls lists the guarantees that too few healthy workers are left for.
--- a/internal/sched/policy/reject.go
+++ b/internal/sched/policy/reject.go
@@ -1,6 +1,9 @@
 package policy
 
 import (
+	"strings"
+	"time"
+
 	"teaselpaddle.example/teaselpaddle/internal/model"
 	"teaselpaddle.example/teaselpaddle/internal/sched"
 	"teaselpaddle.example/teaselpaddle/internal/sched/cell"
@@ -14,14 +17,18 @@
 	known    *cell.Zone // the announced workers, all usable
 	planned  *cell.Zone // the configured racks, accelerators only
 	complete bool       // all planned workers have announced themselves
-	bound    *cell.Binding
+	zone     string
+	cfg      *model.Configuration
+	workers  []sched.Worker     // all usable
+	state    *State             // nothing runs in it; made when it is needed
 	fits     map[signature]bool // in known or planned
-	spare    map[signature]bool // outside all guarantees
+	starts   map[ofCustomer]bool
 	spans    map[signature]int
+	avoids   map[avoidance]bool // whether enough other workers exist
 }
 
 func newEmptyZone(s *State) *emptyZone {
-	e := &emptyZone{fits: map[signature]bool{}, spare: map[signature]bool{}, spans: map[signature]int{}}
+	e := &emptyZone{avoids: map[avoidance]bool{}, fits: map[signature]bool{}, starts: map[ofCustomer]bool{}, spans: map[signature]int{}}
 	all := make([]sched.Worker, len(s.workers))
 	for i := range s.workers {
 		all[i] = s.workers[i]
@@ -34,10 +41,7 @@
 		e.planned = cell.NewZone(nil)
 	}
 	e.complete = len(all) > 0 && len(all) >= len(e.planned.Workers)
-	e.bound = cell.NewBinding(e.known)
-	for _, size := range s.sizes() {
-		e.bound.Bind(size)
-	}
+	e.zone, e.cfg, e.workers = s.zone, s.cfg, all
 	return e
 }
 
@@ -50,21 +54,6 @@
 	return ws
 }
 
-// sizes lists the guaranteed shapes, largest first.
-func (s *State) sizes() []int {
-	b := &bindings{of: map[*customer][]*shape{}}
-	for _, c := range s.order {
-		for _, g := range c.guarantees {
-			b.add(c, g)
-		}
-	}
-	var out []int
-	for _, sh := range b.sorted() {
-		out = append(out, sh.size)
-	}
-	return out
-}
-
 // possible reports whether a job could run on empty workers. While planned
 // workers have not announced themselves, the plan counts too.
 func (e *emptyZone) possible(spec *model.JobSpec) bool {
@@ -77,18 +66,59 @@
 	return ok
 }
 
-// outside reports whether a job that cannot be taken off could run beside all
-// guaranteed cells.
-func (e *emptyZone) outside(spec *model.JobSpec) bool {
-	sig := signatureOf(spec)
-	ok, found := e.spare[sig]
+// ofCustomer is a kind of job of one customer.
+type ofCustomer struct {
+	signature
+	customer string
+}
+
+// startable reports whether a job that cannot be taken off would start if nothing
+// else ran: in a guaranteed shape of its customer or beside all guarantees.
+func (e *emptyZone) startable(w *sched.Waiting) bool {
+	key := ofCustomer{signatureOf(&w.Spec), w.Spec.Customer}
+	ok, found := e.starts[key]
 	if !found {
-		ok = !e.complete || e.known.Place(&cell.Request{Spec: spec, Keep: e.bound}) != nil
-		e.spare[sig] = ok
+		ok = !e.complete || e.tryStart(w)
+		e.starts[key] = ok
 	}
 	return ok
 }
 
+func (e *emptyZone) tryStart(w *sched.Waiting) bool {
+	if e.state == nil {
+		e.state = NewState(e.zone, e.cfg, e.workers, sched.Rules{})
+		e.state.trial = true
+	}
+	alone := sched.Waiting{ID: w.ID, Spec: w.Spec}
+	e.state.AddWaiting(&alone)
+	defer e.state.RemoveWaiting(w.ID)
+	return len(e.state.Decide(time.Time{}).Starts) == 1
+}
+
+// avoidance is a kind of job with the workers that it avoids.
+type avoidance struct {
+	signature
+	workers string
+}
+
+// avoid returns the workers that a job avoids: those on which it failed, or none
+// if it cannot run without them.
+func (e *emptyZone) avoid(w *sched.Waiting) []string {
+	if len(w.Avoid) == 0 {
+		return nil
+	}
+	key := avoidance{signatureOf(&w.Spec), strings.Join(w.Avoid, "\x00")}
+	ok, found := e.avoids[key]
+	if !found {
+		ok = e.known.Place(&cell.Request{Spec: &w.Spec, Avoid: w.Avoid}) != nil
+		e.avoids[key] = ok
+	}
+	if !ok {
+		return nil
+	}
+	return w.Avoid
+}
+
 // span is the number of neighbouring racks that the job needs.
 func (e *emptyZone) span(spec *model.JobSpec) int {
 	sig := signatureOf(spec)
@@ -103,6 +133,9 @@
 // reject gives final answers to jobs that can never run or cannot meet their
 // deadline.
 func (d *decision) reject() {
+	if d.s.trial {
+		return
+	}
 	for _, c := range d.s.order {
 		for _, w := range c.Jobs {
 			if reason := d.refusal(c, w); reason != "" {
@@ -118,7 +151,7 @@
 	switch {
 	case !d.s.empty.possible(&w.Spec), c.Quota > 0 && total > c.Quota:
 		return model.ReasonNeverFits
-	case !w.Spec.Repeatable && !c.holds(total) && !d.s.empty.outside(&w.Spec):
+	case !w.Spec.Repeatable && !d.s.empty.startable(w):
 		return model.ReasonNeverFits
 	case w.Spec.Deadline.IsZero():
 		return ""
@@ -136,13 +169,3 @@
 	}
 	return ""
 }
-
-// holds reports whether one of the customer's guaranteed shapes is as large.
-func (c *customer) holds(accelerators int) bool {
-	for _, g := range c.guarantees {
-		if accelerators > 0 && g.Shape.Accelerators >= accelerators {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/sched/policy/reserve.go
+++ b/internal/sched/policy/reserve.go
@@ -91,12 +91,7 @@
 // hold takes borrowers off for a job, or holds the workers that are expected to
 // be free first. It reports whether the job now has cells.
 func (d *decision) hold(w *sched.Waiting) bool {
-	younger := func(r *sched.Running) bool {
-		return r.Preemptible() && !r.Spec.Urgent && (r.Seq > w.Seq || d.overTime(r) > 0 || r.Stopping)
-	}
-	if d.s.rules.NoTakeoff {
-		younger = func(r *sched.Running) bool { return r.Stopping }
-	}
+	younger := d.yielding(w)
 	if ch := d.roomFor(w, younger); ch != nil {
 		d.takeOff(w, ch)
 		return true
@@ -109,6 +104,49 @@
 	return len(workers) > 0
 }
 
+// yielding tells which attempts give way to a job that has waited long: borrowers
+// that were submitted later, and those past the time that was expected of them.
+func (d *decision) yielding(w *sched.Waiting) func(*sched.Running) bool {
+	return func(r *sched.Running) bool {
+		switch {
+		case !r.Preemptible() || r.Spec.Urgent:
+			return false
+		case r.Stopping:
+			return true
+		case d.s.rules.NoTakeoff:
+			return false
+		}
+		return r.Seq > w.Seq || d.overdue(r)
+	}
+}
+
+// overdue reports whether an attempt has run longer than nine of ten jobs of its
+// customer with its declared time.
+func (d *decision) overdue(r *sched.Running) bool {
+	if d.s.rules.NoOveruse || r.StartedAt.IsZero() {
+		return false
+	}
+	return d.now.Sub(r.StartedAt) > max(estimate.Of(&r.Spec, d.correction(r.Customer)).High, minOverTime)
+}
+
+// want notes the workers that the oldest blocked jobs are about to get.
+func (d *decision) want() {
+	if d.s.rules.NoReservation || len(d.b.shapes) == 0 {
+		return
+	}
+	for _, w := range firstN(d.oldest(), maxHolders) {
+		if d.s.cells.Place(d.request(w)) != nil {
+			continue
+		}
+		workers, _ := d.clearing(w, d.yielding(w))
+		for _, k := range workers {
+			d.wanted[k] = true
+		}
+	}
+}
+
+func firstN[T any](v []T, n int) []T { return v[:min(n, len(v))] }
+
 // regions returns the sets of workers that a job may be spread over.
 func (d *decision) regions(w *sched.Waiting) [][]int {
 	z := d.s.cells
@@ -128,10 +166,11 @@
 		starts = starts[:maxRegions]
 	}
 	out := make([][]int, 0, len(starts))
+	avoid := d.s.empty.avoid(w)
 	for _, i := range starts {
 		var ws []int
 		for k := z.Racks[i].First; k < z.Racks[min(i+span, len(z.Racks))-1].Last; k++ {
-			if z.Workers[k].Usable && d.holds[k] == nil && !slices.Contains(w.Avoid, z.Workers[k].Name) {
+			if z.Workers[k].Usable && d.holds[k] == nil && !slices.Contains(avoid, z.Workers[k].Name) {
 				ws = append(ws, k)
 			}
 		}
--- a/internal/sched/policy/state.go
+++ b/internal/sched/policy/state.go
@@ -28,6 +28,7 @@
 	zone      string
 	cfg       *model.Configuration
 	rules     sched.Rules
+	trial     bool // nothing is refused
 	estimates map[string]sched.Correction
 
 	workers []sched.Worker
