--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -48,6 +48,7 @@
 type pair struct {
 	near, far *net.TCPConn
 	swallow   [directions]atomic.Bool
+	ended     atomic.Int32 // bit set of the directions that have ended
 	done      chan struct{}
 	once      sync.Once
 }
@@ -207,22 +208,14 @@
 	due  time.Time
 }
 
-// pipe forwards one direction until the pair ends.
+// pipe forwards one direction until it ends.
 func (p *Proxy) pipe(c *pair, d Direction, from, to *net.TCPConn) {
 	defer p.wg.Done()
 	queue := make(chan chunk, chunkQueue)
 	p.wg.Add(1)
 	go func() {
 		defer p.wg.Done()
-		defer c.close()
-		for k := range queue {
-			if !c.wait(time.Until(k.due)) {
-				return
-			}
-			if _, err := to.Write(k.data); err != nil {
-				return
-			}
-		}
+		c.drain(d, to, queue)
 	}()
 	defer close(queue)
 	for {
@@ -243,6 +236,32 @@
 	}
 }
 
+// drain writes the chunks of one direction when they are due, then ends it.
+func (c *pair) drain(d Direction, to *net.TCPConn, queue <-chan chunk) {
+	defer c.end(d)
+	failed := false
+	for k := range queue {
+		if failed || !c.wait(time.Until(k.due)) {
+			continue
+		}
+		if _, err := to.Write(k.data); err != nil {
+			failed = true
+			c.end(d.opposite())
+		}
+	}
+}
+
+func (d Direction) opposite() Direction { return ToTarget + FromTarget - d }
+
+// end closes the pair because the sending side of a direction is gone. Where the
+// bytes of that direction are dropped, so is the end of the stream: the receiving
+// side learns nothing until it closes the connection itself.
+func (c *pair) end(d Direction) {
+	if c.ended.Or(1<<d)|1<<d == 1<<directions-1 || !c.swallow[d].Load() {
+		c.close()
+	}
+}
+
 // wait returns false if the pair ends before.
 func (c *pair) wait(d time.Duration) bool {
 	if d <= 0 {
