Add the consensus core

Cause: each group had one member. Three points differ from plain Raft: an entry needs a majority of the voters and of the voters with a disk; a dead incarnation is replaced by its successor in one entry that is in force jointly with the membership before it until it is decided; a lost majority is recovered by an election in three rounds that needs the consent of every instance.

--- /dev/null
+++ b/internal/raft/follower.go
@@ -0,0 +1,99 @@
+package raft
+
+// incoming is a snapshot of which some chunks have arrived.
+type incoming struct {
+	from  ID
+	index uint64
+	term  uint64
+	data  []byte
+}
+
+// onAppend adds a leader's entries. It is acknowledged after the store.
+func (n *Node) onAppend(m Message) {
+	resp := Message{Kind: MsgAppendResp, To: m.From}
+	if m.Index < n.commit {
+		// Committed entries match those of every later leader.
+		resp.Index = n.commit
+		n.send(resp)
+		return
+	}
+	if m.Index > n.log.last() || n.log.term(m.Index) != m.LogTerm {
+		resp.Reject = true
+		resp.Index = n.log.conflictHint(m.Index, n.commit)
+		n.send(resp)
+		return
+	}
+	n.addEntries(m.Entries)
+	resp.Index = m.Index + uint64(len(m.Entries))
+	n.learnCommit(m, resp.Index)
+	n.send(resp)
+}
+
+// addEntries adds the entries that are not in the log, after dropping any that
+// conflict with them.
+func (n *Node) addEntries(entries []Entry) {
+	for _, e := range entries {
+		if e.Index <= n.log.last() {
+			if n.log.term(e.Index) == e.Term {
+				continue
+			}
+			if e.Index <= n.commit || e.Index <= n.decided {
+				n.fail("entry %d is committed and conflicts with term %d", e.Index, e.Term)
+			}
+			n.log.truncate(e.Index)
+		}
+		n.log.add(e)
+	}
+}
+
+// learnCommit takes over the leader's commit as far as the log is known to match.
+func (n *Node) learnCommit(m Message, match uint64) {
+	n.setCommit(min(m.Commit, match))
+	if m.Decided <= match && m.Decided > n.decided {
+		n.decided = m.Decided
+	}
+}
+
+// setCommit raises the commit index. Membership entries up to it are decided.
+func (n *Node) setCommit(i uint64) {
+	if i <= n.commit {
+		return
+	}
+	n.commit = i
+	for _, c := range n.log.configs {
+		if c.index <= i {
+			n.decided = max(n.decided, c.index)
+		}
+	}
+}
+
+// onHeartbeat answers a heartbeat. The leader puts in only what this member has
+// acknowledged, so the commit index needs no further check.
+func (n *Node) onHeartbeat(m Message) {
+	n.learnCommit(m, n.log.last())
+	n.send(Message{Kind: MsgHeartbeatResp, To: m.From, Seq: m.Seq})
+}
+
+// onSnapshot collects the chunks of a snapshot and restores it when complete.
+func (n *Node) onSnapshot(m Message) {
+	if m.Index <= n.commit {
+		n.send(Message{Kind: MsgAppendResp, To: m.From, Index: n.commit})
+		return
+	}
+	in := &n.incoming
+	if in.from != m.From || in.index != m.Index || in.term != m.LogTerm {
+		*in = incoming{from: m.From, index: m.Index, term: m.LogTerm}
+	}
+	if m.Offset == uint64(len(in.data)) {
+		in.data = append(in.data, m.Data...)
+	}
+	if uint64(len(in.data)) < m.Total || m.Membership == nil {
+		n.send(Message{Kind: MsgSnapshotResp, To: m.From, Index: m.Index, Offset: uint64(len(in.data))})
+		return
+	}
+	n.log.restore(Snapshot{Index: m.Index, Term: m.LogTerm, Membership: *m.Membership, Data: in.data})
+	n.incoming = incoming{}
+	n.commit = m.Index
+	n.decided = m.Index
+	n.send(Message{Kind: MsgAppendResp, To: m.From, Index: m.Index})
+}
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -1,15 +1,31 @@
 // Package raft is the consensus core: a pure state machine that is fed with
 // messages and ticks and hands out what its caller must store and send. It does
 // no I/O, reads no clock and makes no random numbers of its own.
+//
+// The algorithm is Raft (Ongaro and Ousterhout, 2014) with pre-vote,
+// check-quorum, leader transfer and joint membership changes. It differs in
+// three points, each argued where it is implemented: an ordinary entry needs
+// two quorums (replicate.go), a dead incarnation is replaced by its successor
+// in one entry (config.go), and a lost majority can be recovered from the
+// voters with a disk (recovery.go).
 package raft
 
+import "fmt"
+
 // ID identifies a member: one incarnation of an instance. An instance that
-// returns with an empty memory or disk is a new member.
+// returns with an empty memory or disk is a new member. At most one incarnation
+// of an instance is alive at a time. Incarnation 0 addresses whichever is alive.
 type ID struct {
 	Instance    string `cbor:"1,keyasint"`
 	Incarnation uint64 `cbor:"2,keyasint"`
 }
 
+// String returns the instance and the incarnation in hexadecimal.
+func (id ID) String() string { return fmt.Sprintf("%s#%x", id.Instance, id.Incarnation) }
+
+// IsZero reports whether the id names no member.
+func (id ID) IsZero() bool { return id == ID{} }
+
 // Member is one member of a group.
 type Member struct {
 	ID ID `cbor:"1,keyasint"`
@@ -18,10 +34,11 @@
 	Disk bool `cbor:"2,keyasint,omitempty"`
 }
 
-// Membership is the set of members. At most one change is uncommitted at a time.
+// Membership is the set of voters. At most one change is undecided at a time.
+// Learners are not part of it: they are known to the leader only, and a new
+// leader learns of them when they ask to join again.
 type Membership struct {
-	Voters   []Member `cbor:"1,keyasint"`
-	Learners []Member `cbor:"2,keyasint,omitempty"`
+	Voters []Member `cbor:"1,keyasint"`
 }
 
 // EntryKind says what an entry carries.
@@ -31,8 +48,8 @@
 const (
 	EntryCommand    EntryKind = iota // Data is for the state machine
 	EntryNoop                        // a leader's first entry
-	EntryMembership                  // Membership is in force once appended
-	EntryRecovery                    // membership after a recovery election
+	EntryMembership                  // Membership is in force, jointly with the one before, once appended
+	EntryRecovery                    // membership after a recovery election; in force alone once appended
 )
 
 // Entry is one log entry. Index and Term start at 1.
@@ -44,17 +61,65 @@
 	Membership *Membership `cbor:"5,keyasint,omitempty"`
 }
 
-// HardState must be stored before messages of the same Ready are sent.
+// HardState must be stored before the messages in Ready.After are sent. A
+// change of Commit alone need not be stored.
 type HardState struct {
 	Term   uint64 `cbor:"1,keyasint"`
 	Vote   ID     `cbor:"2,keyasint"`
 	Commit uint64 `cbor:"3,keyasint"`
+	// Decided is the index of the last membership entry that is known to be
+	// committed.
+	Decided uint64 `cbor:"4,keyasint,omitempty"`
 }
 
-// Snapshot replaces the log up to and including Index.
+// Snapshot replaces the log up to and including Index. Data is empty if the
+// state machine is still in its initial state.
 type Snapshot struct {
 	Index      uint64     `cbor:"1,keyasint"`
 	Term       uint64     `cbor:"2,keyasint"`
 	Membership Membership `cbor:"3,keyasint"`
 	Data       []byte     `cbor:"4,keyasint"`
 }
+
+// First returns the snapshot that every member of a new group starts from.
+func First(m Membership) Snapshot { return Snapshot{Index: 1, Term: 1, Membership: m} }
+
+// epochShift splits a term: the upper half counts recovery elections, the lower
+// half the normal elections since then.
+const epochShift = 32
+
+// Has reports whether id is a voter.
+func (m *Membership) Has(id ID) bool {
+	for i := range m.Voters {
+		if m.Voters[i].ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// Instance returns the voter of an instance, or nil.
+func (m *Membership) Instance(name string) *Member {
+	for i := range m.Voters {
+		if m.Voters[i].ID.Instance == name {
+			return &m.Voters[i]
+		}
+	}
+	return nil
+}
+
+// succeeded reports whether another incarnation of the same instance is a voter.
+func (m *Membership) succeeded(id ID) bool {
+	v := m.Instance(id.Instance)
+	return v != nil && v.ID != id
+}
+
+// HasDisk reports whether a voter has a disk.
+func (m *Membership) HasDisk() bool {
+	for i := range m.Voters {
+		if m.Voters[i].Disk {
+			return true
+		}
+	}
+	return false
+}
