--- a/internal/raft/config.go
+++ b/internal/raft/config.go
@@ -51,10 +51,6 @@
 
 func (c config) has(id ID) bool { return c.cur.Has(id) || c.old != nil && c.old.Has(id) }
 
-func (c config) hasInstance(name string) bool {
-	return c.cur.Instance(name) != nil || c.old != nil && c.old.Instance(name) != nil
-}
-
 // majority reports whether the members for which yes holds are a quorum.
 func (c config) majority(yes func(ID) bool) bool {
 	return majority(c.cur, false, yes) && (c.old == nil || majority(c.old, false, yes))
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -11,8 +11,7 @@
 }
 
 // preCampaign asks whether an election could be won, without raising the term.
-// So a member that returns after a partition does not depose a live leader. A
-// learner asks only to find out whether the voters are dead.
+// So a member that returns after a partition does not depose a live leader.
 func (n *Node) preCampaign() {
 	n.role = preCandidate
 	n.leader = ID{}
@@ -116,7 +115,7 @@
 		}
 		return
 	}
-	if n.role != preCandidate || m.Term != n.term+1 || !n.config().has(n.id) {
+	if n.role != preCandidate || m.Term != n.term+1 {
 		return
 	}
 	n.votes[m.From] = true
--- a/internal/raft/log.go
+++ b/internal/raft/log.go
@@ -45,6 +45,8 @@
 
 func (l *memLog) last() uint64 { return l.baseIndex + uint64(len(l.entries)) }
 
+func (l *memLog) holdsState() bool { return l.last() > 0 }
+
 func (l *memLog) lastTerm() uint64 { return l.term(l.last()) }
 
 // term returns the term of the entry at index i, or 0 if it is not in the log.
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -114,7 +114,7 @@
 		return &NotLeaderError{Leader: n.leader}
 	}
 	if to.IsZero() {
-		to = n.mostComplete()
+		to = n.MostComplete()
 	}
 	if p := n.peers[to]; p == nil || p.learner {
 		return &NotLeaderError{Leader: n.leader}
@@ -126,7 +126,9 @@
 	return nil
 }
 
-func (n *Node) mostComplete() ID {
+// MostComplete returns the other voter that holds most of the log and was heard
+// lately; zero if this member does not lead.
+func (n *Node) MostComplete() ID {
 	best := ID{}
 	for _, v := range n.config().cur.Voters {
 		p := n.peers[v.ID]
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -12,6 +12,11 @@
 	defaultElection     = 10
 	defaultHeartbeat    = 3
 	learnerExpiryFactor = 20 // learner is dropped after this many silent election timeouts
+	// learnerPatience is the number of election timeouts after which a learner
+	// stands for election. It may hold the only copy of entries that make its log
+	// newer than those of the voters, and then no voter can win. It counts the
+	// votes of the voters only, and leaves the lead to them once they have its log.
+	learnerPatience = 3
 )
 
 // Config sets up a Node.
@@ -62,6 +67,8 @@
 	leader  ID
 	elapsed int // ticks since the leader was heard, or since the election began
 	timeout int // elapsed at which an election begins
+	// leaderless counts the election timeouts since a leader was heard.
+	leaderless int
 
 	votes      map[ID]bool
 	superseded map[string]ID // live incarnations that answered for a dead voter
@@ -141,12 +148,12 @@
 }
 
 // Bootstrap gives a member that holds nothing the first membership of its group.
-func (n *Node) Bootstrap(m Membership) {
+func (n *Node) Bootstrap(m Membership, term uint64) {
 	if n.log.last() != 0 {
 		n.fail("bootstrap of a member that holds state")
 	}
-	n.log.restore(First(m))
-	n.term = max(n.term, 1)
+	n.log.restore(First(m, term))
+	n.term = max(n.term, term)
 	n.commit = 1
 	n.decided = 1
 	n.resetTimeout()
@@ -198,7 +205,8 @@
 		return
 	}
 	n.leader = ID{}
-	if !n.config().hasInstance(n.id.Instance) {
+	n.leaderless++
+	if !n.log.holdsState() || !n.config().has(n.id) && n.leaderless <= learnerPatience {
 		n.resetTimeout()
 		return
 	}
@@ -291,6 +299,7 @@
 	Commit     uint64
 	Applied    uint64
 	Last       uint64
+	Compacted  uint64 // index of the last snapshot
 	Membership Membership
 	Voter      bool
 	// ReadyToLead is set if this member leads and has committed an entry of its
@@ -307,23 +316,32 @@
 	CaughtUp bool
 }
 
+// Learners returns the learners that this member knows of as leader.
+func (n *Node) Learners() []Learner {
+	var out []Learner
+	if n.role != leader {
+		return nil
+	}
+	for _, id := range n.peerIDs() {
+		if p := n.peers[id]; p.learner {
+			out = append(out, Learner{Member: Member{ID: id, Disk: p.disk}, CaughtUp: n.caughtUp(p)})
+		}
+	}
+	return out
+}
+
+// HoldsState reports whether this member has a log.
+func (n *Node) HoldsState() bool { return n.log.holdsState() }
+
 // Status returns the member's state.
 func (n *Node) Status() Status {
 	cfg := n.config()
 	st := Status{
 		Term: n.term, Leader: n.leader, Leads: n.role == leader, Commit: n.commit, Applied: n.applied,
-		Last: n.log.last(), Membership: *cfg.cur, Voter: cfg.cur.Has(n.id),
+		Last: n.log.last(), Compacted: n.log.snap.Index, Membership: *cfg.cur, Voter: cfg.cur.Has(n.id),
 		ReadyToLead: n.role == leader && n.log.term(n.commit) == n.term,
 		Elections:   n.electionsBegun, Recoveries: n.rec.won,
 	}
-	if n.role != leader {
-		return st
-	}
-	for _, id := range n.peerIDs() {
-		if p := n.peers[id]; p.learner {
-			m := Member{ID: id, Disk: p.disk}
-			st.Learners = append(st.Learners, Learner{Member: m, CaughtUp: n.caughtUp(p)})
-		}
-	}
+	st.Learners = n.Learners()
 	return st
 }
--- a/internal/raft/replicate.go
+++ b/internal/raft/replicate.go
@@ -266,6 +266,9 @@
 // them must have stored an entry of the leader's own term at or after it too:
 // with an older last term their logs could lose a comparison against a member
 // that holds entries of a term in between and lacks this one.
+//
+// A leader that is not a voter, because it was removed or stood for election as
+// a learner, leaves once a majority of the voters has its whole log.
 func (n *Node) maybeCommit() {
 	if n.role != leader {
 		return
@@ -274,14 +277,13 @@
 	decided := n.decided
 	for n.commitOnce() {
 	}
-	if n.commit == commit && n.decided == decided {
-		return
-	}
-	n.releaseReads()
-	for _, id := range n.peerIDs() {
-		n.sendAppend(id, true)
+	if n.commit != commit || n.decided != decided {
+		n.releaseReads()
+		for _, id := range n.peerIDs() {
+			n.sendAppend(id, true)
+		}
 	}
-	if n.pendingChange() == 0 && !n.config().has(n.id) {
+	if n.quorum == n.log.last() && !n.config().has(n.id) {
 		n.becomeFollower(n.term, ID{})
 	}
 }
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -78,7 +78,7 @@
 		m.Voters = append(m.Voters, Member{ID: h.node.id, Disk: d})
 	}
 	for _, h := range c.hosts {
-		h.node.Bootstrap(m)
+		h.node.Bootstrap(m, 1)
 	}
 	return c
 }
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -115,5 +115,6 @@
 	}
 	n.role = follower
 	n.leader = lead
+	n.leaderless = 0
 	n.resetTimeout()
 }
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -81,13 +81,23 @@
 	Data       []byte     `cbor:"4,keyasint"`
 }
 
-// First returns the snapshot that every member of a new group starts from.
-func First(m Membership) Snapshot { return Snapshot{Index: 1, Term: 1, Membership: m} }
+// First returns the snapshot that every member of a new group starts from. The
+// term must differ between two formations of a group, so that late messages of
+// an earlier one do not match the log.
+func First(m Membership, term uint64) Snapshot { return Snapshot{Index: 1, Term: term, Membership: m} }
 
 // epochShift splits a term: the upper half counts recovery elections, the lower
 // half the normal elections since then.
 const epochShift = 32
 
+// FirstTerm returns the term in which a group begins that is formed at the given
+// time. It is above all terms of an earlier group, if that one has seen fewer
+// recovery elections than seconds, so that workers which refuse lower terms
+// accept the new group. salt makes formations within one second differ.
+func FirstTerm(unixSeconds int64, salt uint16) uint64 {
+	return uint64(uint32(unixSeconds))<<epochShift | uint64(salt) | 1
+}
+
 // Has reports whether id is a voter.
 func (m *Membership) Has(id ID) bool {
 	for i := range m.Voters {
