--- a/internal/blackboard/blackboard.go
+++ b/internal/blackboard/blackboard.go
@@ -18,8 +18,8 @@
 
 // Entry is a worker and its health. Entries are copies.
 type Entry struct {
-	Worker model.Worker
-	Health model.WorkerHealth
+	Worker model.Worker       `json:"worker"`
+	Health model.WorkerHealth `json:"health"`
 	// Print is the fingerprint of Worker.
 	Print uint32 `json:"-"`
 }
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -115,8 +115,8 @@
 		board.Announce(model.Worker{Name: name, Address: name, Rack: "r", Accelerators: 1, Slots: 1, Seq: 1}, time.Now())
 	}
 	prepare(r.fakes.workers["a"], r.fakes.workers["b"])
-	r.propose(&jobs.Command{Kind: jobs.KindAdoptConfig, Config: &model.Configuration{
-		Version: 1, Services: []model.Service{{Name: "s", Customers: []model.Customer{{Name: "c"}}}},
+	r.propose(&jobs.Command{Kind: jobs.KindAdoptConfig, Config: &model.ConfigChange{
+		To: 1, Changed: []model.Service{{Name: "s", Customers: []model.Customer{{Name: "c"}}}},
 	}})
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Controller{
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"teaselpaddle.example/teaselpaddle/internal/blackboard"
 	"teaselpaddle.example/teaselpaddle/internal/model"
 	"teaselpaddle.example/teaselpaddle/internal/sched"
 	"teaselpaddle.example/teaselpaddle/internal/sched/estimate"
@@ -14,7 +15,7 @@
 	s := &sched.Snapshot{Now: now, Zone: c.Zone, Config: cfg, Estimates: c.learned.corrections()}
 	for _, e := range c.Board.List() {
 		w := &e.Worker
-		usable := !w.Leaving && !c.health.suspended(w.Name, now) && now.Sub(e.Health.LastSeen) < workerSilence
+		usable := c.Usable(&e, now)
 		s.Workers = append(s.Workers, sched.Worker{
 			Name: w.Name, Rack: w.Rack, Cores: w.Cores, MemoryMiB: w.MemoryMiB,
 			Accelerators: w.Accelerators, Slots: w.Slots, Usable: usable,
@@ -114,3 +115,8 @@
 	defer u.mu.Unlock()
 	return u.used[id]
 }
+
+// Usable reports whether a worker takes new work at now.
+func (c *Controller) Usable(e *blackboard.Entry, now time.Time) bool {
+	return !e.Worker.Leaving && !c.health.suspended(e.Worker.Name, now) && now.Sub(e.Health.LastSeen) < workerSilence
+}
--- /dev/null
+++ b/internal/daemon/config.go
@@ -0,0 +1,56 @@
+package daemon
+
+import (
+	"time"
+
+	"teaselpaddle.example/teaselpaddle/internal/blackboard"
+	"teaselpaddle.example/teaselpaddle/internal/replica"
+	"teaselpaddle.example/teaselpaddle/internal/routing"
+	"teaselpaddle.example/teaselpaddle/internal/settings"
+	"teaselpaddle.example/teaselpaddle/internal/view"
+)
+
+// configVoters returns the members of the configuration group: of each zone the
+// first instance with a disk, or the first if none has one.
+func configVoters(s *settings.Settings) []string {
+	var out []string
+	for _, z := range s.Zones() {
+		names := s.InZone(z)
+		voter := names[0]
+		for _, n := range names {
+			if s.Instance(n).Disk {
+				voter = n
+				break
+			}
+		}
+		out = append(out, voter)
+	}
+	return out
+}
+
+// specs describes instances as members of a group.
+func specs(s *settings.Settings, names []string) []replica.InstanceSpec {
+	var out []replica.InstanceSpec
+	for _, n := range names {
+		out = append(out, replica.InstanceSpec{Name: n, Disk: s.Instance(n).Disk})
+	}
+	return out
+}
+
+// view returns the operators' view of this instance's zone.
+func (d *Daemon) view(op routing.Op) *view.Zone {
+	now := time.Now()
+	z := &view.Zone{AvailabilityZone: d.self.AvailabilityZone, Instance: d.s.Name}
+	switch op {
+	case routing.OpWorkers:
+		z.Workers = d.board.List()
+	case routing.OpCustomers:
+		z.Customers = view.Customers(d.self.AvailabilityZone, d.machine.Config(), d.machine.Active())
+	case routing.OpFragmentation:
+		usable := func(e *blackboard.Entry) bool { return d.ctl.Usable(e, now) }
+		z.Fragmentation = view.NewFragmentation(d.board.List(), d.machine.Active(), usable)
+	case routing.OpStatus:
+		z.Status = view.NewStatus(d.zone.Status(), d.machine.Config(), d.adopter.Confirmed(), now)
+	}
+	return z
+}
--- a/internal/httpapi/httpapi_test.go
+++ b/internal/httpapi/httpapi_test.go
@@ -71,7 +71,7 @@
 	if change != nil {
 		change(f.api)
 	}
-	f.propose(t, &jobs.Command{Kind: jobs.KindAdoptConfig, Config: &model.Configuration{Version: 1, Services: []model.Service{
+	f.propose(t, &jobs.Command{Kind: jobs.KindAdoptConfig, Config: &model.ConfigChange{To: 1, Changed: []model.Service{
 		{Name: "s", Customers: []model.Customer{{Name: "c", QueueLimit: 3}}},
 	}}})
 	f.srv = httptest.NewUnstartedServer(nil)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -135,15 +135,27 @@
 }
 
 // Self returns this daemon's own instance.
-func (s *Settings) Self() *Instance {
+func (s *Settings) Self() *Instance { return s.Instance(s.Name) }
+
+// Instance returns the instance with the given name, or nil.
+func (s *Settings) Instance(name string) *Instance {
 	for i := range s.Instances {
-		if s.Instances[i].Name == s.Name {
+		if s.Instances[i].Name == name {
 			return &s.Instances[i]
 		}
 	}
 	return nil
 }
 
+// PeerAddresses returns the addresses for other instances by instance name.
+func (s *Settings) PeerAddresses() map[string]string {
+	out := map[string]string{}
+	for i := range s.Instances {
+		out[s.Instances[i].Name] = s.Instances[i].PeerAddress
+	}
+	return out
+}
+
 // Zones returns the availability zones in the order of first mention.
 func (s *Settings) Zones() []string {
 	var out []string
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Starts a deployment on loopback: three availability zones with PER_ZONE daemons
-# each, and four stand-in workers in each of two racks per zone. Publishes the
+# each, and eight stand-in workers in each of two racks per zone. Publishes the
 # example configuration, sends JOBS jobs through all entry instances, and on the
 # way kills one daemon and stops another. Prints each job's answer, the
 # completion times and a summary line; exits with 0 only if every job has its
@@ -76,7 +76,7 @@
 }
 
 daemons=$((${#ZONES[@]} * PER_ZONE))
-choose_ports $((2 * daemons + 8 * ${#ZONES[@]}))
+choose_ports $((2 * daemons + 16 * ${#ZONES[@]}))
 port=$base
 
 instances=""
@@ -120,7 +120,7 @@
 done
 for z in "${ZONES[@]}"; do
   for rack in 1 2; do
-    for w in 1 2 3 4; do
+    for w in 1 2 3 4 5 6 7 8; do
       name=$z-r$rack-w$w
       bin/standin-worker --name "$name" --address "127.0.0.1:$port" --zone "$z" --rack "$z-r$rack" \
         --entries "${entries[@]}" --journal "$dir/journals/$name.journal" \
@@ -135,7 +135,7 @@
 knows_workers() {
   local body
   body=$(curl -fsS --max-time 1 "http://$1/v1/workers" 2>/dev/null) || return 1
-  (($(grep -o '"incarnation"' <<<"$body" | wc -l) >= 8))
+  (($(grep -o '"incarnation"' <<<"$body" | wc -l) >= 48))
 }
 for ((n = 0; n < daemons; n++)); do
   kill -0 "${pid_of[${names[n]}]}" 2>/dev/null || fail "${names[n]} ended: $(tail -n 1 "$dir/${names[n]}.log")"
