Keep guaranteed small jobs off racks that a blocked job waits for

Cause: a shape that always had some small job in it kept its rack for as long as such jobs came, and a gang of a whole rack waited 73,140 s in a trace. Change: while the oldest blocked jobs wait for workers, a guaranteed job goes to another cell, or runs as a borrower elsewhere; its shape stays unused then.

--- a/internal/replay/driver.go
+++ b/internal/replay/driver.go
@@ -132,6 +132,11 @@
 		last = epoch.Add(time.Duration(events[n-1].At) * time.Millisecond)
 	}
 	end := last.Add(drainTime)
+	for i := range events {
+		if events[i].Kind == KindSubmit {
+			d.m.until = epoch.Add(time.Duration(events[i].At) * time.Millisecond)
+		}
+	}
 	for i := 0; i < len(events) || len(d.timers) > 0; {
 		next := end
 		if i < len(events) {
@@ -157,7 +162,9 @@
 
 // advance moves the time on and adds up the measures over it.
 func (d *driver) advance(to time.Time) {
-	d.m.over(to.Sub(d.now))
+	if !to.After(d.m.until) {
+		d.m.over(to.Sub(d.now))
+	}
 	d.now = to
 }
 
--- a/internal/replay/generate.go
+++ b/internal/replay/generate.go
@@ -58,6 +58,10 @@
 	cancelFactor = 12
 )
 
+// gangs are the sizes of large jobs in whole workers. Gangs of a whole rack are
+// rare: one worker out of service in each rack keeps them all waiting.
+var gangs = []int{1, 1, 1, 1, 2, 2, 2, 4, 4, 8}
+
 // generator makes one trace.
 type generator struct {
 	d      Deployment
@@ -154,7 +158,7 @@
 	}
 	seconds := 600 * math.Exp(g.rnd.NormFloat64())
 	if g.rnd.Float64() < largeShare {
-		s.Tasks, s.Accelerators = 1<<g.rnd.IntN(4), d.Accelerators
+		s.Tasks, s.Accelerators = gangs[g.rnd.IntN(len(gangs))], d.Accelerators
 		seconds = 1800 * math.Exp(0.8*g.rnd.NormFloat64())
 	}
 	if g.rnd.Float64() < impossibleShare {
--- a/internal/replay/measure.go
+++ b/internal/replay/measure.go
@@ -39,11 +39,13 @@
 
 // measures collects the results of one zone.
 type measures struct {
+	until    time.Time // the last submission; the drain after it is not measured
 	unusable int
 	starved  bool
 	free     int
+	waiting  bool
 
-	seconds, unusableSum, starvedSum, freeSum float64
+	seconds, unusableSum, starvedSum, freeSum, idleSum float64
 
 	complete, small, large, smallWait, largeWait, urgentWait, reclaims []float64
 	misses, preemptions, stopped, rejected, unfinished, failed         int
@@ -57,6 +59,9 @@
 	m.seconds += s
 	m.unusableSum += s * float64(m.unusable)
 	m.freeSum += s * float64(m.free)
+	if m.waiting {
+		m.idleSum += s * float64(m.free)
+	}
 	if m.starved {
 		m.starvedSum += s
 	}
@@ -71,7 +76,7 @@
 		}
 	}
 	m.unusable, m.starved = d.cells.Fragmentation(waiting, d.large())
-	m.free = d.cells.FreeAccelerators()
+	m.free, m.waiting = d.cells.FreeAccelerators(), len(waiting) > 0
 }
 
 // large is the number of accelerators from which a job counts as large.
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -46,9 +46,12 @@
 	// Reclaim is the wait of jobs that found a whole unused guaranteed shape.
 	Reclaim         Spread `json:"reclaim"`
 	GuaranteeMisses int    `json:"guarantee_misses"`
-	// Fragmentation is the time average of the free accelerators that no waiting
-	// job could use, per zone.
+	// Fragmentation is the time average of the accelerators that stay free after
+	// a decision while jobs wait: no waiting job could use them under the policy.
+	// Scattered counts those of them that no waiting job could use under any
+	// order, because they do not lie together. Both are per zone.
 	Fragmentation float64 `json:"fragmentation_accelerators"`
+	Scattered     float64 `json:"scattered_accelerators"`
 	// LargeStarved is the share of time in which a large job waits although
 	// enough accelerators are free.
 	LargeStarved float64 `json:"large_starved_share"`
@@ -137,6 +140,7 @@
 	m.unusableSum += o.unusableSum
 	m.starvedSum += o.starvedSum
 	m.freeSum += o.freeSum
+	m.idleSum += o.idleSum
 	m.complete = append(m.complete, o.complete...)
 	m.small = append(m.small, o.small...)
 	m.large = append(m.large, o.large...)
@@ -158,7 +162,7 @@
 		Zones: zones, Completion: spread(m.complete), Small: spread(m.small), Large: spread(m.large),
 		SmallWait: spread(m.smallWait), LargeWait: spread(m.largeWait), UrgentWait: spread(m.urgentWait),
 		Reclaim: spread(m.reclaims), GuaranteeMisses: m.misses,
-		Fragmentation: m.unusableSum / s, LargeStarved: m.starvedSum / s, Free: m.freeSum / s,
+		Fragmentation: m.idleSum / s, Scattered: m.unusableSum / s, LargeStarved: m.starvedSum / s, Free: m.freeSum / s,
 		Preemptions: m.preemptions, Stopped: m.stopped, Rejected: m.rejected, Failed: m.failed, Unfinished: m.unfinished,
 	}
 }
@@ -181,7 +185,8 @@
 	p.spread("wait, urgent jobs", r.UrgentWait)
 	p.spread("reclaim of guarantees", r.Reclaim)
 	p.line("guarantee misses        %d\n", r.GuaranteeMisses)
-	p.line("fragmentation           %.2f accelerators per zone free but of no use to a waiting job\n", r.Fragmentation)
+	p.line("fragmentation           %.2f accelerators per zone free while jobs wait\n", r.Fragmentation)
+	p.line("scattered               %.2f accelerators per zone free but of no use to any waiting job\n", r.Scattered)
 	p.line("large job starved       %.2f%% of the time\n", 100*r.LargeStarved)
 	p.line("free accelerators       %.1f per zone\n", r.Free)
 	p.line("preemptions             %d\n", r.Preemptions)
--- a/internal/sched/policy/guarantee.go
+++ b/internal/sched/policy/guarantee.go
@@ -275,6 +275,9 @@
 			best, room = sh, ch
 		}
 	}
+	if room != nil && room.Cost >= wantedCost && d.outside(w) {
+		return
+	}
 	if room != nil && d.occupy(best, w, room) {
 		return
 	}
@@ -288,12 +291,27 @@
 	}
 }
 
+// outside starts a job as a borrower beside the workers that blocked jobs are
+// about to get. Its shape stays unused, so the job starts again there at once if
+// it is taken off.
+func (d *decision) outside(w *sched.Waiting) bool {
+	if !w.Spec.Repeatable {
+		return false
+	}
+	q := d.request(w)
+	q.Closed = func(k int) bool { return d.wanted[k] }
+	p := d.s.cells.Place(q)
+	return p != nil && d.start(w, p, nil)
+}
+
 // chooseCell returns the cheapest room for a job in a shape. An unused shape may
 // be bound to any cell: its own, that of another unused shape of the same size,
-// or a cell that no shape needs.
+// or a cell that no shape needs. The rest of a used shape may move to a cell that
+// no shape needs; otherwise a shape that always has some job in it would keep its
+// rack for ever.
 func (d *decision) chooseCell(sh *shape, w *sched.Waiting) *preempt.Choice {
 	own := d.inCell(sh.cell, w, math.Inf(1))
-	if len(sh.workers) > 0 || d.s.rules.NoCheapest || (own != nil && own.Cost == 0) {
+	if d.s.rules.NoCheapest || (own != nil && own.Cost == 0) {
 		return own
 	}
 	best := own
@@ -307,13 +325,13 @@
 		}
 	}
 	for _, o := range d.b.shapes {
-		if o != sh && o.size == sh.size && len(o.workers) == 0 && (best == nil || best.Cost > 0) {
+		if o != sh && o.size == sh.size && len(o.workers)+len(sh.workers) == 0 && (best == nil || best.Cost > 0) {
 			better(o.cell)
 		}
 	}
 	var others []cell.Cell
 	for len(others) < otherCells && (best == nil || best.Cost > 0) {
-		c := d.b.cells.Bind(sh.size)
+		c := d.b.cells.Bind(sh.size - sh.used)
 		if c == nil {
 			break
 		}
@@ -341,8 +359,11 @@
 	if ch == nil {
 		return nil
 	}
+	if len(ch.Victims) > 0 && ch.Cost == 0 {
+		return ch // the borrowers are leaving already, so the cell stays the choice
+	}
 	for _, sl := range ch.Slots {
-		if d.wanted[sl.Worker] && !d.s.rules.NoReservation {
+		if d.wanted[sl.Worker] {
 			ch.Cost += wantedCost
 		}
 	}
--- a/internal/sched/policy/reserve.go
+++ b/internal/sched/policy/reserve.go
@@ -131,7 +131,7 @@
 
 // want notes the workers that the oldest blocked jobs are about to get.
 func (d *decision) want() {
-	if d.s.rules.NoReservation || len(d.b.shapes) == 0 {
+	if d.s.rules.NoReservation || d.s.rules.NoWanted || len(d.b.shapes) == 0 {
 		return
 	}
 	for _, w := range firstN(d.oldest(), maxHolders) {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -101,6 +101,7 @@
 	NoCorrection  bool // declared run times are believed
 	NoOveruse     bool // nothing is done about jobs over their declaration
 	NoTakeoff     bool // a reservation takes no borrower off
+	NoWanted      bool // guarantees are bound without regard to blocked jobs
 	NoCheapest    bool // a reclaim takes the first cell instead of the cheapest
 }
 
