--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build check test demo fmt
+.PHONY: build check test demo fmt prove
 export CGO_ENABLED = 1
 
 build:
@@ -19,3 +19,9 @@
 
 demo: build
 	scripts/demo.sh
+
+# Failure proofs with real processes: make prove NAME=<part of a name> SEED=<n>.
+SEED ?= 1
+prove: build
+	go test -tags prove -c -o bin/prove.test ./prove
+	cd prove && ../bin/prove.test -test.timeout 40m -proof '$(NAME)' -seed '$(SEED)'
--- /dev/null
+++ b/prove/cluster_test.go
@@ -0,0 +1,448 @@
+//go:build prove
+
+package prove
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"teaselpaddle.example/teaselpaddle/internal/faultproxy"
+	"teaselpaddle.example/teaselpaddle/internal/settings"
+	"teaselpaddle.example/teaselpaddle/internal/standin"
+)
+
+// options shape a cluster.
+type options struct {
+	workersPerRack int // default 2
+	leaseSeconds   float64
+}
+
+// Shape of a cluster; the configuration in examples/authority fits it.
+const (
+	racksPerZone        = 2
+	defaultPerRack      = 2
+	defaultLeaseSeconds = 4 // longer than an election; short, since proofs wait for it
+	defaultPerZone      = 3
+	readyTimeout        = 20 * time.Second
+)
+
+var zones = []string{"amman-1", "amman-2", "amman-3"}
+
+var customers = []string{"ministry-of-works", "water-utility", "workshop-irbid", "workshop-zarqa"}
+
+// daemon is one instance.
+type daemon struct {
+	process
+	settings.Instance
+	folder string // "" without a disk
+}
+
+// worker is one stand-in worker.
+type worker struct {
+	process
+	zone    string
+	rack    string
+	address string
+	journal string
+}
+
+// cluster is a deployment on loopback. For each ordered pair of instances there
+// is a proxy on the way from the first to the second.
+type cluster struct {
+	r       *run
+	o       options
+	dir     string
+	daemons []*daemon
+	workers []*worker
+	proxies map[[2]string]*faultproxy.Proxy
+	held    map[string]net.Listener // reserved addresses
+}
+
+func newCluster(r *run, o options) *cluster {
+	if o.workersPerRack == 0 {
+		o.workersPerRack = defaultPerRack
+	}
+	if o.leaseSeconds == 0 {
+		o.leaseSeconds = defaultLeaseSeconds
+	}
+	dir, err := os.MkdirTemp("", "teaselpaddle-prove.")
+	if err != nil {
+		panic(err)
+	}
+	return &cluster{r: r, o: o, dir: dir, proxies: map[[2]string]*faultproxy.Proxy{}, held: map[string]net.Listener{}}
+}
+
+func perZone() int {
+	if n, err := strconv.Atoi(os.Getenv("PROVE_PER_ZONE")); err == nil && n > 0 {
+		return n
+	}
+	return defaultPerZone
+}
+
+func (c *cluster) path(parts ...string) string {
+	return filepath.Join(append([]string{c.dir}, parts...)...)
+}
+
+// reserve returns a loopback address below the range of the system's own
+// choices. It is held until its process starts.
+func (c *cluster) reserve() string {
+	for range 1000 {
+		addr := fmt.Sprintf("127.0.0.1:%d", 15000+rand.IntN(15000))
+		if ln, err := net.Listen("tcp", addr); err == nil {
+			c.held[addr] = ln
+			return addr
+		}
+	}
+	c.r.fatalf("found no free port")
+	return ""
+}
+
+func (c *cluster) release(addr string) {
+	if ln := c.held[addr]; ln != nil {
+		_ = ln.Close()
+		delete(c.held, addr)
+	}
+}
+
+// start starts everything, waits until it is ready and publishes the example
+// configuration.
+func (c *cluster) start() {
+	for _, d := range []string{"journals", "checkpoints"} {
+		if err := os.MkdirAll(c.path(d), 0o755); err != nil {
+			c.r.fatalf("%v", err)
+		}
+	}
+	c.makeDaemons()
+	for _, d := range c.daemons {
+		c.startDaemon(d)
+	}
+	for _, d := range c.daemons {
+		c.waitReady(d)
+	}
+	c.makeWorkers()
+	for _, w := range c.workers {
+		c.startWorker(w)
+	}
+	want := racksPerZone * c.o.workersPerRack
+	for _, d := range c.daemons {
+		c.r.until("workers known to "+d.Name, readyTimeout, func() bool { return c.knownWorkers(d) >= want })
+	}
+	c.publish(c.daemons[0], "../examples/authority")
+}
+
+func (c *cluster) makeDaemons() {
+	for _, z := range zones {
+		for i := range perZone() {
+			d := &daemon{Instance: settings.Instance{
+				Name: fmt.Sprintf("%s-%c", z, 'a'+i), AvailabilityZone: z, Disk: i == 0,
+				ClientAddress: c.reserve(), PeerAddress: c.reserve(),
+			}}
+			if d.Disk {
+				d.folder = c.path("data", d.Name)
+			}
+			d.process = process{
+				name: d.Name, log: c.path(d.Name + ".log"),
+				args: []string{program("teaselpaddled"), "--settings", c.path(d.Name + ".jsonc")},
+			}
+			c.daemons = append(c.daemons, d)
+		}
+	}
+	for _, from := range c.daemons {
+		for _, to := range c.daemons {
+			if from != to {
+				p, err := faultproxy.New(to.PeerAddress)
+				if err != nil {
+					c.r.fatalf("proxy: %v", err)
+				}
+				c.proxies[[2]string{from.Name, to.Name}] = p
+			}
+		}
+	}
+	for _, d := range c.daemons {
+		c.writeSettings(d)
+	}
+}
+
+// writeSettings writes the settings of one instance: the others are reached
+// through proxies.
+func (c *cluster) writeSettings(self *daemon) {
+	s := &settings.Settings{Name: self.Name, DataFolder: self.folder, LogLevel: "debug", LeaseSeconds: c.o.leaseSeconds}
+	for _, d := range c.daemons {
+		in := d.Instance
+		if d != self {
+			in.PeerAddress = c.proxies[[2]string{self.Name, d.Name}].Addr()
+		}
+		s.Instances = append(s.Instances, in)
+	}
+	raw, err := json.MarshalIndent(s, "", "  ")
+	if err == nil {
+		err = os.WriteFile(c.path(self.Name+".jsonc"), raw, 0o644)
+	}
+	if err != nil {
+		c.r.fatalf("settings: %v", err)
+	}
+}
+
+func (c *cluster) startDaemon(d *daemon) {
+	c.release(d.ClientAddress)
+	c.release(d.PeerAddress)
+	if err := d.start(); err != nil {
+		c.r.fatalf("%s: %v", d.Name, err)
+	}
+}
+
+func (c *cluster) waitReady(d *daemon) {
+	c.r.until("readiness of "+d.Name, readyTimeout, func() bool {
+		if !d.running() {
+			c.r.fatalf("%s ended with code %d", d.Name, d.code)
+		}
+		return c.ready(d)
+	})
+}
+
+var probe = &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
+func (c *cluster) ready(d *daemon) bool {
+	status, _ := get(d, "/readyz")
+	return status == http.StatusOK
+}
+
+// get returns the status and the body of a path, or 0.
+func get(d *daemon, path string) (int, []byte) {
+	resp, err := probe.Get("http://" + d.ClientAddress + path)
+	if err != nil {
+		return 0, nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return resp.StatusCode, raw
+}
+
+// knownWorkers counts the workers of its own zone that an instance knows.
+func (c *cluster) knownWorkers(d *daemon) int {
+	_, raw := get(d, "/v1/workers")
+	n := 0
+	for _, w := range c.workers {
+		if w.zone == d.AvailabilityZone && bytes.Contains(raw, []byte(strconv.Quote(w.name))) {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *cluster) makeWorkers() {
+	for _, z := range zones {
+		for rack := range racksPerZone {
+			for i := range c.o.workersPerRack {
+				w := &worker{zone: z, rack: fmt.Sprintf("%s-r%d", z, rack+1), address: c.reserve()}
+				w.name = fmt.Sprintf("%s-w%d", w.rack, i+1)
+				w.journal = c.path("journals", w.name+".journal")
+				w.log = c.path(w.name + ".log")
+				w.args = []string{
+					program("standin-worker"), "--name", w.name, "--address", w.address, "--zone", z, "--rack", w.rack,
+					"--journal", w.journal, "--checkpoints", c.path("checkpoints"), "--entries",
+				}
+				// A worker reaches the instances of its own zone only, as when the zone
+				// is cut off.
+				for _, d := range c.inZone(z) {
+					w.args = append(w.args, d.ClientAddress)
+				}
+				c.workers = append(c.workers, w)
+			}
+		}
+	}
+}
+
+func (c *cluster) startWorker(w *worker) {
+	c.release(w.address)
+	if err := w.start(); err != nil {
+		c.r.fatalf("%s: %v", w.name, err)
+	}
+}
+
+// publish publishes the files in a folder through one instance.
+func (c *cluster) publish(d *daemon, folder string) {
+	if out, err := c.tryPublish(d, folder); err != nil {
+		c.r.fatalf("publish: %v: %s", err, out)
+	}
+}
+
+func (c *cluster) tryPublish(d *daemon, folder string, more ...string) (string, error) {
+	tool := program("teaselpaddle")
+	args := append([]string{"--server", d.ClientAddress, "publish"}, more...)
+	if help, _ := exec.Command(tool, "publish", "--help").CombinedOutput(); bytes.Contains(help, []byte("--yes")) {
+		args = append(args, "--yes")
+	}
+	out, err := exec.CommandContext(c.r.ctx, tool, append(args, folder)...).CombinedOutput()
+	return string(out), err
+}
+
+func (c *cluster) inZone(zone string) []*daemon {
+	var out []*daemon
+	for _, d := range c.daemons {
+		if d.AvailabilityZone == zone {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+func (c *cluster) workersIn(zone string) []*worker {
+	var out []*worker
+	for _, w := range c.workers {
+		if w.zone == zone {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+func (c *cluster) entries() []string {
+	var out []string
+	for _, d := range c.daemons {
+		out = append(out, d.ClientAddress)
+	}
+	return out
+}
+
+// leader returns the running instance that says last, and with the highest
+// term, that it leads the zone. The logs only choose the target of a fault; no
+// verdict rests on them.
+func (c *cluster) leader(zone string) *daemon {
+	var best *daemon
+	bestTerm := -1
+	for _, d := range c.inZone(zone) {
+		if !d.running() {
+			continue
+		}
+		if term := leadsTerm(d.log); term > bestTerm {
+			best, bestTerm = d, term
+		}
+	}
+	return best
+}
+
+// leadsTerm returns the term that the log's instance leads, or -1.
+func leadsTerm(log string) int {
+	raw, err := os.ReadFile(log)
+	if err != nil {
+		return -1
+	}
+	term := -1
+	for line := range strings.Lines(string(raw)) {
+		var e struct {
+			Msg  string `json:"msg"`
+			Term int    `json:"term"`
+		}
+		if !strings.Contains(line, "lead") || json.Unmarshal([]byte(line), &e) != nil {
+			continue
+		}
+		switch e.Msg {
+		case "leading the zone":
+			term = e.Term
+		case "no longer leading the zone", "serving":
+			term = -1
+		}
+	}
+	return term
+}
+
+// waitLeader waits until the zone has a leader other than not.
+func (c *cluster) waitLeader(zone string, not *daemon) *daemon {
+	var l *daemon
+	c.r.until("a leader of "+zone, readyTimeout, func() bool {
+		l = c.leader(zone)
+		return l != nil && l != not
+	})
+	return l
+}
+
+// follower returns an instance of the zone that does not lead.
+func (c *cluster) follower(zone string) *daemon {
+	l := c.leader(zone)
+	list := c.inZone(zone)
+	for _, i := range c.r.rng.Perm(len(list)) {
+		if list[i] != l && list[i].running() {
+			return list[i]
+		}
+	}
+	c.r.fatalf("zone %s has no follower", zone)
+	return nil
+}
+
+// setFaults sets the faults of workers.
+func (c *cluster) setFaults(list []*worker, f standin.Faults) {
+	body, _ := json.Marshal(&f)
+	for _, w := range list {
+		if !w.running() {
+			continue
+		}
+		resp, err := probe.Post("http://"+w.address+"/standin/faults", "application/json", bytes.NewReader(body))
+		if err != nil {
+			c.r.fatalf("faults of %s: %v", w.name, err)
+		}
+		_ = resp.Body.Close()
+	}
+}
+
+// cut drops everything that from sends to to, silently.
+func (c *cluster) cut(from, to *daemon) {
+	c.proxies[[2]string{from.Name, to.Name}].SwallowAll(faultproxy.ToTarget)
+	c.proxies[[2]string{to.Name, from.Name}].SwallowAll(faultproxy.FromTarget)
+}
+
+// cutZone cuts a zone off from the others in both directions.
+func (c *cluster) cutZone(zone string) {
+	for _, in := range c.inZone(zone) {
+		for _, out := range c.daemons {
+			if out.AvailabilityZone != zone {
+				c.cut(in, out)
+				c.cut(out, in)
+			}
+		}
+	}
+}
+
+// heal ends all cuts.
+func (c *cluster) heal() {
+	for _, p := range c.proxies {
+		p.Heal()
+	}
+}
+
+// restart starts an ended instance again and waits until it is ready.
+func (c *cluster) restart(d *daemon) {
+	d.kill()
+	c.startDaemon(d)
+	c.waitReady(d)
+}
+
+// close ends everything that was started.
+func (c *cluster) close() {
+	for _, w := range c.workers {
+		w.kill()
+	}
+	for _, d := range c.daemons {
+		d.kill()
+	}
+	for _, p := range c.proxies {
+		p.Close()
+	}
+	for addr := range c.held {
+		c.release(addr)
+	}
+}
--- /dev/null
+++ b/prove/process_test.go
@@ -0,0 +1,110 @@
+//go:build prove
+
+package prove
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"syscall"
+	"time"
+)
+
+// process is a program that can be started again after its end.
+type process struct {
+	name string
+	args []string
+	log  string
+	cmd  *exec.Cmd
+	done chan struct{} // closed when the present process has ended
+	code int
+}
+
+// start starts the program; its output is appended to the log.
+func (p *process) start() error {
+	f, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = f.Close() }()
+	cmd := exec.Command(p.args[0], p.args[1:]...)
+	cmd.Stdout, cmd.Stderr = f, f
+	// The process ends with this one, also when this one is killed. The signal
+	// belongs to the thread that started the process, so that must not end.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := spawn(cmd); err != nil {
+		return err
+	}
+	p.cmd = cmd
+	done := make(chan struct{})
+	p.done = done
+	go func() {
+		_ = cmd.Wait()
+		p.code = cmd.ProcessState.ExitCode()
+		close(done)
+	}()
+	return nil
+}
+
+// starts carries requests to the thread that starts all processes.
+var starts = make(chan func())
+
+func init() {
+	go func() {
+		runtime.LockOSThread()
+		for f := range starts {
+			f()
+		}
+	}()
+}
+
+func spawn(cmd *exec.Cmd) error {
+	result := make(chan error)
+	starts <- func() { result <- cmd.Start() }
+	return <-result
+}
+
+func (p *process) running() bool {
+	if p.cmd == nil {
+		return false
+	}
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+func (p *process) signal(s syscall.Signal) {
+	if p.running() {
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+// kill ends the process with SIGKILL and waits for its end.
+func (p *process) kill() {
+	if p.running() {
+		_ = p.cmd.Process.Kill()
+		<-p.done
+	}
+}
+
+// terminate sends SIGTERM and reports whether the process ended with code 0
+// within limit.
+func (p *process) terminate(limit time.Duration) bool {
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+		return p.code == 0
+	case <-time.After(limit):
+		return false
+	}
+}
+
+// program returns the path of a program in bin/.
+func program(name string) string {
+	abs, _ := filepath.Abs(filepath.Join("..", "bin", name))
+	return abs
+}
--- /dev/null
+++ b/prove/proofs_test.go
@@ -0,0 +1,27 @@
+//go:build prove
+
+package prove
+
+import "time"
+
+// proofs are run in this order.
+var proofs = []proof{
+	{name: "whole-answer-under-kill", bound: 90 * time.Second, run: wholeAnswerUnderKill},
+	{name: "not-repeatable-at-most-once", bound: 150 * time.Second, run: atMostOnce},
+	{name: "no-partial-gang", bound: 60 * time.Second, run: noPartialGang},
+	{name: "not-run-is-true", bound: 60 * time.Second, run: notRunIsTrue},
+	{name: "leaving-worker", bound: 60 * time.Second, run: leavingWorker},
+	{name: "planned-stop", bound: 180 * time.Second, run: plannedStop},
+	{name: "cancellation-wave", bound: 60 * time.Second, run: cancellationWave},
+	{name: "late-and-reordered-answers", bound: 60 * time.Second, run: lateAnswers},
+	{name: "silent-connections", bound: 60 * time.Second, run: silentConnections},
+	{name: "zone-cut-and-heal", bound: 90 * time.Second, run: zoneCutAndHeal},
+	{name: "one-way-cut", bound: 75 * time.Second, run: oneWayCut},
+	{name: "leader-freeze", bound: 75 * time.Second, run: leaderFreeze},
+	{name: "lost-disk-then-second-loss", bound: 90 * time.Second, run: lostDisk},
+	{name: "all-processes-of-a-zone-die", bound: 90 * time.Second, run: zoneDies},
+	{name: "operators-race", bound: 60 * time.Second, run: operatorsRace},
+	{name: "config-never-reverts", bound: 120 * time.Second, run: configNeverReverts},
+	{name: "guarantee-reclaim", bound: 75 * time.Second, run: guaranteeReclaim},
+	{name: "random", bound: 120 * time.Second, run: randomFaults},
+}
