--- a/internal/jobs/apply.go
+++ b/internal/jobs/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"teaselpaddle.example/teaselpaddle/internal/model"
 )
@@ -30,6 +31,7 @@
 		return r
 	}
 	m.put(old, &j)
+	m.notify(old, &j)
 	r.Job = &j
 	return r
 }
@@ -74,6 +76,12 @@
 		}
 		return &Result{Job: old, Existing: true}
 	}
+	if d := c.Spec.Deadline; !d.IsZero() && !d.After(c.At) {
+		// Only new requests: one sent again after its deadline finds its record.
+		r := refused(model.ReasonDeadlineUnmet, "the deadline %s has passed", d.Format(time.RFC3339))
+		r.Refusal.State = model.NotRun
+		return r
+	}
 	cust, _ := m.Config().Customer(c.Spec.Customer)
 	if cust == nil {
 		r := refused(model.ReasonUnknownCustomer, "customer %q does not exist", c.Spec.Customer)
@@ -87,6 +95,7 @@
 	}
 	j := &model.Job{ID: c.ID, Spec: *c.Spec, State: model.Queued, Seq: index, SubmittedAt: c.At}
 	m.put(nil, j)
+	m.notify(nil, j)
 	return &Result{Job: j}
 }
 
@@ -112,7 +121,7 @@
 	j.State = model.Starting
 	j.Attempt = &model.Attempt{
 		Number: j.Attempts, Fence: index, Phase: model.PhaseReserve,
-		Placement: c.Intend.Placement, Borrowed: c.Intend.Borrowed,
+		Placement: c.Intend.Placement, Borrowed: c.Intend.Borrowed, Claim: c.Intend.Claim,
 	}
 	return &Result{}
 }
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -11,6 +11,7 @@
 	"teaselpaddle.example/teaselpaddle/internal/link"
 	"teaselpaddle.example/teaselpaddle/internal/model"
 	"teaselpaddle.example/teaselpaddle/internal/replica"
+	"teaselpaddle.example/teaselpaddle/internal/retry"
 	"teaselpaddle.example/teaselpaddle/internal/telemetry"
 )
 
@@ -49,7 +50,7 @@
 		}
 		uncertain = uncertain || sent
 		telemetry.Retried(model.ReasonNoLeader)
-		if !pause(ctx, retryPause) {
+		if !retry.Sleep(ctx, retryPause) {
 			return settle(&Response{Refusal: notPublished(uncertain)})
 		}
 	}
--- a/internal/routing/config_test.go
+++ b/internal/routing/config_test.go
@@ -55,8 +55,11 @@
 	}
 	servers["c"].Close()
 	inZone := map[string][]string{"z1": {"a"}, "z2": {"b"}, "z3": {"c"}}
+	links := map[string]*link.Links{}
 	start := func(name, zone string) *Router {
-		peers := link.NewHTTP(name, addresses)
+		peers := link.New(link.Config{Self: name, Addresses: addresses, Logger: logr.Discard()})
+		links[name] = peers
+		t.Cleanup(peers.Close)
 		m := jobs.New()
 		r := &Router{
 			Self: name, Zone: zone, Zones: []string{"z1", "z2", "z3"}, InZone: func(z string) []string { return inZone[z] },
@@ -64,11 +67,15 @@
 		}
 		r.View = func(Op) *view.Zone { return &view.Zone{AvailabilityZone: zone, Instance: name} }
 		r.Register()
-		servers[name].Config.Handler = peers
+		servers[name].Config.Handler = peers.Handler()
 		servers[name].Start()
 		return r
 	}
-	d := &deployment{a: start("a", "z1"), b: start("b", "z2"), stop: servers["a"].Close}
+	d := &deployment{a: start("a", "z1"), b: start("b", "z2")}
+	d.stop = func() {
+		servers["a"].Close()
+		links["a"].Close() // open links outlive the listener
+	}
 	d.a.Config.Machine = config.NewMachine(config.FitSums)
 	d.a.Config.Group = replica.NewLocal("a", d.a.Config.Machine)
 	d.loss = &lossy{Peers: d.b.Peers}
--- /dev/null
+++ b/internal/sched/policy/guarantee.go
@@ -0,0 +1,437 @@
+package policy
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"teaselpaddle.example/teaselpaddle/internal/model"
+	"teaselpaddle.example/teaselpaddle/internal/sched"
+	"teaselpaddle.example/teaselpaddle/internal/sched/cell"
+	"teaselpaddle.example/teaselpaddle/internal/sched/preempt"
+	"teaselpaddle.example/teaselpaddle/internal/sched/queue"
+)
+
+// otherCells is how many cells beside the bound ones are compared in a reclaim.
+const otherCells = 8
+
+// wantedCost keeps guaranteed jobs off the workers that a blocked job is about
+// to get, while their shape has another cell: they would block a whole rack for
+// as long as they run. It outweighs any borrower.
+const wantedCost = 1e7
+
+// shape is one guaranteed shape of a customer. An unused shape has a cell that
+// it could be bound to; a used one has the rest of its cell.
+type shape struct {
+	c       *customer
+	size    int
+	number  int
+	used    int   // accelerators, other resources counted by their share
+	workers []int // that it uses
+	cell    cell.Cell
+	missing int // accelerators that no healthy worker is left for
+}
+
+// bindings proves that each shape can be reclaimed: the cells are disjoint and
+// hold only attempts that can be taken off.
+type bindings struct {
+	cells   *cell.Binding
+	shapes  []*shape // in the order in which they get cells
+	missing int      // accelerators that shapes are short of
+	of      map[*customer][]*shape
+}
+
+// pending is a job that uses a part of a shape as soon as borrowers have left.
+type pending struct {
+	customer string
+	claim    sched.Claim
+	cell     cell.Cell
+}
+
+// bind returns the cells of all shapes, computed anew if anything that cannot be
+// taken off has changed.
+func (s *State) bind() *bindings {
+	if s.bindings == nil || s.bindingOf != s.cells.Version() {
+		s.bindings, s.bindingOf = s.bindWith(nil, nil), s.cells.Version()
+	}
+	return s.bindings
+}
+
+// Largest first is not always enough where the sizes of workers, racks and shapes
+// differ. bindRounds is how often cells are sought with the shapes that found
+// none moved to the front; afterwards as many orders from a fixed seed are tried
+// if there are at most shuffleShapes shapes.
+const (
+	bindRounds    = 40
+	shuffleShapes = 64
+)
+
+// bindWith computes the cells of all shapes. starts are claims that the running
+// attempts do not have yet; waits are those that wait for borrowers to leave.
+func (s *State) bindWith(starts []*sched.Running, waits []pending) *bindings {
+	b := &bindings{of: map[*customer][]*shape{}}
+	for _, c := range s.order {
+		for _, g := range c.guarantees {
+			b.add(c, g)
+		}
+	}
+	for _, r := range s.claimed {
+		s.attach(b, r)
+	}
+	for _, r := range starts {
+		s.attach(b, r)
+	}
+	for i := range waits {
+		b.wait(s.customers[waits[i].customer], &waits[i])
+	}
+	slices.SortStableFunc(b.shapes, func(x, y *shape) int {
+		if used := len(x.workers) > 0; used != (len(y.workers) > 0) {
+			if used {
+				return -1
+			}
+			return 1
+		}
+		return y.size - x.size
+	})
+	b.cells = cell.NewBinding(s.cells)
+	best := -1
+	var order []*shape
+	rnd := rand.New(rand.NewPCG(1, 1))
+	for range bindRounds {
+		if b.assign(waits); best < 0 || b.missing < best {
+			best, order = b.missing, slices.Clone(b.shapes)
+		}
+		if b.missing == 0 {
+			return b
+		}
+		if b.bump() {
+			continue
+		}
+		if len(b.shapes) > shuffleShapes {
+			break
+		}
+		rnd.Shuffle(len(b.shapes), func(i, j int) { b.shapes[i], b.shapes[j] = b.shapes[j], b.shapes[i] })
+	}
+	b.shapes = order
+	b.assign(waits)
+	return b
+}
+
+// assign gives each shape a cell, in the order of the shapes.
+func (b *bindings) assign(waits []pending) {
+	b.cells.Reset()
+	b.missing = 0
+	for i := range waits {
+		b.cells.Hold(waits[i].cell)
+	}
+	for _, sh := range b.shapes {
+		sh.missing = 0
+		if len(sh.workers) > 0 {
+			sh.cell, sh.missing = b.cells.BindNear(sh.workers, sh.size, sh.size-sh.used)
+		} else if sh.cell = b.cells.Bind(sh.size); sh.cell == nil {
+			sh.missing = sh.size
+		}
+		b.missing += sh.missing
+	}
+}
+
+// bump moves the shapes that are missing something to the front. It reports
+// whether that changed the order.
+func (b *bindings) bump() bool {
+	before := slices.Clone(b.shapes)
+	slices.SortStableFunc(b.shapes, func(x, y *shape) int {
+		switch {
+		case (x.missing > 0) == (y.missing > 0):
+			return 0
+		case x.missing > 0:
+			return -1
+		}
+		return 1
+	})
+	return !slices.Equal(before, b.shapes)
+}
+
+// wait marks the part of a shape that a pending job will use.
+func (b *bindings) wait(c *customer, p *pending) {
+	for _, sh := range b.of[c] {
+		if sh.size != p.claim.Accelerators || sh.number != p.claim.Number {
+			continue
+		}
+		for _, part := range p.cell {
+			sh.used += part.Count
+			if !slices.Contains(sh.workers, part.Worker) {
+				sh.workers = append(sh.workers, part.Worker)
+			}
+		}
+	}
+}
+
+func (b *bindings) add(c *customer, g model.Guarantee) {
+	first := 0
+	for _, sh := range b.of[c] {
+		if sh.size == g.Shape.Accelerators {
+			first++
+		}
+	}
+	for n := range g.Count {
+		sh := &shape{c: c, size: g.Shape.Accelerators, number: first + n}
+		b.shapes = append(b.shapes, sh)
+		b.of[c] = append(b.of[c], sh)
+	}
+}
+
+// attach notes the shape that a running attempt uses: the one it claimed, or
+// else the smallest with room.
+func (s *State) attach(b *bindings, r *sched.Running) {
+	total := 0
+	var workers []int
+	for i := range r.Placement {
+		k := s.cells.Index(r.Placement[i].Worker)
+		if k < 0 {
+			continue
+		}
+		total += s.cells.Workers[k].Charge(&r.Spec)
+		if !slices.Contains(workers, k) {
+			workers = append(workers, k)
+		}
+	}
+	var best *shape
+	for _, sh := range b.of[s.customer(r.Customer)] {
+		if r.Claim.Accelerators == sh.size && r.Claim.Number == sh.number {
+			best = sh
+			break
+		}
+		if sh.size-sh.used >= total && (best == nil || sh.size < best.size) {
+			best = sh
+		}
+	}
+	if best == nil || len(workers) == 0 {
+		return
+	}
+	best.used = min(best.used+total, best.size)
+	for _, k := range workers {
+		if !slices.Contains(best.workers, k) {
+			best.workers = append(best.workers, k)
+		}
+	}
+}
+
+// claims starts the jobs that fit into guaranteed shapes of their customers, and
+// takes borrowers off their cells where needed.
+func (d *decision) claims() {
+	var jobs []*sched.Waiting
+	room := map[*customer]int{}
+	for _, sh := range d.b.shapes {
+		room[sh.c] = max(room[sh.c], sh.size-sh.used)
+	}
+	for _, c := range d.s.order {
+		for _, w := range c.Jobs {
+			if n := w.Spec.TotalAccelerators(); n > 0 && n <= room[c] && !d.handled[w] {
+				jobs = append(jobs, w)
+			}
+		}
+	}
+	slices.SortFunc(jobs, queue.Compare)
+	for _, w := range jobs {
+		c := d.s.customers[w.Spec.Customer]
+		if !c.OverQuota(w.Spec.TotalAccelerators()) && w.Spec.TotalAccelerators() <= d.room(c) {
+			d.claim(c, w)
+		}
+	}
+}
+
+// room is the most that one shape of a customer has left.
+func (d *decision) room(c *customer) int {
+	n := 0
+	for _, sh := range d.b.of[c] {
+		n = max(n, sh.size-sh.used)
+	}
+	return n
+}
+
+// claim puts a job into the shape of its customer that it fills best.
+func (d *decision) claim(c *customer, w *sched.Waiting) {
+	total := w.Spec.TotalAccelerators()
+	shapes := slices.Clone(d.b.of[c])
+	slices.SortStableFunc(shapes, func(a, b *shape) int {
+		if (len(a.workers) > 0) != (len(b.workers) > 0) {
+			if len(a.workers) > 0 {
+				return -1
+			}
+			return 1
+		}
+		return (a.size - a.used) - (b.size - b.used)
+	})
+	var best *shape
+	var room *preempt.Choice
+	tried := map[int]bool{} // sizes of unused shapes
+	for _, sh := range shapes {
+		unused := len(sh.workers) == 0
+		if sh.size-sh.used < total || (unused && tried[sh.size]) || (room != nil && room.Cost == 0) {
+			continue
+		}
+		tried[sh.size] = tried[sh.size] || unused
+		if ch := d.chooseCell(sh, w); ch != nil && (room == nil || ch.Cost < room.Cost) {
+			best, room = sh, ch
+		}
+	}
+	if room != nil && room.Cost >= wantedCost && d.outside(w) {
+		return
+	}
+	if room != nil && d.occupy(best, w, room) {
+		return
+	}
+	for _, sh := range shapes {
+		if sh.size-sh.used < total {
+			continue
+		}
+		if own := d.inCell(sh.cell, w, math.Inf(1)); own != nil && d.occupy(sh, w, own) {
+			return
+		}
+	}
+}
+
+// outside starts a job as a borrower beside the workers that blocked jobs are
+// about to get. Its shape stays unused, so the job starts again there at once if
+// it is taken off.
+func (d *decision) outside(w *sched.Waiting) bool {
+	if !w.Spec.Repeatable {
+		return false
+	}
+	q := d.request(w)
+	q.Closed = func(k int) bool { return d.wanted[k] }
+	p := d.s.cells.Place(q)
+	return p != nil && d.start(w, p, nil)
+}
+
+// chooseCell returns the cheapest room for a job in a shape. An unused shape may
+// be bound to any cell: its own, that of another unused shape of the same size,
+// or a cell that no shape needs. The rest of a used shape may move to a cell that
+// no shape needs; otherwise a shape that always has some job in it would keep its
+// rack for ever.
+func (d *decision) chooseCell(sh *shape, w *sched.Waiting) *preempt.Choice {
+	own := d.inCell(sh.cell, w, math.Inf(1))
+	if d.s.rules.NoCheapest || (own != nil && own.Cost == 0) {
+		return own
+	}
+	best := own
+	better := func(c cell.Cell) {
+		limit := math.Inf(1)
+		if best != nil {
+			limit = best.Cost
+		}
+		if ch := d.inCell(c, w, limit); ch != nil && ch.Cost < limit {
+			best = ch
+		}
+	}
+	for _, o := range d.b.shapes {
+		if o != sh && o.size == sh.size && len(o.workers)+len(sh.workers) == 0 && (best == nil || best.Cost > 0) {
+			better(o.cell)
+		}
+	}
+	var others []cell.Cell
+	for len(others) < otherCells && (best == nil || best.Cost > 0) {
+		c := d.b.cells.Bind(sh.size - sh.used)
+		if c == nil {
+			break
+		}
+		others = append(others, c)
+		better(c)
+	}
+	for _, c := range others {
+		d.b.cells.Drop(c)
+	}
+	return best
+}
+
+// inCell returns the cheapest room for a job in a cell, or nil.
+func (d *decision) inCell(c cell.Cell, w *sched.Waiting, limit float64) *preempt.Choice {
+	places := make([]preempt.Place, 0, len(c))
+	avoid := d.s.empty.avoid(w)
+	for _, p := range c {
+		wk := &d.s.cells.Workers[p.Worker]
+		if p.Count < 1 || !wk.Usable || slices.Contains(avoid, wk.Name) {
+			continue
+		}
+		places = append(places, preempt.Place{Worker: p.Worker, Limit: p.Count / max(wk.Charge(&w.Spec), 1)})
+	}
+	ch := d.finder(func(r *sched.Running) bool { return r.Preemptible() }).Find(&w.Spec, places, limit)
+	if ch == nil {
+		return nil
+	}
+	if len(ch.Victims) > 0 && ch.Cost == 0 {
+		return ch // the borrowers are leaving already, so the cell stays the choice
+	}
+	for _, sl := range ch.Slots {
+		if d.wanted[sl.Worker] {
+			ch.Cost += wantedCost
+		}
+	}
+	return ch
+}
+
+// occupy uses a part of a shape for a job: at once, or when the borrowers have
+// left. It does nothing and returns false if another shape would lose its cell.
+func (d *decision) occupy(sh *shape, w *sched.Waiting, ch *preempt.Choice) bool {
+	claim := sched.Claim{Accelerators: sh.size, Number: sh.number}
+	n := 0
+	for _, sl := range ch.Slots {
+		n += sl.Tasks * d.s.cells.Workers[sl.Worker].Charge(&w.Spec)
+	}
+	if n > sh.size-sh.used {
+		return false // the job needs more cores or memory than the shape's share
+	}
+	if len(ch.Victims) == 0 {
+		return d.start(w, d.s.cells.Fill(&w.Spec, ch.Slots), &claim)
+	}
+	p := pending{customer: w.Spec.Customer, claim: claim}
+	for _, sl := range ch.Slots {
+		n := sl.Tasks * d.s.cells.Workers[sl.Worker].Charge(&w.Spec)
+		p.cell = append(p.cell, cell.Part{Worker: sl.Worker, Count: n})
+	}
+	if !d.rebind(nil, &p) {
+		return false
+	}
+	d.takeOff(w, ch)
+	return true
+}
+
+// rebind computes the cells again with one more claim. It returns false and
+// changes nothing if the shapes would miss more than now.
+func (d *decision) rebind(r *sched.Running, p *pending) bool {
+	if len(d.b.shapes) == 0 {
+		return true
+	}
+	starts, waits := d.starts, d.waits
+	if r != nil {
+		starts = append(starts, r)
+	}
+	if p != nil {
+		waits = append(waits, *p)
+	}
+	b := d.s.bindWith(starts, waits)
+	if b.missing > d.b.missing {
+		return false
+	}
+	d.b, d.starts, d.waits = b, starts, waits
+	return true
+}
+
+// shortfalls lists the guarantees that too few healthy workers are left for.
+func (b *bindings) shortfalls() []sched.Shortfall {
+	var out []sched.Shortfall
+	for _, sh := range b.shapes {
+		if sh.missing == 0 {
+			continue
+		}
+		i := slices.IndexFunc(out, func(s sched.Shortfall) bool {
+			return s.Customer == sh.c.Name && s.Shape.Accelerators == sh.size
+		})
+		if i < 0 {
+			i = len(out)
+			out = append(out, sched.Shortfall{Customer: sh.c.Name, Shape: model.Shape{Accelerators: sh.size}})
+		}
+		out[i].Missing++
+	}
+	return out
+}
