Wire the replay and the check of shapes into the tool

The replay and the shape check have landed. The tool's replay command runs internal/replay and shows its report as tables or JSON; check and publish use cell.CheckFit like the daemons. A file describes at most 1000 racks of a kind in a zone instead of 10,000: the shape check builds every planned worker, and the design has 6,900 in all.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -73,7 +73,7 @@
 	"workers":        "teaselpaddle workers",
 	"customers":      "teaselpaddle --json customers",
 	"fragmentation":  "teaselpaddle fragmentation",
-	"replay":         "teaselpaddle replay monday.trace --policy services/order-desk/teaselpaddle.jsonc",
+	"replay":         "teaselpaddle replay monday.trace --policy policy.jsonc",
 	"version":        "teaselpaddle version",
 }
 
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"teaselpaddle.example/teaselpaddle/internal/config"
+	"teaselpaddle.example/teaselpaddle/internal/replay"
 )
 
 var update = flag.Bool("update", false, "write the golden files")
@@ -140,7 +141,7 @@
 		{"submit-owner-gone", one("POST /v1/jobs", 503, `{"code":"owner_zone_unreachable","detail":"z2 cannot be reached","state":"unknown"}`), 3, "--timeout 500ms submit --customer a --key k"},
 		{"cancel", one("DELETE /v1/jobs/z1.000000000000000000000001", 200, jobRunning), 0, "cancel z1.000000000000000000000001"},
 		{"job-json", one("GET /v1/jobs/z1.000000000000000000000001", 200, jobUnknown), 0, "--json status z1.000000000000000000000001"},
-		{"replay", nil, 1, "replay trace"},
+		{"replay", nil, 1, "replay testdata/none.trace"},
 		{"usage", nil, 2, "submit --customer a"},
 		{"no-command", nil, 2, ""},
 		{"config-usage", nil, 2, "config"},
@@ -268,6 +269,26 @@
 	is.Equal(len(s.bodies), 0)
 }
 
+// Guards against a report that is not that of the trace.
+func TestReplay(t *testing.T) {
+	is := is.New(t)
+	trace := filepath.Join(t.TempDir(), "trace")
+	f, err := os.Create(trace)
+	is.NoErr(err)
+	is.NoErr(replay.Write(f, replay.Generate(replay.Authority(), 1)[:400]))
+	is.NoErr(f.Close())
+	code, out, _ := run(t, "", "--json", "replay", trace)
+	is.Equal(code, exitOK)
+	var got replay.Report
+	is.NoErr(json.Unmarshal([]byte(out), &got))
+	want, err := replay.Run(replay.Options{TracePath: trace})
+	is.NoErr(err)
+	is.Equal(&got, want)
+	code, out, _ = run(t, "", "replay", trace)
+	is.Equal(code, exitOK)
+	is.True(strings.Contains(out, "guarantees not met"))
+}
+
 // Guards against check results that lack a fault or its place.
 func TestCheck(t *testing.T) {
 	is := is.New(t)
--- a/internal/cli/errors.go
+++ b/internal/cli/errors.go
@@ -96,11 +96,6 @@
 
 func (*DeclinedError) Error() string { return "not confirmed; nothing was published" }
 
-// UnavailableError is a command that this build does not have.
-type UnavailableError struct{ Command string }
-
-func (e *UnavailableError) Error() string { return e.Command + " is not part of this build" }
-
 // exitCode returns the tool's exit code for an error.
 func exitCode(err error) int {
 	var usage *UsageError
--- a/internal/cli/publish.go
+++ b/internal/cli/publish.go
@@ -16,6 +16,7 @@
 	"teaselpaddle.example/teaselpaddle/internal/config"
 	"teaselpaddle.example/teaselpaddle/internal/httpapi"
 	"teaselpaddle.example/teaselpaddle/internal/model"
+	"teaselpaddle.example/teaselpaddle/internal/sched/cell"
 )
 
 // Times of the wait until a publish is in force.
@@ -26,8 +27,9 @@
 	missingLimit = 3 * time.Second
 )
 
-// Fit checks locally that the guarantees fit the racks.
-var Fit config.Fit = config.FitSums
+// Fit checks locally that the guarantees fit the racks. It is the check that the
+// daemons use.
+var Fit config.Fit = cell.CheckFit
 
 type checkCmd struct {
 	Dirs []string `arg:"positional,required" placeholder:"DIR" help:"directories with teaselpaddle.jsonc files, also nested"`
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -18,7 +18,7 @@
 	maxQuota            = 1_000_000
 	maxGuaranteeCount   = 10_000
 	maxShape            = 1024 // accelerators; the largest gang is 128 tasks of 8
-	maxRacks            = 10_000
+	maxRacks            = 1000 // of one kind in a zone; the design has 6,900 workers in all
 	maxWorkersPerRack   = 64
 	maxPerWorker        = 64 // accelerators
 	maxCheckpointBound  = 3600
