--- a/internal/cli/views.go
+++ b/internal/cli/views.go
@@ -54,7 +54,7 @@
 		}
 		return e.showJob(&j)
 	}
-	head := []string{"ZONE", "INSTANCE", "LEADER", "TERM", "READY", "DURABLE", "MEMBERS", "CONFIG", "CONFIG AGE", "UNCONFIRMED"}
+	head := []string{"ZONE", "INSTANCE", "LEADER", "LEADING", "TERM", "READY", "DURABLE", "MEMBERS", "CONFIG", "CONFIG AGE", "UNCONFIRMED"}
 	return e.view(ctx, "/v1/status", head, func(t *table, z *view.Zone) {
 		s := z.Status
 		if s == nil {
@@ -67,7 +67,7 @@
 		if u := s.Config.UnconfirmedSeconds; u != nil {
 			unconfirmed = seconds(*u)
 		}
-		t.row(z.AvailabilityZone, z.Instance, s.Leader, s.Term, s.Ready, s.Durable, len(s.Members), s.Config.Version, age, unconfirmed)
+		t.row(z.AvailabilityZone, z.Instance, s.Leader, s.Leads, s.Term, s.Ready, s.Durable, len(s.Members), s.Config.Version, age, unconfirmed)
 	})
 }
 
--- a/internal/routing/config_test.go
+++ b/internal/routing/config_test.go
@@ -174,6 +174,27 @@
 	is.Equal(refusal(t, err).Reason, model.ReasonNoLeader)
 }
 
+// led is a group that another instance leads.
+type led struct {
+	replica.Group
+	leader string
+}
+
+func (l led) Status() replica.Status { return replica.Status{Leader: l.leader} }
+
+// Guards against a view that lacks what only the leader knows, and against a
+// loop or a missing view when the leader does not answer.
+func TestViewComesFromTheLeader(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t)
+	d.b.Group = led{d.b.Group, "a"}
+	is.Equal(d.b.local(t.Context(), &Request{Op: OpStatus}).View.Instance, "a")
+	d.a.Group = led{d.a.Group, "b"} // the two disagree
+	is.Equal(d.b.local(t.Context(), &Request{Op: OpStatus}).View.Instance, "a")
+	d.b.Group = led{d.b.Group, "c"} // down
+	is.Equal(d.b.local(t.Context(), &Request{Op: OpStatus}).View.Instance, "b")
+}
+
 // Guards against racks in an availability zone that a typing error invents.
 func TestPublishRefusesUnknownZone(t *testing.T) {
 	is := is.New(t)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -167,7 +167,7 @@
 	case OpPublish, OpAccepted, OpHistory:
 		return r.configLocal(ctx, req)
 	case OpWorkers, OpCustomers, OpFragmentation, OpStatus:
-		return &Response{View: r.View(req.Op)}
+		return r.view(ctx, req)
 	case OpGet:
 		return r.get(ctx, req)
 	case OpList:
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -24,6 +24,10 @@
 // reached delays the answer of the others little.
 const viewTimeout = 3 * time.Second
 
+// leaderViewTimeout bounds the question to the zone's leader; the own view is
+// the answer after it.
+const leaderViewTimeout = time.Second
+
 // ZoneResponse is one zone's answer. Exactly one of Response and Refusal is set.
 type ZoneResponse struct {
 	Zone     string
@@ -73,3 +77,19 @@
 	}
 	return out
 }
+
+// view returns the zone's view from its leader, whose copy of the soft state
+// decides, or from this instance if the leader does not answer.
+func (r *Router) view(ctx context.Context, req *Request) *Response {
+	leader := r.Group.Status().Leader
+	if leader != "" && leader != r.Self && !req.LeaderOnly {
+		fwd := *req
+		fwd.LeaderOnly = true
+		short, cancel := context.WithTimeout(ctx, leaderViewTimeout)
+		defer cancel()
+		if resp, err := r.call(short, leader, &fwd); err == nil && resp.View != nil {
+			return resp
+		}
+	}
+	return &Response{View: r.View(req.Op)}
+}
