Bound queued bytes on accepted connections, close idle links after 1 s

Cause: one-way messages that go back over an accepted connection were bounded by number only, and those left at its end were not counted. An idle time of 4 s cost more in heartbeats than a handshake.

--- a/internal/link/config.go
+++ b/internal/link/config.go
@@ -10,7 +10,7 @@
 // Defaults of Config.
 const (
 	defaultHeartbeat      = 500 * time.Millisecond
-	defaultIdle           = 4 * time.Second
+	defaultIdle           = time.Second // heartbeats over 4 s of idleness cost more than a new handshake
 	defaultDialTimeout    = time.Second
 	defaultWriteTimeout   = 5 * time.Second // 16 MiB at 27 Mbit/s
 	defaultCallTimeout    = 30 * time.Second
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -10,12 +10,6 @@
 	"github.com/coder/websocket"
 )
 
-// outgoing is an encoded frame.
-type outgoing struct {
-	kind Kind // for the counters
-	data []byte
-}
-
 // conn is one WebSocket connection, dialled or accepted.
 type conn struct {
 	l      *Links
@@ -25,7 +19,7 @@
 	limit  int    // largest frame that the other side takes, bytes
 	remote uint64 // session of the other process
 
-	oneway chan outgoing // one-way messages to the dialling side; accepted connections only
+	oneway *queue        // one-way messages to the dialling side; accepted connections only
 	reply  chan outgoing // accepted connections only
 
 	lanes     map[Kind]chan *envelope // owned by the read loop
@@ -49,7 +43,7 @@
 		lanes: map[Kind]chan *envelope{}, readEnded: make(chan struct{}),
 	}
 	if !dialed {
-		c.oneway = make(chan outgoing, l.cfg.QueueLength)
+		c.oneway = newQueue(&l.cfg)
 		c.reply = make(chan outgoing, l.cfg.PeerHandlers)
 	}
 	ws.SetReadLimit(int64(l.cfg.MaxMessage + frameOverhead))
@@ -177,8 +171,7 @@
 type writeSources struct {
 	requests <-chan *op
 	request  func(*op) error
-	oneway   <-chan outgoing
-	sent     func(outgoing) // called for each one-way message taken
+	oneway   *queue
 	reply    <-chan outgoing
 	idle     func() bool // true if the connection may be closed when unused
 }
@@ -196,10 +189,8 @@
 			err = s.request(o)
 		case f := <-s.reply:
 			err = c.write(f)
-		case f := <-s.oneway:
-			if s.sent != nil {
-				s.sent(f)
-			}
+		case f := <-s.oneway.ch:
+			s.oneway.taken(f)
 			err = c.write(f)
 		case <-timer.C:
 			err = c.beat(s.idle)
--- a/internal/link/inbound.go
+++ b/internal/link/inbound.go
@@ -133,10 +133,11 @@
 	wg.Wait()
 	in.l.log.V(1).Info("connection ended", "peer", in.from, "error", c.cause.Error())
 	in.mu.Lock()
-	defer in.mu.Unlock()
 	if in.conn == c {
 		in.conn = nil
 	}
+	in.mu.Unlock()
+	c.oneway.drop(in.l.count)
 }
 
 func (in *inbound) receive(c *conn, e *envelope) error {
--- a/internal/link/links.go
+++ b/internal/link/links.go
@@ -221,32 +221,18 @@
 	// A connection that the other side dialled is used as well, because a second
 	// one for the opposite direction would double the heartbeats.
 	if c := l.backward(p); c != nil {
-		return enqueue(c.oneway, f)
+		return c.oneway.put(f)
 	}
 	if p.unreachable() != nil {
 		return dropUnreachable
 	}
-	if p.onewayBytes.Add(int64(len(data))) > int64(l.cfg.QueueBytes) {
-		p.onewayBytes.Add(-int64(len(data)))
-		return dropQueueFull
-	}
-	if why := enqueue(p.oneway, f); why != "" {
-		p.onewayBytes.Add(-int64(len(data)))
+	if why := p.oneway.put(f); why != "" {
 		return why
 	}
 	p.signal()
 	return ""
 }
 
-func enqueue(q chan<- outgoing, f outgoing) dropReason {
-	select {
-	case q <- f:
-		return ""
-	default:
-		return dropQueueFull
-	}
-}
-
 // backward returns the connection that the other instance dialled if there is
 // no dialled one, or nil.
 func (l *Links) backward(p *peer) *conn {
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -32,11 +31,10 @@
 	name    string
 	address string
 
-	slots       chan struct{} // one for each request without a reply
-	requests    chan *op      // not yet written
-	oneway      chan outgoing
-	onewayBytes atomic.Int64
-	wake        chan struct{}
+	slots    chan struct{} // one for each request without a reply
+	requests chan *op      // not yet written
+	oneway   *queue
+	wake     chan struct{}
 
 	mu       sync.Mutex
 	written  []*op // in the order of their numbers; finished ones leave at the front
@@ -55,7 +53,7 @@
 		l: l, name: name, address: address,
 		slots:    make(chan struct{}, l.cfg.MaxRequests),
 		requests: make(chan *op, l.cfg.MaxRequests),
-		oneway:   make(chan outgoing, l.cfg.QueueLength),
+		oneway:   newQueue(&l.cfg),
 		wake:     make(chan struct{}, 1),
 		byNumber: map[uint64]*op{},
 	}
@@ -90,7 +88,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dropFinished()
-	return len(p.written) > 0 || len(p.requests) > 0 || len(p.oneway) > 0
+	return len(p.written) > 0 || len(p.requests) > 0 || len(p.oneway.ch) > 0
 }
 
 // pause waits out the backoff. It returns false if the links are being closed.
@@ -131,8 +129,7 @@
 	p.resend(c)
 	c.writeLoop(writeSources{
 		requests: p.requests, request: func(o *op) error { return p.writeOp(c, o) },
-		oneway: p.oneway, sent: func(f outgoing) { p.onewayBytes.Add(-int64(len(f.data))) },
-		idle: p.idle,
+		oneway: p.oneway, idle: p.idle,
 	})
 	p.l.untrack(c)
 	p.disconnected(c, opened)
@@ -180,13 +177,11 @@
 	p.dialErr = err
 	p.backOff()
 	p.mu.Unlock()
+	p.oneway.drop(p.l.count)
 	for {
 		select {
 		case o := <-p.requests:
 			p.finish(o, nil, &NotSentError{To: p.name, Cause: err})
-		case f := <-p.oneway:
-			p.onewayBytes.Add(-int64(len(f.data)))
-			p.l.count.dropped(f.kind, dropUnreachable)
 		default:
 			return
 		}
@@ -207,7 +202,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dropFinished()
-	return len(p.written) == 0 && len(p.requests) == 0 && len(p.oneway) == 0
+	return len(p.written) == 0 && len(p.requests) == 0 && len(p.oneway.ch) == 0
 }
 
 // dropFinished keeps the front of written unfinished, so that its number is the
