Test that a frozen peer carries out a request once

Cause: a request can lie in the buffer of a connection whose process is frozen and be sent again over the next one.

--- /dev/null
+++ b/internal/link/freeze_test.go
@@ -0,0 +1,74 @@
+package link
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// childEnv makes the test program a peer process; its value is the parent's
+// address.
+const childEnv = "TEASELPADDLE_LINK_TEST_PARENT"
+
+// child serves as instance b until its input ends. Its replies are the number of
+// requests that it has carried out.
+func child(parent string) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	fmt.Println(ln.Addr())
+	l := New(Config{Self: "b", Addresses: map[string]string{"a": parent, "b": ln.Addr().String()}})
+	var runs atomic.Int32
+	l.Handle(KindRequest, func(context.Context, string, []byte) ([]byte, error) {
+		return fmt.Append(nil, runs.Add(1)), nil
+	})
+	go func() { _ = http.Serve(ln, l.Handler()) }()
+	_, _ = io.Copy(io.Discard, os.Stdin)
+}
+
+// Guards against a request that is carried out twice because it is still in the
+// old connection's buffer when a frozen process (SIGSTOP) continues.
+func TestFrozenPeer(t *testing.T) {
+	is := is.New(t)
+	la := listen(t, "127.0.0.1:0")
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), childEnv+"="+la.Addr().String())
+	in, err := cmd.StdinPipe()
+	is.NoErr(err)
+	out, err := cmd.StdoutPipe()
+	is.NoErr(err)
+	is.NoErr(cmd.Start())
+	t.Cleanup(func() {
+		_ = cmd.Process.Signal(syscall.SIGCONT)
+		_ = in.Close()
+		_ = cmd.Wait()
+	})
+	addr, err := bufio.NewReader(out).ReadString('\n')
+	is.NoErr(err)
+	a := start(t, la, Config{Self: "a", Addresses: map[string]string{"b": strings.TrimSpace(addr)}})
+	call := func() string {
+		reply, err := a.Call(within(t, testTimeout), "b", KindRequest, nil)
+		is.NoErr(err)
+		return string(reply)
+	}
+	is.Equal(call(), "1")
+	is.NoErr(cmd.Process.Signal(syscall.SIGSTOP))
+	time.AfterFunc(3*time.Second, func() { _ = cmd.Process.Signal(syscall.SIGCONT) })
+	begin := time.Now()
+	is.Equal(call(), "2") // sent before the silence is noticed, answered after it
+	is.True(time.Since(begin) > 2*time.Second)
+	is.Equal(call(), "3") // the request before was carried out once
+}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -17,7 +18,13 @@
 	"teaselpaddle.example/teaselpaddle/internal/faultproxy"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) {
+	if parent := os.Getenv(childEnv); parent != "" {
+		child(parent)
+		return
+	}
+	goleak.VerifyTestMain(m)
+}
 
 const testTimeout = 10 * time.Second
 
--- a/internal/membership/runner.go
+++ b/internal/membership/runner.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -46,8 +48,15 @@
 }
 
 // Start registers the handler of probes and starts the ticks. Close must be
-// called when the membership is no longer needed.
+// called when the membership is no longer needed. A missing incarnation or
+// random source is chosen at random.
 func Start(cfg Config, peers link.Peers, log logr.Logger) *Runner {
+	if cfg.Incarnation == 0 {
+		cfg.Incarnation = rand.Uint64() | 1
+	}
+	if cfg.Rand == nil {
+		cfg.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Runner{
 		peers: peers, log: log.WithName("membership"), cancel: cancel,
@@ -136,7 +145,7 @@
 	}
 }
 
-// logChanges logs the instances whose state or process changed.
+// logChanges logs and counts the instances whose state or process changed.
 func (r *Runner) logChanges() {
 	for _, name := range r.core.Changed() {
 		e := r.core.members[name]
@@ -145,6 +154,7 @@
 			continue
 		}
 		r.states[name] = Member{State: e.rec.State, Incarnation: e.rec.Incarnation}
+		telemetry.Count(fmt.Sprintf("teaselpaddle_membership_changes_total{state=%q}", e.rec.State.String()))
 		r.log.Info("instance changed", "instance", name, "state", e.rec.State.String(),
 			"before", old.State.String(), "restarted", old.Incarnation != 0 && old.Incarnation != e.rec.Incarnation)
 	}
