--- a/internal/link/freeze_test.go
+++ b/internal/link/freeze_test.go
@@ -42,6 +42,7 @@
 // Guards against a request that is carried out twice because it is still in the
 // old connection's buffer when a frozen process (SIGSTOP) continues.
 func TestFrozenPeer(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	la := listen(t, "127.0.0.1:0")
 	cmd := exec.Command(os.Args[0])
--- a/internal/link/limits_test.go
+++ b/internal/link/limits_test.go
@@ -16,7 +16,7 @@
 // Guards against a peer that accepts connections and never answers: it must not
 // hold up messages to others, and its queue must stay bounded.
 func TestSlowPeerAndFullQueue(t *testing.T) {
-	is := is.New(t)
+	is := is.NewRelaxed(t)           // also used by other goroutines
 	hole := listen(t, "127.0.0.1:0") // the system accepts, nobody reads
 	defer func() { _ = hole.Close() }()
 	la, lb := listen(t, "127.0.0.1:0"), listen(t, "127.0.0.1:0")
@@ -46,7 +46,7 @@
 // Guards against a handler that blocks the connection: others of the same
 // connection go on, and requests beyond the limit are refused without a run.
 func TestHandlerLimit(t *testing.T) {
-	is := is.New(t)
+	is := is.NewRelaxed(t) // also used by other goroutines
 	a, b, _ := pair(t, Config{}, Config{PeerHandlers: 2})
 	release := make(chan struct{})
 	var runs atomic.Int32
@@ -74,6 +74,7 @@
 // Guards against connections that stay open between pairs that do not talk, and
 // against the loss of requests around the closing of an unused connection.
 func TestIdleClose(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	a, b, p := pair(t, Config{Idle: 100 * time.Millisecond, Heartbeat: 50 * time.Millisecond}, Config{})
 	b.Handle(KindRequest, echo)
@@ -185,6 +186,7 @@
 // Guards against a side that keeps a silent connection because it waits for the
 // other side to close it.
 func TestBothSidesCloseSilentConnection(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	a, b, p := pair(t, Config{Idle: time.Hour}, Config{})
 	b.Handle(KindRequest, echo)
