Avoid split votes and early pre-votes

Cause: a kill of the leader took up to 3.2 s to the next acknowledged entry. A pre-vote sent at the shortest timeout was ignored by members whose own tick came later, and members that timed out together split the votes. Change: the timeout begins one tick after the time for which a leader is trusted, and of two candidates that ask each other the lower name goes on.

--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -102,6 +102,10 @@
 		return
 	}
 	if m.Term > n.term && n.log.upToDate(m.Index, m.LogTerm) {
+		if n.role == preCandidate && m.From.Instance < n.id.Instance {
+			// Two members that time out together would split the votes.
+			n.becomeFollower(n.term, ID{})
+		}
 		n.send(Message{Kind: MsgPreVoteResp, To: m.From, Term: m.Term})
 		return
 	}
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -23,8 +23,9 @@
 type Config struct {
 	ID   ID
 	Disk bool
-	// ElectionTicks is the shortest time without a leader before an election;
-	// the timeout is drawn from [ElectionTicks, 2*ElectionTicks).
+	// ElectionTicks is the time for which a member trusts a leader that it has
+	// heard. An election begins after a time drawn from the ElectionTicks numbers
+	// above it, so that the others no longer trust that leader either.
 	ElectionTicks  int
 	HeartbeatTicks int
 	// Random returns a number in [0, n).
@@ -169,7 +170,7 @@
 
 func (n *Node) resetTimeout() {
 	n.elapsed = 0
-	n.timeout = n.cfg.ElectionTicks + n.cfg.Random(n.cfg.ElectionTicks)
+	n.timeout = n.cfg.ElectionTicks + 1 + n.cfg.Random(n.cfg.ElectionTicks)
 }
 
 // config returns the membership in force.
