Bound waiting entries and repair lost tails

Cause: while the only voter with a disk is away, every proposal made the leader's log longer. A member whose log took a damaged last write for a torn one was never repaired, because the leader believed its acknowledgement. Change: a leader refuses proposals beyond 4,096 uncommitted entries, the caller gets *NotProposedError; heartbeat answers carry the last index and a missing tail is sent again; a reopened member keeps its state machine. A test kills processes at random and compares every answer to a proposal with what was applied.

--- a/internal/raft/errors.go
+++ b/internal/raft/errors.go
@@ -21,6 +21,14 @@
 	return "the leader has not committed an entry of its own term"
 }
 
+// BusyError says that too many entries wait for their commit, because a quorum is
+// slow or lost. Nothing was proposed.
+type BusyError struct{ Uncommitted uint64 }
+
+func (e *BusyError) Error() string {
+	return fmt.Sprintf("%d entries wait for their commit", e.Uncommitted)
+}
+
 // ChangeError says why a membership change is refused.
 type ChangeError struct {
 	Member ID
--- a/internal/raft/follower.go
+++ b/internal/raft/follower.go
@@ -71,7 +71,7 @@
 // acknowledged, so the commit index needs no further check.
 func (n *Node) onHeartbeat(m Message) {
 	n.learnCommit(m, n.log.last())
-	n.send(Message{Kind: MsgHeartbeatResp, To: m.From, Seq: m.Seq})
+	n.send(Message{Kind: MsgHeartbeatResp, To: m.From, Seq: m.Seq, Index: n.log.last()})
 }
 
 // onSnapshot collects the chunks of a snapshot and restores it when complete.
--- a/internal/raft/message.go
+++ b/internal/raft/message.go
@@ -8,7 +8,7 @@
 	MsgAppend        MessageKind = iota + 1 // entries after (Index, LogTerm)
 	MsgAppendResp                           // Index: last matching index, or a hint if Reject
 	MsgHeartbeat                            // Seq is echoed
-	MsgHeartbeatResp                        // Seq of the heartbeat
+	MsgHeartbeatResp                        // Seq of the heartbeat; Index: last entry
 	MsgPreVote                              // would you vote for me in Term?
 	MsgPreVoteResp                          //
 	MsgVote                                 // Force: the leader asked for it
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -17,6 +17,9 @@
 	// newer than those of the voters, and then no voter can win. It counts the
 	// votes of the voters only, and leaves the lead to them once they have its log.
 	learnerPatience = 3
+	// maxUncommitted bounds the log while a quorum is lost, for instance because
+	// the only voter with a disk is down.
+	maxUncommitted = 4096
 )
 
 // Config sets up a Node.
@@ -39,6 +42,9 @@
 	HardState HardState
 	Snapshot  Snapshot
 	Entries   []Entry
+	// Applied is the index up to which the state machine has applied already; it
+	// may be beyond the snapshot.
+	Applied uint64
 }
 
 type role uint8
@@ -130,12 +136,13 @@
 		cfg.MaxBytes = defaultMaxBytes
 	}
 	hs := cfg.HardState
+	applied := max(cfg.Applied, cfg.Snapshot.Index)
 	n := &Node{
 		cfg: cfg, id: cfg.ID,
 		log:  newLog(cfg.Snapshot, cfg.Entries),
 		term: max(hs.Term, cfg.Snapshot.Term), vote: hs.Vote,
-		commit: max(hs.Commit, cfg.Snapshot.Index), decided: max(hs.Decided, cfg.Snapshot.Index),
-		applied:    cfg.Snapshot.Index,
+		commit: max(hs.Commit, applied), decided: max(hs.Decided, cfg.Snapshot.Index),
+		applied:    applied,
 		superseded: map[string]ID{},
 	}
 	if n.commit > n.log.last() {
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -343,31 +343,11 @@
 	c.propose(l, 1)
 	c.run(5)
 	for i, name := range c.names {
-		n := c.hosts[name].node
-		is.NoErr(n.ReadIndex(uint64(100 + i)))
-		var got []ReadState
-		for range 10 {
-			rd := n.Ready()
-			got = append(got, rd.Reads...)
-			c.pump(c.hosts[name], 0)
-			if len(c.net) > 0 {
-				c.deliver(0, false)
-			}
-			for j := 0; j < len(c.net); j++ {
-				if c.net[j].To != n.id {
-					c.deliver(j, false)
-				}
-			}
-			for len(c.net) > 0 {
-				m := c.net[0]
-				c.net = c.net[1:]
-				c.hosts[m.To.Instance].node.Step(m)
-				got = append(got, n.readStates...)
-				c.pump(c.hosts[m.To.Instance], 0)
-			}
-		}
-		is.True(len(got) > 0)
-		is.Equal(got[0], ReadState{Seq: uint64(100 + i), Index: l.node.commit})
+		h := c.hosts[name]
+		is.NoErr(h.node.ReadIndex(uint64(100 + i)))
+		c.pump(h, 0)
+		c.run(1)
+		is.Equal(h.reads, []ReadState{{Seq: uint64(100 + i), Index: l.node.commit}})
 	}
 	c.isolate(l.name)
 	is.NoErr(l.node.ReadIndex(1))
@@ -375,3 +355,44 @@
 	c.run(5)
 	is.Equal(len(l.node.pendingReads), 1)
 }
+
+// Guards against a member that lost what it had acknowledged, its log having
+// taken a damaged last write for a torn one, and that is never repaired.
+func TestLostTailIsSentAgain(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 9, true, true, true)
+	c.run(40)
+	l := c.lead()
+	for i := range 5 {
+		c.propose(l, i)
+	}
+	c.run(5)
+	h := c.hosts["n0"]
+	if h == l {
+		h = c.hosts["n1"]
+	}
+	h.disk.entries = h.disk.entries[:len(h.disk.entries)-2]
+	h.disk.hs.Commit = 1
+	c.crash(h, false)
+	c.settle()
+	is.Equal(c.lead(), l)
+}
+
+// Guards against a log that grows without bound while the only voter with a
+// disk is away.
+func TestProposalsAreBounded(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 10, true, false, false)
+	c.run(40)
+	l := c.hosts["n1"]
+	l.node.campaign(true)
+	c.run(5)
+	is.Equal(c.lead(), l)
+	c.isolate("n0")
+	var err error
+	for i := 0; err == nil; i++ {
+		_, _, err = l.node.Propose(nil)
+		is.True(i <= maxUncommitted)
+	}
+	is.True(err.(*BusyError).Uncommitted >= maxUncommitted)
+}
--- a/internal/raft/replicate.go
+++ b/internal/raft/replicate.go
@@ -69,12 +69,15 @@
 }
 
 // Propose appends commands and returns the index of the first and their term.
-// It returns *NotLeaderError if nothing was appended.
+// It returns *NotLeaderError or *BusyError if nothing was appended.
 func (n *Node) Propose(data ...[]byte) (first, term uint64, err error) {
 	if n.role != leader || !n.transferee.IsZero() {
 		return 0, 0, &NotLeaderError{Leader: n.leader}
 	}
 	first = n.log.last() + 1
+	if first-n.commit > maxUncommitted {
+		return 0, 0, &BusyError{Uncommitted: first - 1 - n.commit}
+	}
 	for _, d := range data {
 		n.appendEntry(Entry{Data: d})
 	}
@@ -165,6 +168,9 @@
 		return
 	}
 	p.active = true
+	if m.Index > n.log.last() {
+		return
+	}
 	if p.inflight > 0 {
 		p.inflight--
 	}
@@ -196,6 +202,7 @@
 	if p.snap != nil || m.Index+1 >= p.next && !p.probing {
 		return
 	}
+	p.match = min(p.match, m.Index)
 	p.probing = true
 	p.inflight = 0
 	p.next = max(min(m.Index+1, p.next-1), p.match+1)
@@ -223,6 +230,13 @@
 	p.active = true
 	p.ackSeq = max(p.ackSeq, m.Seq)
 	n.releaseReads()
+	if m.Index < p.match && p.snap == nil {
+		// The member lost what it had acknowledged: its log took a damaged last
+		// write for a torn one. A late answer looks the same; then some entries
+		// are sent twice.
+		p.match = m.Index
+		p.marked = m.Index
+	}
 	n.resendLost(m.From, p)
 }
 
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -43,6 +43,7 @@
 	node    *Node
 	applied []string // commands in the order of application
 	joinIn  int
+	reads   []ReadState
 }
 
 // cluster runs hosts over a network that loses, repeats and reorders messages.
@@ -145,6 +146,7 @@
 			return
 		}
 		c.send(rd.After)
+		h.reads = append(h.reads, rd.Reads...)
 		if rd.Snapshot != nil {
 			h.restore(rd.Snapshot.Data)
 		}
--- a/internal/replica/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -14,10 +14,7 @@
 const payloadBytes = 256
 
 // countMachine only counts, so that the figures are those of the log.
-type countMachine struct {
-	adder
-	n uint64
-}
+type countMachine struct{ n uint64 }
 
 func (c *countMachine) Apply(uint64, []byte) any { c.n++; return nil }
 
--- a/internal/replica/disk_test.go
+++ b/internal/replica/disk_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -173,3 +175,51 @@
 	_, err = Open(cfg)
 	is.True(errors.As(err, &wrong))
 }
+
+// Guards against wrong answers to proposals while processes die and return at
+// random: an accepted entry is applied once, and one that was reported as not
+// applied never is. One voter has a disk; it and the others die at any time.
+func TestAnswersAreTrueUnderRandomDeaths(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	z := newZone(t, true, false, false).open()
+	rnd := rand.New(rand.NewPCG(20261203, 0))
+	accepted := map[uint64]bool{}
+	refused := map[uint64]bool{}
+	next := uint64(0)
+	for range 12 {
+		for end := time.Now().Add(150 * time.Millisecond); time.Now().Before(end); {
+			next++
+			d := z.daemons[z.specs[rnd.IntN(3)].Name]
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+			_, err := d.Propose(ctx, word(next))
+			cancel()
+			var uncertain *UncertainError
+			switch {
+			case err == nil:
+				accepted[next] = true
+			case !errors.As(err, &uncertain):
+				refused[next] = true
+			}
+		}
+		for _, s := range z.specs {
+			if rnd.IntN(2) == 0 {
+				z.kill(s.Name)
+				z.start(s.Name)
+			}
+		}
+	}
+	z.ready()
+	is.True(len(accepted) > 100)
+	for _, d := range z.daemons {
+		is.NoErr(d.ReadIndex(context.Background()))
+		times := map[uint64]int{}
+		for _, v := range d.sm.list {
+			times[v]++
+			is.True(!refused[v])
+		}
+		for v := range accepted {
+			is.Equal(times[v], 1)
+		}
+	}
+}
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 
 	"teaselpaddle.example/teaselpaddle/internal/raft"
+	"teaselpaddle.example/teaselpaddle/internal/telemetry"
 )
 
 // NotProposedError says that an entry was not proposed, so it is never applied.
@@ -45,7 +46,9 @@
 func (p *proposal) end(result any, err error) { p.done <- outcome{result: result, err: err} }
 
 // Propose implements Group. It also returns *NotProposedError if ctx ended or
-// the member stopped before the entry was proposed.
+// the member stopped before the entry was proposed, or if too many entries wait.
+// *NotLeaderError is also returned for an entry whose place in the log another
+// leader's entry has taken: it was not applied and never will be.
 func (r *Replica) Propose(ctx context.Context, entry []byte) (any, error) {
 	p := &proposal{entry: entry, done: make(chan outcome, 1)}
 	select {
@@ -84,7 +87,7 @@
 	}
 	for i, p := range batch {
 		if err != nil {
-			p.end(nil, r.notLeader(err))
+			p.end(nil, r.notProposed(err))
 			continue
 		}
 		p.term = term
@@ -92,7 +95,13 @@
 	}
 }
 
-func (r *Replica) notLeader(err error) error {
+// notProposed tells a caller why the core has appended nothing.
+func (r *Replica) notProposed(err error) error {
+	var busy *raft.BusyError
+	if errors.As(err, &busy) {
+		telemetry.Count(r.metric("busy"))
+		return &NotProposedError{Cause: err}
+	}
 	var nl *raft.NotLeaderError
 	if errors.As(err, &nl) && nl.Leader != r.id {
 		return &NotLeaderError{Leader: nl.Leader.Instance}
@@ -105,6 +114,7 @@
 func (r *Replica) applyAll(rd *raft.Ready) bool {
 	if rd.Snapshot != nil {
 		if err := r.restore(rd.Snapshot); err != nil {
+			r.applied = 0 // the state machine is in no defined state
 			r.storeFailed(err)
 			return false
 		}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -19,9 +19,10 @@
 // Group is one replicated group as seen from one instance.
 type Group interface {
 	// Propose replicates an entry and returns the result of applying it. It
-	// returns *NotLeaderError if this instance does not lead; the entry was not
-	// proposed then. It returns *UncertainError if the entry may or may not be
-	// applied later.
+	// returns *NotLeaderError if this instance does not lead, and
+	// *NotProposedError if the entry was not proposed for another reason; the
+	// entry was not applied then and never will be. It returns *UncertainError if
+	// the entry may or may not be applied later.
 	Propose(ctx context.Context, entry []byte) (any, error)
 	// ReadIndex returns once the local state machine holds everything that was
 	// committed when ReadIndex was called.
--- a/internal/replica/run.go
+++ b/internal/replica/run.go
@@ -45,6 +45,7 @@
 	store     store
 	lostState bool
 	initial   []byte // snapshot of the empty state machine
+	applied   uint64 // by the state machine
 	ticks     uint64
 	reopenAt  uint64
 	answers   map[string]answer
@@ -60,6 +61,8 @@
 	status Status
 }
 
+var _ Group = (*Replica)(nil)
+
 // Open starts a member. It returns *ConfigError, or an error of the store.
 func Open(cfg Config) (*Replica, error) {
 	if err := cfg.check(); err != nil {
@@ -94,12 +97,7 @@
 	if err != nil {
 		return err
 	}
-	if len(held.snapshot.Data) > 0 {
-		err = r.cfg.Machine.Restore(held.snapshot.Data)
-	} else if r.id != (raft.ID{}) {
-		err = r.cfg.Machine.Restore(r.initial)
-	}
-	if err != nil {
+	if err = r.prepareMachine(held); err != nil {
 		_ = st.close()
 		return err
 	}
@@ -111,12 +109,31 @@
 	r.node = raft.New(raft.Config{
 		ID: held.id, Disk: r.cfg.DataFolder != "",
 		ElectionTicks: r.cfg.ElectionTicks, HeartbeatTicks: r.cfg.HeartbeatTicks, Random: r.rnd.IntN,
-		HardState: held.hard, Snapshot: held.snapshot, Entries: held.entries,
+		HardState: held.hard, Snapshot: held.snapshot, Entries: held.entries, Applied: r.applied,
 	})
-	r.log.Info("member started", "member", r.id.String(), "last", r.node.Status().Last, "applied", held.snapshot.Index)
+	r.log.Info("member started", "member", r.id.String(), "last", r.node.Status().Last, "applied", r.applied)
 	return nil
 }
 
+// prepareMachine brings the state machine to what the log can go on from. After
+// a failed store it is ahead of the snapshot and stays as it is, so that readers
+// never see an older state.
+func (r *Replica) prepareMachine(held *stored) error {
+	last := held.snapshot.Index + uint64(len(held.entries))
+	if r.id == held.id && r.applied >= held.snapshot.Index && r.applied <= last {
+		return nil
+	}
+	fresh := r.id == raft.ID{}
+	r.applied = held.snapshot.Index
+	if len(held.snapshot.Data) > 0 {
+		return r.cfg.Machine.Restore(held.snapshot.Data)
+	}
+	if fresh {
+		return nil
+	}
+	return r.cfg.Machine.Restore(r.initial)
+}
+
 // Stop implements Group.
 func (r *Replica) Stop() {
 	r.stopOnce.Do(func() { close(r.stop) })
@@ -215,6 +232,7 @@
 			return
 		}
 		r.node.Advance()
+		r.applied = r.node.Status().Applied
 		r.finishReads(rd.Reads)
 	}
 	r.compact()
