--- a/internal/sched/cell/bind.go
+++ b/internal/sched/cell/bind.go
@@ -35,12 +35,8 @@
 
 // Reset drops all cells and reads the availability of the zone again.
 func (b *Binding) Reset() {
-	for i := range b.z.Workers {
-		b.left[i] = b.z.Workers[i].avail
-	}
-	for i := range b.z.Racks {
-		b.updateRack(i)
-	}
+	copy(b.left, b.z.avail)
+	copy(b.racks, b.z.racksLeft)
 }
 
 // Left returns the accelerators of a worker that are available and in no cell.
--- a/internal/sched/cell/zone.go
+++ b/internal/sched/cell/zone.go
@@ -50,6 +50,9 @@
 	Workers []Worker // by rack, then by name
 	Racks   []Rack   // by name; racks next to each other are neighbours
 	byName  map[string]int
+	// avail and racksLeft are what a Binding without cells has left.
+	avail     []int
+	racksLeft []rackLeft
 	// version changes with each change of what can be reclaimed.
 	version uint64
 	trial   trial
@@ -81,6 +84,8 @@
 		z.Racks[w.rack].Last = i + 1
 		w.update()
 	}
+	z.avail = make([]int, len(z.Workers))
+	z.racksLeft = make([]rackLeft, len(z.Racks))
 	for i := range z.Racks {
 		z.updateRack(i)
 	}
@@ -211,16 +216,23 @@
 func (z *Zone) updateRack(i int) {
 	r := &z.Racks[i]
 	r.free, r.freeMask, r.slots, r.reclaim = 0, 0, 0, 0
+	left := rackLeft{}
 	for k := r.First; k < r.Last; k++ {
 		w := &z.Workers[k]
+		z.avail[k] = w.avail
 		if !w.Usable {
 			continue
 		}
+		left.mask |= 1 << w.avail
+		if w.avail == w.Accelerators {
+			left.whole += w.avail
+		}
 		r.free += w.free
 		r.freeMask |= 1 << w.free
 		r.reclaim += w.Accelerators - w.hardAccel
 		r.slots += max(w.freeSlots, 0)
 	}
+	z.racksLeft[i] = left
 }
 
 // FreeAccelerators returns the number of free accelerators on usable workers.
--- a/internal/sched/policy/decide.go
+++ b/internal/sched/policy/decide.go
@@ -27,7 +27,7 @@
 	s       *State
 	now     time.Time
 	b       *bindings
-	starts  []*sched.Running // claims that this plan starts
+	starts  []*claimed // claims that this plan starts
 	waits   []pending
 	plan    sched.Plan
 	handled map[*sched.Waiting]bool
@@ -54,13 +54,12 @@
 	d := &decision{
 		s: s, now: now, b: s.bind(),
 		handled: map[*sched.Waiting]bool{}, gone: map[model.JobID]bool{},
-		holds: map[int]*hold{}, wanted: map[int]bool{}, failed: map[signature]bool{},
+		holds: map[int]*hold{}, failed: map[signature]bool{},
 	}
 	d.begin()
 	defer d.undo()
 	d.plan.Shortfalls = d.b.shortfalls()
 	d.reject()
-	d.want()
 	d.claims()
 	d.urgent()
 	d.reserve()
@@ -193,10 +192,12 @@
 			return true
 		}
 	}
-	if p := d.s.cells.Place(q); p != nil && d.start(w, p, nil) {
+	p := d.s.cells.Place(q)
+	if p != nil && d.start(w, p, nil) {
 		return true
 	}
-	if !closed && len(w.Avoid) == 0 {
+	// A place that would cost a shape its cell is not sought again either.
+	if p != nil || (!closed && len(w.Avoid) == 0) {
 		d.failed[sig] = true
 	}
 	return false
--- a/internal/sched/policy/guarantee.go
+++ b/internal/sched/policy/guarantee.go
@@ -68,7 +68,7 @@
 
 // bindWith computes the cells of all shapes. starts are claims that the running
 // attempts do not have yet; waits are those that wait for borrowers to leave.
-func (s *State) bindWith(starts []*sched.Running, waits []pending) *bindings {
+func (s *State) bindWith(starts []*claimed, waits []pending) *bindings {
 	b := &bindings{of: map[*customer][]*shape{}}
 	for _, c := range s.order {
 		for _, g := range c.guarantees {
@@ -180,21 +180,32 @@
 	}
 }
 
-// attach notes the shape that a running attempt uses: the one it claimed, or
-// else the smallest with room.
-func (s *State) attach(b *bindings, r *sched.Running) {
-	total := 0
-	var workers []int
+// claimed is an attempt in a guarantee with what it uses of its shape.
+type claimed struct {
+	*sched.Running
+	workers []int
+	total   int // accelerators, other resources counted by their share
+}
+
+func (s *State) claimedRun(r *sched.Running) *claimed {
+	c := &claimed{Running: r}
 	for i := range r.Placement {
 		k := s.cells.Index(r.Placement[i].Worker)
 		if k < 0 {
 			continue
 		}
-		total += s.cells.Workers[k].Charge(&r.Spec)
-		if !slices.Contains(workers, k) {
-			workers = append(workers, k)
+		c.total += s.cells.Workers[k].Charge(&r.Spec)
+		if !slices.Contains(c.workers, k) {
+			c.workers = append(c.workers, k)
 		}
 	}
+	return c
+}
+
+// attach notes the shape that a running attempt uses: the one it claimed, or
+// else the smallest with room.
+func (s *State) attach(b *bindings, r *claimed) {
+	workers, total := r.workers, r.total
 	var best *shape
 	for _, sh := range b.of[s.customer(r.Customer)] {
 		if r.Claim.Accelerators == sh.size && r.Claim.Number == sh.number {
@@ -221,6 +232,7 @@
 func (d *decision) claims() {
 	var jobs []*sched.Waiting
 	room := map[*customer]int{}
+	noRoom := map[ofCustomer]bool{}
 	for _, sh := range d.b.shapes {
 		room[sh.c] = max(room[sh.c], sh.size-sh.used)
 	}
@@ -234,8 +246,12 @@
 	slices.SortFunc(jobs, queue.Compare)
 	for _, w := range jobs {
 		c := d.s.customers[w.Spec.Customer]
-		if !c.OverQuota(w.Spec.TotalAccelerators()) && w.Spec.TotalAccelerators() <= d.room(c) {
-			d.claim(c, w)
+		key := ofCustomer{signatureOf(&w.Spec), c.Name}
+		if c.OverQuota(w.Spec.TotalAccelerators()) || w.Spec.TotalAccelerators() > d.room(c) || noRoom[key] {
+			continue
+		}
+		if d.claim(c, w); !d.handled[w] && len(w.Avoid) == 0 {
+			noRoom[key] = true
 		}
 	}
 }
@@ -362,6 +378,7 @@
 	if len(ch.Victims) > 0 && ch.Cost == 0 {
 		return ch // the borrowers are leaving already, so the cell stays the choice
 	}
+	d.want()
 	for _, sl := range ch.Slots {
 		if d.wanted[sl.Worker] {
 			ch.Cost += wantedCost
@@ -404,7 +421,7 @@
 	}
 	starts, waits := d.starts, d.waits
 	if r != nil {
-		starts = append(starts, r)
+		starts = append(starts, d.s.claimedRun(r))
 	}
 	if p != nil {
 		waits = append(waits, *p)
--- a/internal/sched/policy/reject.go
+++ b/internal/sched/policy/reject.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -75,21 +76,28 @@
 // startable reports whether a job that cannot be taken off would start if nothing
 // else ran: in a guaranteed shape of its customer or beside all guarantees.
 func (e *emptyZone) startable(w *sched.Waiting) bool {
-	key := ofCustomer{signatureOf(&w.Spec), w.Spec.Customer}
+	return !e.complete || e.startsAs(w, "") || e.startsAs(w, w.Spec.Customer)
+}
+
+// startsAs reports whether the job would start as one of the customer. The empty
+// name is a customer without guarantees; most jobs need no other answer.
+func (e *emptyZone) startsAs(w *sched.Waiting, customer string) bool {
+	key := ofCustomer{signatureOf(&w.Spec), customer}
 	ok, found := e.starts[key]
 	if !found {
-		ok = !e.complete || e.tryStart(w)
+		ok = e.tryStart(w, customer)
 		e.starts[key] = ok
 	}
 	return ok
 }
 
-func (e *emptyZone) tryStart(w *sched.Waiting) bool {
+func (e *emptyZone) tryStart(w *sched.Waiting, customer string) bool {
 	if e.state == nil {
 		e.state = NewState(e.zone, e.cfg, e.workers, sched.Rules{})
 		e.state.trial = true
 	}
 	alone := sched.Waiting{ID: w.ID, Spec: w.Spec}
+	alone.Spec.Customer = customer
 	e.state.AddWaiting(&alone)
 	defer e.state.RemoveWaiting(w.ID)
 	return len(e.state.Decide(time.Time{}).Starts) == 1
@@ -136,14 +144,23 @@
 	if d.s.trial {
 		return
 	}
-	for _, c := range d.s.order {
-		for _, w := range c.Jobs {
-			if reason := d.refusal(c, w); reason != "" {
-				d.handled[w] = true
-				d.plan.Rejections = append(d.plan.Rejections, sched.Rejection{ID: w.ID, Reason: reason})
-			}
+	refused := map[*sched.Waiting]model.Reason{}
+	check := func(w *sched.Waiting) bool {
+		reason := d.refusal(d.s.customers[w.Spec.Customer], w)
+		if reason != "" {
+			refused[w] = reason
 		}
+		return reason != ""
+	}
+	d.s.fresh = slices.DeleteFunc(d.s.fresh, func(w *sched.Waiting) bool { return !check(w) })
+	for w := range d.s.deadlines {
+		check(w)
+	}
+	for w, reason := range refused {
+		d.handled[w] = true
+		d.plan.Rejections = append(d.plan.Rejections, sched.Rejection{ID: w.ID, Reason: reason})
 	}
+	slices.SortFunc(d.plan.Rejections, func(a, b sched.Rejection) int { return strings.Compare(string(a.ID), string(b.ID)) })
 }
 
 func (d *decision) refusal(c *customer, w *sched.Waiting) model.Reason {
--- a/internal/sched/policy/reserve.go
+++ b/internal/sched/policy/reserve.go
@@ -22,7 +22,7 @@
 	basePatience = 60 * time.Second
 	// maxRegions is the number of racks that are compared for one job; those with
 	// the most free accelerators.
-	maxRegions = 32
+	maxRegions = 8
 )
 
 // never is the time at which cells become free that no estimate covers.
@@ -129,9 +129,14 @@
 	return d.now.Sub(r.StartedAt) > max(estimate.Of(&r.Spec, d.correction(r.Customer)).High, minOverTime)
 }
 
-// want notes the workers that the oldest blocked jobs are about to get.
+// want notes the workers that the oldest blocked jobs are about to get, once in a
+// decision.
 func (d *decision) want() {
-	if d.s.rules.NoReservation || d.s.rules.NoWanted || len(d.b.shapes) == 0 {
+	if d.wanted != nil {
+		return
+	}
+	d.wanted = map[int]bool{}
+	if d.s.rules.NoReservation || d.s.rules.NoWanted {
 		return
 	}
 	for _, w := range firstN(d.oldest(), maxHolders) {
--- a/internal/sched/policy/state.go
+++ b/internal/sched/policy/state.go
@@ -37,10 +37,12 @@
 
 	runs    map[model.JobID]*sched.Running
 	on      [][]preempt.Held // by worker index, in order of attempts
-	claimed []*sched.Running // attempts in a guarantee, in order
+	claimed []*claimed       // attempts in a guarantee, in order
 	overMem map[model.JobID]*sched.Running
 
 	waiting   map[model.JobID]*sched.Waiting
+	fresh     []*sched.Waiting // not yet checked, or found to be refused
+	deadlines map[*sched.Waiting]bool
 	customers map[string]*customer
 	order     []*customer // by name
 
@@ -63,7 +65,7 @@
 	s := &State{
 		zone: zone, rules: rules,
 		runs: map[model.JobID]*sched.Running{}, waiting: map[model.JobID]*sched.Waiting{},
-		overMem: map[model.JobID]*sched.Running{}, customers: map[string]*customer{},
+		overMem: map[model.JobID]*sched.Running{}, deadlines: map[*sched.Waiting]bool{}, customers: map[string]*customer{},
 	}
 	s.workers = slices.Clone(workers)
 	s.setConfig(cfg)
@@ -90,7 +92,7 @@
 // SetConfig puts another configuration into force.
 func (s *State) SetConfig(cfg *model.Configuration) {
 	s.setConfig(cfg)
-	s.empty = newEmptyZone(s)
+	s.recheck()
 	s.bindings = nil
 }
 
@@ -167,7 +169,7 @@
 // rebuild makes the cells anew from the workers and the running attempts.
 func (s *State) rebuild() {
 	s.cells = cell.NewZone(s.workers)
-	s.empty = newEmptyZone(s)
+	s.recheck()
 	s.bindings = nil
 	s.largest = 1
 	for i := range s.workers {
@@ -177,12 +179,15 @@
 	for _, r := range s.runs {
 		s.hold(r)
 	}
+	for i, c := range s.claimed {
+		s.claimed[i] = s.claimedRun(c.Running)
+	}
 }
 
 // AddWaiting puts a job into its customer's queue.
 func (s *State) AddWaiting(w *sched.Waiting) {
 	if s.waiting[w.ID] == nil {
-		s.waiting[w.ID] = w
+		s.note(w)
 		s.customer(w.Spec.Customer).Insert(w)
 	}
 }
@@ -190,16 +195,36 @@
 // addWaiting leaves the order of the queue to the caller.
 func (s *State) addWaiting(w *sched.Waiting) {
 	if s.waiting[w.ID] == nil {
-		s.waiting[w.ID] = w
+		s.note(w)
 		c := s.customer(w.Spec.Customer)
 		c.Jobs = append(c.Jobs, w)
 	}
 }
 
+// note registers a waiting job.
+func (s *State) note(w *sched.Waiting) {
+	s.waiting[w.ID] = w
+	s.fresh = append(s.fresh, w)
+	if !w.Spec.Deadline.IsZero() {
+		s.deadlines[w] = true
+	}
+}
+
+// recheck lets the next decision check all waiting jobs again.
+func (s *State) recheck() {
+	s.empty = newEmptyZone(s)
+	s.fresh = s.fresh[:0]
+	for _, c := range s.order {
+		s.fresh = append(s.fresh, c.Jobs...)
+	}
+}
+
 // RemoveWaiting takes a job out of its queue.
 func (s *State) RemoveWaiting(id model.JobID) {
 	if w := s.waiting[id]; w != nil {
 		delete(s.waiting, id)
+		delete(s.deadlines, w)
+		s.fresh = slices.DeleteFunc(s.fresh, func(o *sched.Waiting) bool { return o == w })
 		s.customer(w.Spec.Customer).Remove(w)
 	}
 }
@@ -212,8 +237,8 @@
 	s.hold(r)
 	s.count(r, 1)
 	if !r.Borrowed {
-		i, _ := slices.BinarySearchFunc(s.claimed, r, compareRuns)
-		s.claimed = slices.Insert(s.claimed, i, r)
+		i, _ := slices.BinarySearchFunc(s.claimed, r, func(c *claimed, r *sched.Running) int { return compareRuns(c.Running, r) })
+		s.claimed = slices.Insert(s.claimed, i, s.claimedRun(r))
 		s.bindings = nil
 	}
 	if r.UsedMemoryMiB > r.Spec.MemoryMiB {
@@ -238,7 +263,7 @@
 		}
 	}
 	if !r.Borrowed {
-		s.claimed = slices.DeleteFunc(s.claimed, func(o *sched.Running) bool { return o == r })
+		s.claimed = slices.DeleteFunc(s.claimed, func(c *claimed) bool { return c.Running == r })
 		s.bindings = nil
 	}
 }
