Shorten searches in a decision

Cause: one decision at full size took p50 1.9 ms and p99 4.9 ms. Change: exact fits end a search, four racks are compared for one blocked job, and holds are looked at only for a place that was found.

--- a/internal/sched/cell/bind.go
+++ b/internal/sched/cell/bind.go
@@ -104,6 +104,9 @@
 		if n := bits.TrailingZeros64(m); n < bestLeft {
 			best, bestLeft = i, n
 		}
+		if bestLeft == size {
+			break
+		}
 	}
 	if best < 0 {
 		return nil
@@ -123,6 +126,9 @@
 		if b.racks[i].whole >= size && (best < 0 || b.racks[i].whole < b.racks[best].whole) {
 			best = i
 		}
+		if best >= 0 && b.racks[best].whole == size {
+			break
+		}
 	}
 	if best < 0 {
 		return nil
--- a/internal/sched/policy/decide.go
+++ b/internal/sched/policy/decide.go
@@ -36,6 +36,7 @@
 	wanted  map[int]bool         // workers that the oldest blocked jobs are about to get
 	failed  map[signature]bool
 	counts  []queue.Customer
+	ends    []end // reused
 }
 
 // signature is all that decides where a job fits.
@@ -180,29 +181,41 @@
 		return false
 	}
 	q := d.request(w)
-	closed := false
-	if len(d.holds) > 0 {
-		times := estimate.Of(&w.Spec, d.correction(w.Spec.Customer))
-		q.Closed = func(k int) bool {
-			h := d.holds[k]
-			if h == nil || h.admits(w, d.now.Add(times.High)) {
-				return false
-			}
-			closed = true
-			return true
-		}
-	}
 	p := d.s.cells.Place(q)
+	held := p != nil && d.touchesHold(w, p)
+	if held {
+		q.Closed = func(k int) bool { return d.closed(w, k) }
+		p = d.s.cells.Place(q)
+	}
 	if p != nil && d.start(w, p, nil) {
 		return true
 	}
 	// A place that would cost a shape its cell is not sought again either.
-	if p != nil || (!closed && len(w.Avoid) == 0) {
+	if p != nil || (!held && len(w.Avoid) == 0) {
 		d.failed[sig] = true
 	}
 	return false
 }
 
+// closed reports whether a worker is held for another job that this one could
+// delay.
+func (d *decision) closed(w *sched.Waiting, k int) bool {
+	h := d.holds[k]
+	if h == nil {
+		return false
+	}
+	return !h.admits(w, d.now.Add(estimate.Of(&w.Spec, d.correction(w.Spec.Customer)).High))
+}
+
+func (d *decision) touchesHold(w *sched.Waiting, p []model.TaskPlacement) bool {
+	if len(d.holds) == 0 {
+		return false
+	}
+	return slices.ContainsFunc(p, func(t model.TaskPlacement) bool {
+		return d.closed(w, d.s.cells.Index(t.Worker))
+	})
+}
+
 func (d *decision) correction(customer string) sched.Correction {
 	if d.s.rules.NoCorrection {
 		return sched.Correction{}
--- a/internal/sched/policy/guarantee.go
+++ b/internal/sched/policy/guarantee.go
@@ -69,15 +69,7 @@
 // bindWith computes the cells of all shapes. starts are claims that the running
 // attempts do not have yet; waits are those that wait for borrowers to leave.
 func (s *State) bindWith(starts []*claimed, waits []pending) *bindings {
-	b := &bindings{of: map[*customer][]*shape{}}
-	for _, c := range s.order {
-		for _, g := range c.guarantees {
-			b.add(c, g)
-		}
-	}
-	for _, r := range s.claimed {
-		s.attach(b, r)
-	}
+	b := s.shapes()
 	for _, r := range starts {
 		s.attach(b, r)
 	}
@@ -117,6 +109,31 @@
 	return b
 }
 
+// shapes returns the shapes with what the running attempts use of them, without
+// cells.
+func (s *State) shapes() *bindings {
+	if s.base == nil {
+		s.base = &bindings{of: map[*customer][]*shape{}}
+		for _, c := range s.order {
+			for _, g := range c.guarantees {
+				s.base.add(c, g)
+			}
+		}
+		for _, r := range s.claimed {
+			s.attach(s.base, r)
+		}
+	}
+	all := make([]shape, len(s.base.shapes))
+	b := &bindings{shapes: make([]*shape, len(all)), of: make(map[*customer][]*shape, len(s.base.of))}
+	for i, sh := range s.base.shapes {
+		all[i] = *sh
+		all[i].workers = slices.Clip(sh.workers)
+		b.shapes[i] = &all[i]
+		b.of[sh.c] = append(b.of[sh.c], &all[i])
+	}
+	return b
+}
+
 // assign gives each shape a cell, in the order of the shapes.
 func (b *bindings) assign(waits []pending) {
 	b.cells.Reset()
--- a/internal/sched/policy/reserve.go
+++ b/internal/sched/policy/reserve.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"teaselpaddle.example/teaselpaddle/internal/sched"
+	"teaselpaddle.example/teaselpaddle/internal/sched/cell"
 	"teaselpaddle.example/teaselpaddle/internal/sched/estimate"
 	"teaselpaddle.example/teaselpaddle/internal/sched/preempt"
 	"teaselpaddle.example/teaselpaddle/internal/sched/queue"
@@ -22,7 +23,7 @@
 	basePatience = 60 * time.Second
 	// maxRegions is the number of racks that are compared for one job; those with
 	// the most free accelerators.
-	maxRegions = 8
+	maxRegions = 4
 )
 
 // never is the time at which cells become free that no estimate covers.
@@ -166,10 +167,7 @@
 			starts = append(starts, i)
 		}
 	}
-	if len(starts) > maxRegions {
-		slices.SortStableFunc(starts, func(a, b int) int { return cmp.Compare(z.Racks[b].Free(), z.Racks[a].Free()) })
-		starts = starts[:maxRegions]
-	}
+	starts = mostFree(z, starts)
 	out := make([][]int, 0, len(starts))
 	avoid := d.s.empty.avoid(w)
 	for _, i := range starts {
@@ -184,6 +182,27 @@
 	return out
 }
 
+// mostFree returns the maxRegions racks with the most free accelerators.
+func mostFree(z *cell.Zone, starts []int) []int {
+	if len(starts) <= maxRegions {
+		return starts
+	}
+	best := make([]int, 0, maxRegions+1)
+	for _, i := range starts {
+		at, _ := slices.BinarySearchFunc(best, i, func(a, b int) int {
+			if c := cmp.Compare(z.Racks[b].Free(), z.Racks[a].Free()); c != 0 {
+				return c
+			}
+			return cmp.Compare(a, b)
+		})
+		if at < maxRegions {
+			best = slices.Insert(best, at, i)
+			best = best[:min(len(best), maxRegions)]
+		}
+	}
+	return best
+}
+
 // limit is the number of tasks that may go to a worker.
 func (d *decision) limit(w *sched.Waiting, k int) int {
 	n := min(d.s.cells.Workers[k].EmptyTasks(&w.Spec), w.Spec.Tasks)
@@ -221,8 +240,9 @@
 func (d *decision) clearing(w *sched.Waiting, allowed func(*sched.Running) bool) ([]int, time.Time) {
 	var best []ready
 	at := never
+	var all []ready
 	for _, r := range d.regions(w) {
-		var all []ready
+		all = all[:0]
 		for _, k := range r {
 			all = d.readyTimes(all, w, k, allowed)
 		}
@@ -231,7 +251,7 @@
 		}
 		slices.SortStableFunc(all, func(a, b ready) int { return a.at.Compare(b.at) })
 		if t := all[w.Spec.Tasks-1].at; t.Before(at) {
-			best, at = all[:w.Spec.Tasks], t
+			best, at = append(best[:0], all[:w.Spec.Tasks]...), t
 		}
 	}
 	var workers []int
@@ -243,22 +263,25 @@
 	return workers, at
 }
 
+// end is what an attempt holds on a worker and when it is expected to leave.
+type end struct {
+	preempt.Held
+	at time.Time
+}
+
 // readyTimes adds, for each task that a worker can hold, when it has room.
 func (d *decision) readyTimes(out []ready, w *sched.Waiting, k int, allowed func(*sched.Running) bool) []ready {
 	limit := d.limit(w, k)
 	if limit == 0 {
 		return out
 	}
-	type end struct {
-		preempt.Held
-		at time.Time
-	}
-	var ends []end
+	ends := d.ends[:0]
 	for _, h := range d.s.on[k] {
 		if at := d.expectedEnd(h.Run, allowed); at.Before(never) {
 			ends = append(ends, end{h, at})
 		}
 	}
+	d.ends = ends
 	slices.SortFunc(ends, func(a, b end) int {
 		if c := a.at.Compare(b.at); c != 0 {
 			return c
--- a/internal/sched/policy/state.go
+++ b/internal/sched/policy/state.go
@@ -48,6 +48,7 @@
 
 	policy    model.Policy // of the service with the most say, see setConfig
 	bound     time.Duration
+	base      *bindings // shapes and their use, without cells
 	bindings  *bindings
 	bindingOf uint64 // version of the cells that bindings belongs to
 	largest   int    // accelerators of the largest worker
@@ -93,7 +94,7 @@
 func (s *State) SetConfig(cfg *model.Configuration) {
 	s.setConfig(cfg)
 	s.recheck()
-	s.bindings = nil
+	s.unbind()
 }
 
 func (s *State) setConfig(cfg *model.Configuration) {
@@ -170,7 +171,7 @@
 func (s *State) rebuild() {
 	s.cells = cell.NewZone(s.workers)
 	s.recheck()
-	s.bindings = nil
+	s.unbind()
 	s.largest = 1
 	for i := range s.workers {
 		s.largest = max(s.largest, s.workers[i].Accelerators)
@@ -239,7 +240,7 @@
 	if !r.Borrowed {
 		i, _ := slices.BinarySearchFunc(s.claimed, r, func(c *claimed, r *sched.Running) int { return compareRuns(c.Running, r) })
 		s.claimed = slices.Insert(s.claimed, i, s.claimedRun(r))
-		s.bindings = nil
+		s.unbind()
 	}
 	if r.UsedMemoryMiB > r.Spec.MemoryMiB {
 		s.overMem[r.ID] = r
@@ -264,7 +265,7 @@
 	}
 	if !r.Borrowed {
 		s.claimed = slices.DeleteFunc(s.claimed, func(c *claimed) bool { return c.Running == r })
-		s.bindings = nil
+		s.unbind()
 	}
 }
 
@@ -294,6 +295,9 @@
 	}
 }
 
+// unbind lets the next decision compute the cells of the guarantees anew.
+func (s *State) unbind() { s.base, s.bindings = nil, nil }
+
 // SetEstimates replaces the corrections of declared run times.
 func (s *State) SetEstimates(e map[string]sched.Correction) { s.estimates = e }
 
--- a/internal/sched/preempt/preempt.go
+++ b/internal/sched/preempt/preempt.go
@@ -3,6 +3,7 @@
 package preempt
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -15,6 +16,7 @@
 type Held struct {
 	Run    *sched.Running
 	Amount cell.Amount
+	price  float64 // cost per accelerator
 }
 
 // Place is a worker with the largest number of tasks that may go there.
@@ -79,23 +81,15 @@
 	var out []Held
 	for _, h := range f.On(worker) {
 		if f.Allowed(h.Run) {
+			h.price = f.Cost(h.Run) / float64(h.Amount.Accelerators+1)
 			out = append(out, h)
 		}
 	}
 	slices.SortFunc(out, func(a, b Held) int {
-		x := f.Cost(a.Run) / float64(a.Amount.Accelerators+1)
-		y := f.Cost(b.Run) / float64(b.Amount.Accelerators+1)
-		switch {
-		case x < y:
-			return -1
-		case x > y:
-			return 1
-		case a.Run.ID < b.Run.ID:
-			return -1
-		case a.Run.ID > b.Run.ID:
-			return 1
+		if c := cmp.Compare(a.price, b.price); c != 0 {
+			return c
 		}
-		return 0
+		return cmp.Compare(a.Run.ID, b.Run.ID)
 	})
 	return out
 }
@@ -151,13 +145,7 @@
 func (f *Finder) prune(s *model.JobSpec, spots []spot, c *Choice) {
 	order := slices.Clone(c.Victims)
 	slices.SortStableFunc(order, func(a, b *sched.Running) int {
-		switch x, y := f.Cost(a), f.Cost(b); {
-		case x > y:
-			return -1
-		case x < y:
-			return 1
-		}
-		return 0
+		return cmp.Compare(f.Cost(b), f.Cost(a))
 	})
 	for _, v := range order {
 		rest := slices.DeleteFunc(slices.Clone(c.Victims), func(r *sched.Running) bool { return r == v })
