--- a/internal/replay/driver.go
+++ b/internal/replay/driver.go
@@ -416,7 +416,7 @@
 			continue
 		}
 		r := *j.run
-		r.Stopping = true
+		r.Stopping, r.StoppingFor = true, v.For
 		d.setRun(j, r)
 		d.after(v.Bound, timer{kind: timerStopped, job: j, attempt: j.attempt})
 		d.m.preemptions++
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"slices"
+	"sync"
 
 	"github.com/juju/errors"
 	"github.com/tailscale/hujson"
@@ -69,6 +70,40 @@
 	if err := o.load(); err != nil {
 		return nil, err
 	}
+	total, zones := o.replay()
+	return total.report(zones), nil
+}
+
+// RunAll replays several traces, at most parallel at the same time, and reports
+// on all of them together.
+func RunAll(traces [][]Event, o Options, parallel int) (*Report, error) {
+	if err := o.load(); err != nil {
+		return nil, err
+	}
+	results := make([]*measures, len(traces))
+	zones := 0
+	free := make(chan struct{}, parallel)
+	var wg sync.WaitGroup
+	for i := range traces {
+		zones = max(zones, len(zonesOf(traces[i])))
+		wg.Go(func() {
+			free <- struct{}{}
+			defer func() { <-free }()
+			own := o
+			own.Events = traces[i]
+			results[i], _ = own.replay()
+		})
+	}
+	wg.Wait()
+	total := newMeasures()
+	for _, m := range results {
+		total.merge(m)
+	}
+	return total.report(zones), nil
+}
+
+// replay replays the events zone by zone.
+func (o *Options) replay() (*measures, int) {
 	events := attachReports(o.Events)
 	total := newMeasures()
 	zones := zonesOf(events)
@@ -79,15 +114,15 @@
 				own = append(own, events[i])
 			}
 		}
-		d := newDriver(&o, z)
+		d := newDriver(o, z)
 		d.run(own)
 		total.merge(d.m)
 	}
-	return total.report(len(zones)), nil
+	return total, len(zones)
 }
 
 func (o *Options) load() error {
-	if o.Events == nil {
+	if o.Events == nil && o.TracePath != "" {
 		f, err := os.Open(o.TracePath)
 		if err != nil {
 			return errors.Trace(err)
--- a/internal/sched/policy/decide.go
+++ b/internal/sched/policy/decide.go
@@ -33,10 +33,10 @@
 	handled map[*sched.Waiting]bool
 	gone    map[model.JobID]bool // attempts taken off for a job of this plan
 	holds   map[int]*hold        // by worker
-	wanted  map[int]bool         // workers that the oldest blocked jobs are about to get
 	failed  map[signature]bool
 	counts  []queue.Customer
 	ends    []end // reused
+	likely  []int // racks
 }
 
 // signature is all that decides where a job fits.
@@ -138,21 +138,23 @@
 	}
 }
 
-func (d *decision) finder(allowed func(*sched.Running) bool) *preempt.Finder {
+func (d *decision) finder(w *sched.Waiting, allowed func(*sched.Running) bool) *preempt.Finder {
 	return &preempt.Finder{
 		Zone: d.s.cells,
 		On:   func(k int) []preempt.Held { return d.s.on[k] },
 		Allowed: func(r *sched.Running) bool {
 			return !d.gone[r.ID] && allowed(r)
 		},
-		Cost: d.cost,
+		Cost: func(r *sched.Running) float64 { return d.cost(r, w.ID) },
 	}
 }
 
 // cost is the price of taking an attempt off, in accelerator seconds: what it
-// has done since its start could be lost if the checkpoint fails.
-func (d *decision) cost(r *sched.Running) float64 {
-	if r.Stopping {
+// has done since its start could be lost if the checkpoint fails. An attempt that
+// stops for the job already costs nothing, so that the job keeps its choice; one
+// that stops for another job costs as much as if it did not stop.
+func (d *decision) cost(r *sched.Running, job model.JobID) float64 {
+	if r.Stopping && (r.StoppingFor == job || r.StoppingFor == "") {
 		return 0
 	}
 	seconds := restartSeconds + max(d.now.Sub(r.StartedAt).Seconds(), 0)
--- a/internal/sched/policy/guarantee.go
+++ b/internal/sched/policy/guarantee.go
@@ -12,13 +12,9 @@
 	"teaselpaddle.example/teaselpaddle/internal/sched/queue"
 )
 
-// otherCells is how many cells beside the bound ones are compared in a reclaim.
-const otherCells = 8
-
-// wantedCost keeps guaranteed jobs off the workers that a blocked job is about
-// to get, while their shape has another cell: they would block a whole rack for
-// as long as they run. It outweighs any borrower.
-const wantedCost = 1e7
+// otherRacks is the number of racks in which cells are compared in a reclaim,
+// beside those where borrowers are leaving.
+const otherRacks = 8
 
 // shape is one guaranteed shape of a customer. An unused shape has a cell that
 // it could be bound to; a used one has the rest of its cell.
@@ -295,25 +291,12 @@
 		}
 		return (a.size - a.used) - (b.size - b.used)
 	})
-	var best *shape
-	var room *preempt.Choice
-	tried := map[int]bool{} // sizes of unused shapes
-	for _, sh := range shapes {
-		unused := len(sh.workers) == 0
-		if sh.size-sh.used < total || (unused && tried[sh.size]) || (room != nil && room.Cost == 0) {
-			continue
-		}
-		tried[sh.size] = tried[sh.size] || unused
-		if ch := d.chooseCell(sh, w); ch != nil && (room == nil || ch.Cost < room.Cost) {
-			best, room = sh, ch
+	for _, strict := range []bool{false, true} {
+		sh, room := d.bestShape(shapes, w, strict)
+		if room == nil || d.occupy(sh, w, room) {
+			return
 		}
 	}
-	if room != nil && room.Cost >= wantedCost && d.outside(w) {
-		return
-	}
-	if room != nil && d.occupy(best, w, room) {
-		return
-	}
 	for _, sh := range shapes {
 		if sh.size-sh.used < total {
 			continue
@@ -324,25 +307,28 @@
 	}
 }
 
-// outside starts a job as a borrower beside the workers that blocked jobs are
-// about to get. Its shape stays unused, so the job starts again there at once if
-// it is taken off.
-func (d *decision) outside(w *sched.Waiting) bool {
-	if !w.Spec.Repeatable {
-		return false
+// bestShape returns the shape in which a job costs least, and the room there.
+func (d *decision) bestShape(shapes []*shape, w *sched.Waiting, strict bool) (*shape, *preempt.Choice) {
+	var best *shape
+	var room *preempt.Choice
+	tried := map[int]bool{} // sizes of unused shapes
+	for _, sh := range shapes {
+		unused := len(sh.workers) == 0
+		if sh.size-sh.used < w.Spec.TotalAccelerators() || (unused && tried[sh.size]) || (room != nil && room.Cost == 0) {
+			continue
+		}
+		tried[sh.size] = tried[sh.size] || unused
+		if ch := d.chooseCell(sh, w, strict); ch != nil && (room == nil || ch.Cost < room.Cost) {
+			best, room = sh, ch
+		}
 	}
-	q := d.request(w)
-	q.Closed = func(k int) bool { return d.wanted[k] }
-	p := d.s.cells.Place(q)
-	return p != nil && d.start(w, p, nil)
+	return best, room
 }
 
 // chooseCell returns the cheapest room for a job in a shape. An unused shape may
 // be bound to any cell: its own, that of another unused shape of the same size,
-// or a cell that no shape needs. The rest of a used shape may move to a cell that
-// no shape needs; otherwise a shape that always has some job in it would keep its
-// rack for ever.
-func (d *decision) chooseCell(sh *shape, w *sched.Waiting) *preempt.Choice {
+// or one that no shape needs.
+func (d *decision) chooseCell(sh *shape, w *sched.Waiting, strict bool) *preempt.Choice {
 	own := d.inCell(sh.cell, w, math.Inf(1))
 	if d.s.rules.NoCheapest || (own != nil && own.Cost == 0) {
 		return own
@@ -362,19 +348,60 @@
 			better(o.cell)
 		}
 	}
-	var others []cell.Cell
-	for len(others) < otherCells && (best == nil || best.Cost > 0) {
-		c := d.b.cells.Bind(sh.size - sh.used)
-		if c == nil {
-			break
+	d.inRacks(sh, strict, better)
+	return best
+}
+
+// inRacks offers the room of a shape in other racks: those where borrowers are
+// leaving already, so that a choice made before stays the choice, and those with
+// the most free accelerators. If strict, the present cells of other shapes are
+// left out; otherwise they may have to move.
+func (d *decision) inRacks(sh *shape, strict bool, offer func(cell.Cell)) {
+	extra := map[int]int{}
+	for _, p := range sh.cell {
+		extra[p.Worker] = p.Count
+	}
+	for i := range d.waits {
+		for _, p := range d.waits[i].cell {
+			extra[p.Worker] -= p.Count
+		}
+	}
+	z := d.s.cells
+	for _, i := range d.likelyRacks() {
+		var c cell.Cell
+		for k := z.Racks[i].First; k < z.Racks[i].Last; k++ {
+			n := z.Workers[k].Avail() + min(extra[k], 0)
+			if strict {
+				n = d.b.cells.Left(k) + max(extra[k], 0)
+			}
+			if n > 0 {
+				c = append(c, cell.Part{Worker: k, Count: n})
+			}
 		}
-		others = append(others, c)
-		better(c)
+		offer(c)
 	}
-	for _, c := range others {
-		d.b.cells.Drop(c)
+}
+
+// likelyRacks returns the racks that are compared in a reclaim.
+func (d *decision) likelyRacks() []int {
+	if d.likely != nil {
+		return d.likely
+	}
+	all := make([]int, len(d.s.cells.Racks))
+	for i := range all {
+		all[i] = i
+	}
+	d.likely = slices.Clone(mostFree(d.s.cells, all, otherRacks))
+	for _, r := range d.s.stopping {
+		for i := range r.Placement {
+			if k := d.s.cells.Index(r.Placement[i].Worker); k >= 0 {
+				d.likely = append(d.likely, d.s.cells.Workers[k].RackIndex())
+			}
+		}
 	}
-	return best
+	slices.Sort(d.likely)
+	d.likely = slices.Compact(d.likely)
+	return d.likely
 }
 
 // inCell returns the cheapest room for a job in a cell, or nil.
@@ -388,20 +415,7 @@
 		}
 		places = append(places, preempt.Place{Worker: p.Worker, Limit: p.Count / max(wk.Charge(&w.Spec), 1)})
 	}
-	ch := d.finder(func(r *sched.Running) bool { return r.Preemptible() }).Find(&w.Spec, places, limit)
-	if ch == nil {
-		return nil
-	}
-	if len(ch.Victims) > 0 && ch.Cost == 0 {
-		return ch // the borrowers are leaving already, so the cell stays the choice
-	}
-	d.want()
-	for _, sl := range ch.Slots {
-		if d.wanted[sl.Worker] {
-			ch.Cost += wantedCost
-		}
-	}
-	return ch
+	return d.finder(w, func(r *sched.Running) bool { return r.Preemptible() }).Find(&w.Spec, places, limit)
 }
 
 // occupy uses a part of a shape for a job: at once, or when the borrowers have
--- a/internal/sched/policy/overuse.go
+++ b/internal/sched/policy/overuse.go
@@ -67,7 +67,7 @@
 }
 
 // overMemory throttles and then stops attempts over their declared memory on
-// workers that they share with others.
+// workers whose memory that makes short for the others.
 func (d *decision) overMemory() {
 	if d.s.rules.NoOveruse || len(d.s.overMem) == 0 {
 		return
@@ -78,7 +78,7 @@
 	}
 	slices.SortFunc(rs, compareRuns)
 	for _, r := range rs {
-		if r.Stopping || r.Spec.MemoryMiB == 0 || !d.shares(r) {
+		if r.Stopping || r.Spec.MemoryMiB == 0 || !d.short(r) {
 			continue
 		}
 		percent := r.UsedMemoryMiB * 100 / r.Spec.MemoryMiB
@@ -91,10 +91,19 @@
 	}
 }
 
-// shares reports whether another attempt runs on a worker of r.
-func (d *decision) shares(r *sched.Running) bool {
+// short reports whether a worker of r that others use too has less memory than
+// its attempts use or have declared.
+func (d *decision) short(r *sched.Running) bool {
 	for i := range r.Placement {
-		if k := d.s.cells.Index(r.Placement[i].Worker); k >= 0 && len(d.s.on[k]) > 1 {
+		k := d.s.cells.Index(r.Placement[i].Worker)
+		if k < 0 || len(d.s.on[k]) < 2 {
+			continue
+		}
+		sum := 0
+		for _, h := range d.s.on[k] {
+			sum += max(h.Amount.MemoryMiB, h.Amount.Slots*h.Run.UsedMemoryMiB)
+		}
+		if sum > d.s.cells.Workers[k].MemoryMiB {
 			return true
 		}
 	}
--- a/internal/sched/policy/reserve.go
+++ b/internal/sched/policy/reserve.go
@@ -130,29 +130,6 @@
 	return d.now.Sub(r.StartedAt) > max(estimate.Of(&r.Spec, d.correction(r.Customer)).High, minOverTime)
 }
 
-// want notes the workers that the oldest blocked jobs are about to get, once in a
-// decision.
-func (d *decision) want() {
-	if d.wanted != nil {
-		return
-	}
-	d.wanted = map[int]bool{}
-	if d.s.rules.NoReservation || d.s.rules.NoWanted {
-		return
-	}
-	for _, w := range firstN(d.oldest(), maxHolders) {
-		if d.s.cells.Place(d.request(w)) != nil {
-			continue
-		}
-		workers, _ := d.clearing(w, d.yielding(w))
-		for _, k := range workers {
-			d.wanted[k] = true
-		}
-	}
-}
-
-func firstN[T any](v []T, n int) []T { return v[:min(n, len(v))] }
-
 // regions returns the sets of workers that a job may be spread over.
 func (d *decision) regions(w *sched.Waiting) [][]int {
 	z := d.s.cells
@@ -167,7 +144,7 @@
 			starts = append(starts, i)
 		}
 	}
-	starts = mostFree(z, starts)
+	starts = mostFree(z, starts, maxRegions)
 	out := make([][]int, 0, len(starts))
 	avoid := d.s.empty.avoid(w)
 	for _, i := range starts {
@@ -182,12 +159,12 @@
 	return out
 }
 
-// mostFree returns the maxRegions racks with the most free accelerators.
-func mostFree(z *cell.Zone, starts []int) []int {
-	if len(starts) <= maxRegions {
+// mostFree returns the n racks with the most free accelerators.
+func mostFree(z *cell.Zone, starts []int, n int) []int {
+	if len(starts) <= n {
 		return starts
 	}
-	best := make([]int, 0, maxRegions+1)
+	best := make([]int, 0, n+1)
 	for _, i := range starts {
 		at, _ := slices.BinarySearchFunc(best, i, func(a, b int) int {
 			if c := cmp.Compare(z.Racks[b].Free(), z.Racks[a].Free()); c != 0 {
@@ -195,9 +172,9 @@
 			}
 			return cmp.Compare(a, b)
 		})
-		if at < maxRegions {
+		if at < n {
 			best = slices.Insert(best, at, i)
-			best = best[:min(len(best), maxRegions)]
+			best = best[:min(len(best), n)]
 		}
 	}
 	return best
@@ -215,7 +192,7 @@
 // roomFor returns the cheapest way to make room for a job by taking off the
 // allowed attempts, or nil.
 func (d *decision) roomFor(w *sched.Waiting, allowed func(*sched.Running) bool) *preempt.Choice {
-	f := d.finder(allowed)
+	f := d.finder(w, allowed)
 	var best *preempt.Choice
 	limit := math.Inf(1)
 	for _, r := range d.regions(w) {
--- a/internal/sched/policy/state.go
+++ b/internal/sched/policy/state.go
@@ -35,10 +35,11 @@
 	cells   *cell.Zone
 	empty   *emptyZone
 
-	runs    map[model.JobID]*sched.Running
-	on      [][]preempt.Held // by worker index, in order of attempts
-	claimed []*claimed       // attempts in a guarantee, in order
-	overMem map[model.JobID]*sched.Running
+	runs     map[model.JobID]*sched.Running
+	on       [][]preempt.Held // by worker index, in order of attempts
+	claimed  []*claimed       // attempts in a guarantee, in order
+	overMem  map[model.JobID]*sched.Running
+	stopping map[model.JobID]*sched.Running
 
 	waiting   map[model.JobID]*sched.Waiting
 	fresh     []*sched.Waiting // not yet checked, or found to be refused
@@ -66,7 +67,7 @@
 	s := &State{
 		zone: zone, rules: rules,
 		runs: map[model.JobID]*sched.Running{}, waiting: map[model.JobID]*sched.Waiting{},
-		overMem: map[model.JobID]*sched.Running{}, deadlines: map[*sched.Waiting]bool{}, customers: map[string]*customer{},
+		overMem: map[model.JobID]*sched.Running{}, stopping: map[model.JobID]*sched.Running{}, deadlines: map[*sched.Waiting]bool{}, customers: map[string]*customer{},
 	}
 	s.workers = slices.Clone(workers)
 	s.setConfig(cfg)
@@ -242,6 +243,9 @@
 		s.claimed = slices.Insert(s.claimed, i, s.claimedRun(r))
 		s.unbind()
 	}
+	if r.Stopping {
+		s.stopping[r.ID] = r
+	}
 	if r.UsedMemoryMiB > r.Spec.MemoryMiB {
 		s.overMem[r.ID] = r
 	}
@@ -255,6 +259,7 @@
 	}
 	delete(s.runs, id)
 	delete(s.overMem, id)
+	delete(s.stopping, id)
 	s.count(r, -1)
 	s.cells.ReleaseAll(&r.Spec, r.Placement, !r.Preemptible())
 	for i := range r.Placement {
--- a/internal/sched/policy/world_test.go
+++ b/internal/sched/policy/world_test.go
@@ -133,7 +133,7 @@
 	}
 	for _, v := range p.Preemptions {
 		i := slices.IndexFunc(w.snap.Running, func(r sched.Running) bool { return r.ID == v.ID })
-		w.snap.Running[i].Stopping = true
+		w.snap.Running[i].Stopping, w.snap.Running[i].StoppingFor = true, v.For
 		w.keep(i)
 	}
 	for _, s := range p.Starts {
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -48,6 +48,9 @@
 	// Stopping is set once the attempt was told to stop; its resources are not
 	// free yet.
 	Stopping bool
+	// StoppingFor is the For of the Preemption that stops the attempt; "" if it is
+	// not known.
+	StoppingFor model.JobID
 	// UsedMemoryMiB is the largest memory use that a worker reported for a task;
 	// 0 if none has.
 	UsedMemoryMiB int
@@ -101,7 +104,6 @@
 	NoCorrection  bool // declared run times are believed
 	NoOveruse     bool // nothing is done about jobs over their declaration
 	NoTakeoff     bool // a reservation takes no borrower off
-	NoWanted      bool // guarantees are bound without regard to blocked jobs
 	NoCheapest    bool // a reclaim takes the first cell instead of the cheapest
 }
 
