--- a/internal/sched/cell/bind.go
+++ b/internal/sched/cell/bind.go
@@ -82,7 +82,7 @@
 	if c == nil {
 		c = b.inRack(size)
 	}
-	if c == nil {
+	if c == nil && size > b.z.largestRack {
 		c = b.inRacks(size)
 	}
 	if c != nil {
--- a/internal/sched/cell/place.go
+++ b/internal/sched/cell/place.go
@@ -94,27 +94,60 @@
 	if need > maxAccelerators {
 		return nil
 	}
+	best := -1
+	if need == 0 {
+		best = z.leastFree(q)
+	} else if best = z.inMostHeld(q, func(r *Rack) uint64 { return r.splitMask }); best < 0 {
+		best = z.inMostHeld(q, func(r *Rack) uint64 { return r.freeMask })
+	}
+	if best < 0 {
+		return nil
+	}
+	return z.fill(q.Spec, []Slot{{best, 1}})
+}
+
+// leastFree returns the worker with the fewest free accelerators for a task that
+// needs none, or -1.
+func (z *Zone) leastFree(q *Request) int {
 	best, bestFree := -1, maxAccelerators+1
 	for i := range z.Racks {
 		r := &z.Racks[i]
-		m := r.freeMask >> need << need
-		if m == 0 || r.slots < 1 || bits.TrailingZeros64(m) >= bestFree {
+		if r.freeMask == 0 || r.slots < 1 || bits.TrailingZeros64(r.freeMask) >= bestFree {
 			continue
 		}
 		for k := r.First; k < r.Last; k++ {
-			w := &z.Workers[k]
-			if w.free >= need && w.free < bestFree && z.tasksOn(q, k) > 0 {
+			if w := &z.Workers[k]; w.free < bestFree && z.tasksOn(q, k) > 0 {
 				best, bestFree = k, w.free
 			}
 		}
-		if bestFree == need {
+		if bestFree == 0 {
 			break
 		}
 	}
-	if best < 0 {
-		return nil
+	return best
+}
+
+// inMostHeld returns the worker that a task fills best in the rack that has the
+// least to offer to a large job once all borrowers are off it, or -1. mask has a
+// bit for each number of free accelerators of the workers that count.
+func (z *Zone) inMostHeld(q *Request, mask func(*Rack) uint64) int {
+	need := q.Spec.Accelerators
+	best, bestReclaim := -1, 0
+	for i := range z.Racks {
+		r := &z.Racks[i]
+		m := mask(r)
+		if m>>need == 0 || r.slots < 1 || (best >= 0 && r.reclaim >= bestReclaim) {
+			continue
+		}
+		tightest := maxAccelerators + 1
+		for k := r.First; k < r.Last; k++ {
+			w := &z.Workers[k]
+			if w.free >= need && w.free < tightest && m>>w.free&1 == 1 && z.tasksOn(q, k) > 0 {
+				best, bestReclaim, tightest = k, r.reclaim, w.free
+			}
+		}
 	}
-	return z.fill(q.Spec, []Slot{{best, 1}})
+	return best
 }
 
 // tasksIn counts the tasks that fit on workers [first, last), up to limit.
--- a/internal/sched/cell/zone.go
+++ b/internal/sched/cell/zone.go
@@ -40,8 +40,10 @@
 
 	free     int    // free accelerators on usable workers
 	freeMask uint64 // bit k is set if a usable worker has k free accelerators
-	slots    int    // free slots on usable workers
-	reclaim  int    // accelerators that no work holds for good
+	// splitMask is freeMask of the workers on which some accelerator is in use.
+	splitMask uint64
+	slots     int // free slots on usable workers
+	reclaim   int // accelerators that no work holds for good
 }
 
 // Zone is the workers of one availability zone. It is not safe for concurrent
@@ -53,6 +55,8 @@
 	// avail and racksLeft are what a Binding without cells has left.
 	avail     []int
 	racksLeft []rackLeft
+	// largestRack is the most accelerators of a rack, unusable workers included.
+	largestRack int
 	// version changes with each change of what can be reclaimed.
 	version uint64
 	trial   trial
@@ -88,6 +92,11 @@
 	z.racksLeft = make([]rackLeft, len(z.Racks))
 	for i := range z.Racks {
 		z.updateRack(i)
+		n := 0
+		for k := z.Racks[i].First; k < z.Racks[i].Last; k++ {
+			n += z.Workers[k].Accelerators
+		}
+		z.largestRack = max(z.largestRack, n)
 	}
 	return z
 }
@@ -215,7 +224,7 @@
 
 func (z *Zone) updateRack(i int) {
 	r := &z.Racks[i]
-	r.free, r.freeMask, r.slots, r.reclaim = 0, 0, 0, 0
+	r.free, r.freeMask, r.splitMask, r.slots, r.reclaim = 0, 0, 0, 0, 0
 	left := rackLeft{}
 	for k := r.First; k < r.Last; k++ {
 		w := &z.Workers[k]
@@ -229,6 +238,9 @@
 		}
 		r.free += w.free
 		r.freeMask |= 1 << w.free
+		if w.free < w.Accelerators {
+			r.splitMask |= 1 << w.free
+		}
 		r.reclaim += w.Accelerators - w.hardAccel
 		r.slots += max(w.freeSlots, 0)
 	}
