Let reservations wait for work that cannot be taken off; test each rule

Cause: a test of the reservation failed: racks whose work cannot be taken off were left out when cells were held for a blocked job, so that jobs behind it could delay it without end. Change: racks are held by what they hold in all, and taken off by what can be taken off.

--- a/internal/sched/cell/zone.go
+++ b/internal/sched/cell/zone.go
@@ -43,6 +43,7 @@
 	// splitMask is freeMask of the workers on which some accelerator is in use.
 	splitMask uint64
 	slots     int // free slots on usable workers
+	usable    int // accelerators of usable workers
 	reclaim   int // accelerators that no work holds for good
 }
 
@@ -224,7 +225,7 @@
 
 func (z *Zone) updateRack(i int) {
 	r := &z.Racks[i]
-	r.free, r.freeMask, r.splitMask, r.slots, r.reclaim = 0, 0, 0, 0, 0
+	r.free, r.freeMask, r.splitMask, r.slots, r.reclaim, r.usable = 0, 0, 0, 0, 0, 0
 	left := rackLeft{}
 	for k := r.First; k < r.Last; k++ {
 		w := &z.Workers[k]
@@ -241,6 +242,7 @@
 		if w.free < w.Accelerators {
 			r.splitMask |= 1 << w.free
 		}
+		r.usable += w.Accelerators
 		r.reclaim += w.Accelerators - w.hardAccel
 		r.slots += max(w.freeSlots, 0)
 	}
@@ -273,3 +275,6 @@
 // Reclaimable returns the number of accelerators of the rack that are free or
 // held by work that can be taken off.
 func (r *Rack) Reclaimable() int { return r.reclaim }
+
+// Usable returns the number of accelerators on usable workers of the rack.
+func (r *Rack) Usable() int { return r.usable }
--- a/internal/sched/policy/reserve.go
+++ b/internal/sched/policy/reserve.go
@@ -130,15 +130,16 @@
 	return d.now.Sub(r.StartedAt) > max(estimate.Of(&r.Spec, d.correction(r.Customer)).High, minOverTime)
 }
 
-// regions returns the sets of workers that a job may be spread over.
-func (d *decision) regions(w *sched.Waiting) [][]int {
+// regions returns the sets of workers that a job may be spread over: those of
+// racks that hold enough accelerators, counted by holds.
+func (d *decision) regions(w *sched.Waiting, holds func(*cell.Rack) int) [][]int {
 	z := d.s.cells
 	span := d.s.empty.span(&w.Spec)
 	var starts []int
 	for i := 0; i < len(z.Racks); i += span {
 		n := 0
 		for k := i; k < min(i+span, len(z.Racks)); k++ {
-			n += z.Racks[k].Reclaimable()
+			n += holds(&z.Racks[k])
 		}
 		if n >= w.Spec.TotalAccelerators() {
 			starts = append(starts, i)
@@ -195,7 +196,7 @@
 	f := d.finder(w, allowed)
 	var best *preempt.Choice
 	limit := math.Inf(1)
-	for _, r := range d.regions(w) {
+	for _, r := range d.regions(w, (*cell.Rack).Reclaimable) {
 		places := make([]preempt.Place, 0, len(r))
 		for _, k := range r {
 			places = append(places, preempt.Place{Worker: k, Limit: d.limit(w, k)})
@@ -218,7 +219,7 @@
 	var best []ready
 	at := never
 	var all []ready
-	for _, r := range d.regions(w) {
+	for _, r := range d.regions(w, (*cell.Rack).Usable) {
 		all = all[:0]
 		for _, k := range r {
 			all = d.readyTimes(all, w, k, allowed)
