Remember kinds of jobs that find no room

Cause: most of a decision at full size went into searches for jobs that cannot fit, and into the check of new kinds of jobs that cannot be taken off. Change: a kind of job that found no room is sought again only where something became free; a kind smaller than one that starts beside all guarantees needs no check of its own.

--- a/internal/sched/cell/journal.go
+++ b/internal/sched/cell/journal.go
@@ -34,6 +34,7 @@
 	t := &z.trial
 	for _, s := range t.saved {
 		z.Workers[s.index] = s.worker
+		z.free(s.index)
 	}
 	for _, s := range t.saved {
 		z.updateRack(s.worker.rack)
@@ -42,6 +43,33 @@
 	z.version = t.version
 }
 
+// maxFreed bounds the list of workers on which something became free.
+const maxFreed = 512
+
+// free notes that something became free on a worker.
+func (z *Zone) free(i int) {
+	if len(z.freed) <= maxFreed {
+		z.freed = append(z.freed, i)
+	}
+}
+
+// TakeFreed returns the workers on which something became free since the last
+// call; all is true if there were too many to list.
+func (z *Zone) TakeFreed() (workers []int, all bool) {
+	workers = z.freed
+	z.freed = z.freed[:0]
+	return workers, len(workers) > maxFreed
+}
+
+// RackFits reports whether the whole request fits on the rack of a worker now.
+func (z *Zone) RackFits(q *Request, worker int) bool {
+	if q.Spec.Tasks == 1 {
+		return z.tasksOn(q, worker) > 0
+	}
+	r := &z.Racks[z.Workers[worker].rack]
+	return z.tasksIn(q, r.First, r.Last, q.Spec.Tasks) >= q.Spec.Tasks
+}
+
 func (z *Zone) save(i int) {
 	t := &z.trial
 	if !t.active || t.stamp[i] == t.number {
--- a/internal/sched/cell/zone.go
+++ b/internal/sched/cell/zone.go
@@ -61,6 +61,7 @@
 	// version changes with each change of what can be reclaimed.
 	version uint64
 	trial   trial
+	freed   []int // workers, see TakeFreed
 }
 
 // NewZone returns a zone in which nothing runs.
@@ -121,6 +122,7 @@
 	}
 	z.Workers[i].Usable = usable
 	z.touch(i)
+	z.free(i)
 	z.version++
 }
 
@@ -155,6 +157,9 @@
 		return
 	}
 	z.save(i)
+	if sign < 0 {
+		z.free(i)
+	}
 	w := &z.Workers[i]
 	w.freeCores -= sign * spec.CPU
 	w.freeMem -= sign * spec.MemoryMiB
--- a/internal/sched/policy/decide.go
+++ b/internal/sched/policy/decide.go
@@ -49,9 +49,54 @@
 	return signature{s.Tasks, s.Accelerators, s.CPU, s.MemoryMiB, s.Adjacent, s.Repeatable}
 }
 
+// anywhere is the signature without what keeps a job off free resources.
+func (s signature) anywhere() signature {
+	s.repeatable = true
+	return s
+}
+
+// spec returns a job with the signature.
+func (s signature) spec() *model.JobSpec {
+	return &model.JobSpec{
+		Tasks: s.tasks, Accelerators: s.accelerators, CPU: s.cpu, MemoryMiB: s.memory, Adjacent: s.adjacent, Repeatable: true,
+	}
+}
+
+// maxNoRoom bounds the kinds of jobs that are known to find no place.
+const maxNoRoom = 4096
+
+// listable reports whether it can be told from one rack that a job fits again.
+func (s *State) listable(spec *model.JobSpec) bool {
+	return len(s.noRoom) < maxNoRoom && (spec.Tasks == 1 || (spec.Adjacent && s.empty.span(spec) == 1))
+}
+
+// refit forgets the kinds of jobs that fit on what has become free.
+func (s *State) refit() {
+	freed, all := s.cells.TakeFreed()
+	if all {
+		clear(s.noRoom)
+		return
+	}
+	if len(freed) == 0 {
+		return
+	}
+	slices.Sort(freed)
+	freed = slices.Compact(freed)
+	for sig := range s.noRoom {
+		q := &cell.Request{Spec: sig.spec()}
+		for _, k := range freed {
+			if s.cells.RackFits(q, k) {
+				delete(s.noRoom, sig)
+				break
+			}
+		}
+	}
+}
+
 // Decide makes one decision. The state stays as it was: what the plan starts is
 // added with AddRunning when it was applied.
 func (s *State) Decide(now time.Time) sched.Plan {
+	s.refit()
 	d := &decision{
 		s: s, now: now, b: s.bind(),
 		handled: map[*sched.Waiting]bool{}, gone: map[model.JobID]bool{},
@@ -179,11 +224,15 @@
 // try starts a job on free resources that are not held for others.
 func (d *decision) try(w *sched.Waiting) bool {
 	sig := signatureOf(&w.Spec)
-	if d.failed[sig] {
+	if d.failed[sig] || d.s.noRoom[sig.anywhere()] {
 		return false
 	}
 	q := d.request(w)
 	p := d.s.cells.Place(q)
+	if p == nil && w.Spec.Repeatable && len(w.Avoid) == 0 && d.s.listable(&w.Spec) {
+		d.s.noRoom[sig.anywhere()] = true
+		return false
+	}
 	held := p != nil && d.touchesHold(w, p)
 	if held {
 		q.Closed = func(k int) bool { return d.closed(w, k) }
--- a/internal/sched/policy/reject.go
+++ b/internal/sched/policy/reject.go
@@ -24,6 +24,7 @@
 	state    *State             // nothing runs in it; made when it is needed
 	fits     map[signature]bool // in known or planned
 	starts   map[ofCustomer]bool
+	larger   []signature // kinds that start beside all guarantees
 	spans    map[signature]int
 	avoids   map[avoidance]bool // whether enough other workers exist
 }
@@ -76,7 +77,29 @@
 // startable reports whether a job that cannot be taken off would start if nothing
 // else ran: in a guaranteed shape of its customer or beside all guarantees.
 func (e *emptyZone) startable(w *sched.Waiting) bool {
-	return !e.complete || e.startsAs(w, "") || e.startsAs(w, w.Spec.Customer)
+	if !e.complete {
+		return true
+	}
+	sig := signatureOf(&w.Spec)
+	if slices.ContainsFunc(e.larger, sig.within) {
+		return true
+	}
+	if !e.startsAs(w, "") {
+		return e.startsAs(w, w.Spec.Customer)
+	}
+	if len(e.larger) < maxLarger {
+		e.larger = append(slices.DeleteFunc(e.larger, func(o signature) bool { return o.within(sig) }), sig)
+	}
+	return true
+}
+
+// maxLarger bounds the kinds of jobs that smaller ones are compared with.
+const maxLarger = 64
+
+// within reports whether a job needs no more than another one in anything.
+func (s signature) within(o signature) bool {
+	return s.adjacent == o.adjacent && s.tasks <= o.tasks && s.accelerators <= o.accelerators &&
+		s.cpu <= o.cpu && s.memory <= o.memory
 }
 
 // startsAs reports whether the job would start as one of the customer. The empty
--- a/internal/sched/policy/state.go
+++ b/internal/sched/policy/state.go
@@ -41,6 +41,10 @@
 	overMem  map[model.JobID]*sched.Running
 	stopping map[model.JobID]*sched.Running
 
+	// noRoom are kinds of jobs that found no place on free resources; nothing has
+	// become free since that would hold them.
+	noRoom map[signature]bool
+
 	waiting   map[model.JobID]*sched.Waiting
 	fresh     []*sched.Waiting // not yet checked, or found to be refused
 	deadlines map[*sched.Waiting]bool
@@ -171,6 +175,7 @@
 // rebuild makes the cells anew from the workers and the running attempts.
 func (s *State) rebuild() {
 	s.cells = cell.NewZone(s.workers)
+	s.noRoom = map[signature]bool{}
 	s.recheck()
 	s.unbind()
 	s.largest = 1
