--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build check test demo fmt
+.PHONY: build check test demo fmt bench
 export CGO_ENABLED = 1
 
 build:
@@ -19,3 +19,6 @@
 
 demo: build
 	scripts/demo.sh
+
+bench:
+	go run ./internal/replay/bench
