Skip racks without whole workers; keep the measured queue short

Cause: the search for the rest of a used shape looked at every worker, and the measured zone gained tasks with each decision. Change: racks without a whole worker are skipped; before each measured decision attempts with at least as many tasks end as are submitted.

--- a/internal/replay/scale/scale.go
+++ b/internal/replay/scale/scale.go
@@ -140,15 +140,15 @@
 }
 
 // Decisions measures decisions of a kept state: before each, a job is submitted
-// and as many tasks end as it had started.
+// and attempts with at least as many tasks end, so that the queue stays short.
 func (z *Zone) Decisions(n int) Times {
 	st := policy.FromSnapshot(&z.Snap)
 	st.Decide(z.Snap.Now)
-	running := map[model.JobID]bool{}
+	running := map[model.JobID]int{} // tasks
 	var ids []model.JobID
 	for i := range z.Snap.Running {
 		ids = append(ids, z.Snap.Running[i].ID)
-		running[ids[i]] = true
+		running[ids[i]] = z.Snap.Running[i].Spec.Tasks
 	}
 	jobs := map[model.JobID]sched.Waiting{}
 	for _, w := range z.Snap.Waiting {
@@ -163,9 +163,12 @@
 		jobs[j.ID] = j
 		begin := time.Now()
 		st.AddWaiting(&j)
-		if k := z.rnd.IntN(len(ids)); running[ids[k]] {
-			st.RemoveRunning(ids[k])
-			running[ids[k]] = false
+		for ended := 0; ended < j.Spec.Tasks; {
+			if k := z.rnd.IntN(len(ids)); running[ids[k]] > 0 {
+				st.RemoveRunning(ids[k])
+				ended += running[ids[k]]
+				running[ids[k]] = 0
+			}
 		}
 		plan := st.Decide(now)
 		for i := range plan.Starts {
@@ -174,14 +177,14 @@
 			r := Run(jobs[s.ID], s, now)
 			st.AddRunning(&r)
 			ids = append(ids, s.ID)
-			running[s.ID] = true
+			running[s.ID] = r.Spec.Tasks
 		}
 		for _, r := range plan.Rejections {
 			st.RemoveWaiting(r.ID)
 		}
 		for _, p := range plan.Preemptions {
 			st.RemoveRunning(p.ID)
-			running[p.ID] = false
+			running[p.ID] = 0
 		}
 		took = append(took, time.Since(begin))
 	}
--- a/internal/sched/cell/bind.go
+++ b/internal/sched/cell/bind.go
@@ -263,20 +263,20 @@
 			take(k, b.left[k])
 		}
 	}
-	for _, u := range used {
-		r := &b.z.Racks[b.z.Workers[u].rack]
+	wholes := func(rack int) {
+		r := &b.z.Racks[rack]
 		for k := r.First; k < r.Last && need > 0; k++ {
 			if b.whole(k) {
 				take(k, b.left[k])
 			}
 		}
 	}
-	for k := range b.left {
-		if need <= 0 {
-			break
-		}
-		if b.whole(k) {
-			take(k, b.left[k])
+	for _, u := range used {
+		wholes(b.z.Workers[u].rack)
+	}
+	for i := 0; i < len(b.racks) && need > 0; i++ {
+		if b.racks[i].whole > 0 {
+			wholes(i)
 		}
 	}
 	return c, max(need, 0)
