--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,5 @@
 .PHONY: build check test demo fmt prove
+.PHONY: build check test demo fmt bench
 export CGO_ENABLED = 1
 
 build:
@@ -25,3 +26,5 @@
 prove: build
 	go test -tags prove -c -o bin/prove.test ./prove
 	cd prove && ../bin/prove.test -test.timeout 40m -proof '$(NAME)' -seed '$(SEED)'
+bench:
+	go run ./internal/replay/bench
--- a/internal/sched/cell/bind.go
+++ b/internal/sched/cell/bind.go
@@ -35,12 +35,8 @@
 
 // Reset drops all cells and reads the availability of the zone again.
 func (b *Binding) Reset() {
-	for i := range b.z.Workers {
-		b.left[i] = b.z.Workers[i].avail
-	}
-	for i := range b.z.Racks {
-		b.updateRack(i)
-	}
+	copy(b.left, b.z.avail)
+	copy(b.racks, b.z.racksLeft)
 }
 
 // Left returns the accelerators of a worker that are available and in no cell.
@@ -86,7 +82,7 @@
 	if c == nil {
 		c = b.inRack(size)
 	}
-	if c == nil {
+	if c == nil && size > b.z.largestRack {
 		c = b.inRacks(size)
 	}
 	if c != nil {
@@ -108,6 +104,9 @@
 		if n := bits.TrailingZeros64(m); n < bestLeft {
 			best, bestLeft = i, n
 		}
+		if bestLeft == size {
+			break
+		}
 	}
 	if best < 0 {
 		return nil
@@ -127,6 +126,9 @@
 		if b.racks[i].whole >= size && (best < 0 || b.racks[i].whole < b.racks[best].whole) {
 			best = i
 		}
+		if best >= 0 && b.racks[best].whole == size {
+			break
+		}
 	}
 	if best < 0 {
 		return nil
@@ -261,20 +263,20 @@
 			take(k, b.left[k])
 		}
 	}
-	for _, u := range used {
-		r := &b.z.Racks[b.z.Workers[u].rack]
+	wholes := func(rack int) {
+		r := &b.z.Racks[rack]
 		for k := r.First; k < r.Last && need > 0; k++ {
 			if b.whole(k) {
 				take(k, b.left[k])
 			}
 		}
 	}
-	for k := range b.left {
-		if need <= 0 {
-			break
-		}
-		if b.whole(k) {
-			take(k, b.left[k])
+	for _, u := range used {
+		wholes(b.z.Workers[u].rack)
+	}
+	for i := 0; i < len(b.racks) && need > 0; i++ {
+		if b.racks[i].whole > 0 {
+			wholes(i)
 		}
 	}
 	return c, max(need, 0)
--- a/internal/sched/cell/zone.go
+++ b/internal/sched/cell/zone.go
@@ -40,8 +40,11 @@
 
 	free     int    // free accelerators on usable workers
 	freeMask uint64 // bit k is set if a usable worker has k free accelerators
-	slots    int    // free slots on usable workers
-	reclaim  int    // accelerators that no work holds for good
+	// splitMask is freeMask of the workers on which some accelerator is in use.
+	splitMask uint64
+	slots     int // free slots on usable workers
+	usable    int // accelerators of usable workers
+	reclaim   int // accelerators that no work holds for good
 }
 
 // Zone is the workers of one availability zone. It is not safe for concurrent
@@ -50,9 +53,15 @@
 	Workers []Worker // by rack, then by name
 	Racks   []Rack   // by name; racks next to each other are neighbours
 	byName  map[string]int
+	// avail and racksLeft are what a Binding without cells has left.
+	avail     []int
+	racksLeft []rackLeft
+	// largestRack is the most accelerators of a rack, unusable workers included.
+	largestRack int
 	// version changes with each change of what can be reclaimed.
 	version uint64
 	trial   trial
+	freed   []int // workers, see TakeFreed
 }
 
 // NewZone returns a zone in which nothing runs.
@@ -81,8 +90,15 @@
 		z.Racks[w.rack].Last = i + 1
 		w.update()
 	}
+	z.avail = make([]int, len(z.Workers))
+	z.racksLeft = make([]rackLeft, len(z.Racks))
 	for i := range z.Racks {
 		z.updateRack(i)
+		n := 0
+		for k := z.Racks[i].First; k < z.Racks[i].Last; k++ {
+			n += z.Workers[k].Accelerators
+		}
+		z.largestRack = max(z.largestRack, n)
 	}
 	return z
 }
@@ -106,6 +122,7 @@
 	}
 	z.Workers[i].Usable = usable
 	z.touch(i)
+	z.free(i)
 	z.version++
 }
 
@@ -140,6 +157,9 @@
 		return
 	}
 	z.save(i)
+	if sign < 0 {
+		z.free(i)
+	}
 	w := &z.Workers[i]
 	w.freeCores -= sign * spec.CPU
 	w.freeMem -= sign * spec.MemoryMiB
@@ -210,17 +230,28 @@
 
 func (z *Zone) updateRack(i int) {
 	r := &z.Racks[i]
-	r.free, r.freeMask, r.slots, r.reclaim = 0, 0, 0, 0
+	r.free, r.freeMask, r.splitMask, r.slots, r.reclaim, r.usable = 0, 0, 0, 0, 0, 0
+	left := rackLeft{}
 	for k := r.First; k < r.Last; k++ {
 		w := &z.Workers[k]
+		z.avail[k] = w.avail
 		if !w.Usable {
 			continue
 		}
+		left.mask |= 1 << w.avail
+		if w.avail == w.Accelerators {
+			left.whole += w.avail
+		}
 		r.free += w.free
 		r.freeMask |= 1 << w.free
+		if w.free < w.Accelerators {
+			r.splitMask |= 1 << w.free
+		}
+		r.usable += w.Accelerators
 		r.reclaim += w.Accelerators - w.hardAccel
 		r.slots += max(w.freeSlots, 0)
 	}
+	z.racksLeft[i] = left
 }
 
 // FreeAccelerators returns the number of free accelerators on usable workers.
@@ -249,3 +280,6 @@
 // Reclaimable returns the number of accelerators of the rack that are free or
 // held by work that can be taken off.
 func (r *Rack) Reclaimable() int { return r.reclaim }
+
+// Usable returns the number of accelerators on usable workers of the rack.
+func (r *Rack) Usable() int { return r.usable }
--- a/internal/sched/policy/decide.go
+++ b/internal/sched/policy/decide.go
@@ -27,15 +27,16 @@
 	s       *State
 	now     time.Time
 	b       *bindings
-	starts  []*sched.Running // claims that this plan starts
+	starts  []*claimed // claims that this plan starts
 	waits   []pending
 	plan    sched.Plan
 	handled map[*sched.Waiting]bool
 	gone    map[model.JobID]bool // attempts taken off for a job of this plan
 	holds   map[int]*hold        // by worker
-	wanted  map[int]bool         // workers that the oldest blocked jobs are about to get
 	failed  map[signature]bool
 	counts  []queue.Customer
+	ends    []end // reused
+	likely  []int // racks
 }
 
 // signature is all that decides where a job fits.
@@ -48,19 +49,63 @@
 	return signature{s.Tasks, s.Accelerators, s.CPU, s.MemoryMiB, s.Adjacent, s.Repeatable}
 }
 
+// anywhere is the signature without what keeps a job off free resources.
+func (s signature) anywhere() signature {
+	s.repeatable = true
+	return s
+}
+
+// spec returns a job with the signature.
+func (s signature) spec() *model.JobSpec {
+	return &model.JobSpec{
+		Tasks: s.tasks, Accelerators: s.accelerators, CPU: s.cpu, MemoryMiB: s.memory, Adjacent: s.adjacent, Repeatable: true,
+	}
+}
+
+// maxNoRoom bounds the kinds of jobs that are known to find no place.
+const maxNoRoom = 4096
+
+// listable reports whether it can be told from one rack that a job fits again.
+func (s *State) listable(spec *model.JobSpec) bool {
+	return len(s.noRoom) < maxNoRoom && (spec.Tasks == 1 || (spec.Adjacent && s.empty.span(spec) == 1))
+}
+
+// refit forgets the kinds of jobs that fit on what has become free.
+func (s *State) refit() {
+	freed, all := s.cells.TakeFreed()
+	if all {
+		clear(s.noRoom)
+		return
+	}
+	if len(freed) == 0 {
+		return
+	}
+	slices.Sort(freed)
+	freed = slices.Compact(freed)
+	for sig := range s.noRoom {
+		q := &cell.Request{Spec: sig.spec()}
+		for _, k := range freed {
+			if s.cells.RackFits(q, k) {
+				delete(s.noRoom, sig)
+				break
+			}
+		}
+	}
+}
+
 // Decide makes one decision. The state stays as it was: what the plan starts is
 // added with AddRunning when it was applied.
 func (s *State) Decide(now time.Time) sched.Plan {
+	s.refit()
 	d := &decision{
 		s: s, now: now, b: s.bind(),
 		handled: map[*sched.Waiting]bool{}, gone: map[model.JobID]bool{},
-		holds: map[int]*hold{}, wanted: map[int]bool{}, failed: map[signature]bool{},
+		holds: map[int]*hold{}, failed: map[signature]bool{},
 	}
 	d.begin()
 	defer d.undo()
 	d.plan.Shortfalls = d.b.shortfalls()
 	d.reject()
-	d.want()
 	d.claims()
 	d.urgent()
 	d.reserve()
@@ -138,21 +183,23 @@
 	}
 }
 
-func (d *decision) finder(allowed func(*sched.Running) bool) *preempt.Finder {
+func (d *decision) finder(w *sched.Waiting, allowed func(*sched.Running) bool) *preempt.Finder {
 	return &preempt.Finder{
 		Zone: d.s.cells,
 		On:   func(k int) []preempt.Held { return d.s.on[k] },
 		Allowed: func(r *sched.Running) bool {
 			return !d.gone[r.ID] && allowed(r)
 		},
-		Cost: d.cost,
+		Cost: func(r *sched.Running) float64 { return d.cost(r, w.ID) },
 	}
 }
 
 // cost is the price of taking an attempt off, in accelerator seconds: what it
-// has done since its start could be lost if the checkpoint fails.
-func (d *decision) cost(r *sched.Running) float64 {
-	if r.Stopping {
+// has done since its start could be lost if the checkpoint fails. An attempt that
+// stops for the job already costs nothing, so that the job keeps its choice; one
+// that stops for another job costs as much as if it did not stop.
+func (d *decision) cost(r *sched.Running, job model.JobID) float64 {
+	if r.Stopping && (r.StoppingFor == job || r.StoppingFor == "") {
 		return 0
 	}
 	seconds := restartSeconds + max(d.now.Sub(r.StartedAt).Seconds(), 0)
@@ -177,31 +224,49 @@
 // try starts a job on free resources that are not held for others.
 func (d *decision) try(w *sched.Waiting) bool {
 	sig := signatureOf(&w.Spec)
-	if d.failed[sig] {
+	if d.failed[sig] || d.s.noRoom[sig.anywhere()] {
 		return false
 	}
 	q := d.request(w)
-	closed := false
-	if len(d.holds) > 0 {
-		times := estimate.Of(&w.Spec, d.correction(w.Spec.Customer))
-		q.Closed = func(k int) bool {
-			h := d.holds[k]
-			if h == nil || h.admits(w, d.now.Add(times.High)) {
-				return false
-			}
-			closed = true
-			return true
-		}
+	p := d.s.cells.Place(q)
+	if p == nil && w.Spec.Repeatable && len(w.Avoid) == 0 && d.s.listable(&w.Spec) {
+		d.s.noRoom[sig.anywhere()] = true
+		return false
+	}
+	held := p != nil && d.touchesHold(w, p)
+	if held {
+		q.Closed = func(k int) bool { return d.closed(w, k) }
+		p = d.s.cells.Place(q)
 	}
-	if p := d.s.cells.Place(q); p != nil && d.start(w, p, nil) {
+	if p != nil && d.start(w, p, nil) {
 		return true
 	}
-	if !closed && len(w.Avoid) == 0 {
+	// A place that would cost a shape its cell is not sought again either.
+	if p != nil || (!held && len(w.Avoid) == 0) {
 		d.failed[sig] = true
 	}
 	return false
 }
 
+// closed reports whether a worker is held for another job that this one could
+// delay.
+func (d *decision) closed(w *sched.Waiting, k int) bool {
+	h := d.holds[k]
+	if h == nil {
+		return false
+	}
+	return !h.admits(w, d.now.Add(estimate.Of(&w.Spec, d.correction(w.Spec.Customer)).High))
+}
+
+func (d *decision) touchesHold(w *sched.Waiting, p []model.TaskPlacement) bool {
+	if len(d.holds) == 0 {
+		return false
+	}
+	return slices.ContainsFunc(p, func(t model.TaskPlacement) bool {
+		return d.closed(w, d.s.cells.Index(t.Worker))
+	})
+}
+
 func (d *decision) correction(customer string) sched.Correction {
 	if d.s.rules.NoCorrection {
 		return sched.Correction{}
--- a/internal/sched/policy/guarantee.go
+++ b/internal/sched/policy/guarantee.go
@@ -12,13 +12,9 @@
 	"teaselpaddle.example/teaselpaddle/internal/sched/queue"
 )
 
-// otherCells is how many cells beside the bound ones are compared in a reclaim.
-const otherCells = 8
-
-// wantedCost keeps guaranteed jobs off the workers that a blocked job is about
-// to get, while their shape has another cell: they would block a whole rack for
-// as long as they run. It outweighs any borrower.
-const wantedCost = 1e7
+// otherRacks is the number of racks in which cells are compared in a reclaim,
+// beside those where borrowers are leaving.
+const otherRacks = 8
 
 // shape is one guaranteed shape of a customer. An unused shape has a cell that
 // it could be bound to; a used one has the rest of its cell.
@@ -68,16 +64,8 @@
 
 // bindWith computes the cells of all shapes. starts are claims that the running
 // attempts do not have yet; waits are those that wait for borrowers to leave.
-func (s *State) bindWith(starts []*sched.Running, waits []pending) *bindings {
-	b := &bindings{of: map[*customer][]*shape{}}
-	for _, c := range s.order {
-		for _, g := range c.guarantees {
-			b.add(c, g)
-		}
-	}
-	for _, r := range s.claimed {
-		s.attach(b, r)
-	}
+func (s *State) bindWith(starts []*claimed, waits []pending) *bindings {
+	b := s.shapes()
 	for _, r := range starts {
 		s.attach(b, r)
 	}
@@ -117,6 +105,31 @@
 	return b
 }
 
+// shapes returns the shapes with what the running attempts use of them, without
+// cells.
+func (s *State) shapes() *bindings {
+	if s.base == nil {
+		s.base = &bindings{of: map[*customer][]*shape{}}
+		for _, c := range s.order {
+			for _, g := range c.guarantees {
+				s.base.add(c, g)
+			}
+		}
+		for _, r := range s.claimed {
+			s.attach(s.base, r)
+		}
+	}
+	all := make([]shape, len(s.base.shapes))
+	b := &bindings{shapes: make([]*shape, len(all)), of: make(map[*customer][]*shape, len(s.base.of))}
+	for i, sh := range s.base.shapes {
+		all[i] = *sh
+		all[i].workers = slices.Clip(sh.workers)
+		b.shapes[i] = &all[i]
+		b.of[sh.c] = append(b.of[sh.c], &all[i])
+	}
+	return b
+}
+
 // assign gives each shape a cell, in the order of the shapes.
 func (b *bindings) assign(waits []pending) {
 	b.cells.Reset()
@@ -180,21 +193,32 @@
 	}
 }
 
-// attach notes the shape that a running attempt uses: the one it claimed, or
-// else the smallest with room.
-func (s *State) attach(b *bindings, r *sched.Running) {
-	total := 0
-	var workers []int
+// claimed is an attempt in a guarantee with what it uses of its shape.
+type claimed struct {
+	*sched.Running
+	workers []int
+	total   int // accelerators, other resources counted by their share
+}
+
+func (s *State) claimedRun(r *sched.Running) *claimed {
+	c := &claimed{Running: r}
 	for i := range r.Placement {
 		k := s.cells.Index(r.Placement[i].Worker)
 		if k < 0 {
 			continue
 		}
-		total += s.cells.Workers[k].Charge(&r.Spec)
-		if !slices.Contains(workers, k) {
-			workers = append(workers, k)
+		c.total += s.cells.Workers[k].Charge(&r.Spec)
+		if !slices.Contains(c.workers, k) {
+			c.workers = append(c.workers, k)
 		}
 	}
+	return c
+}
+
+// attach notes the shape that a running attempt uses: the one it claimed, or
+// else the smallest with room.
+func (s *State) attach(b *bindings, r *claimed) {
+	workers, total := r.workers, r.total
 	var best *shape
 	for _, sh := range b.of[s.customer(r.Customer)] {
 		if r.Claim.Accelerators == sh.size && r.Claim.Number == sh.number {
@@ -221,6 +245,7 @@
 func (d *decision) claims() {
 	var jobs []*sched.Waiting
 	room := map[*customer]int{}
+	noRoom := map[ofCustomer]bool{}
 	for _, sh := range d.b.shapes {
 		room[sh.c] = max(room[sh.c], sh.size-sh.used)
 	}
@@ -234,8 +259,12 @@
 	slices.SortFunc(jobs, queue.Compare)
 	for _, w := range jobs {
 		c := d.s.customers[w.Spec.Customer]
-		if !c.OverQuota(w.Spec.TotalAccelerators()) && w.Spec.TotalAccelerators() <= d.room(c) {
-			d.claim(c, w)
+		key := ofCustomer{signatureOf(&w.Spec), c.Name}
+		if c.OverQuota(w.Spec.TotalAccelerators()) || w.Spec.TotalAccelerators() > d.room(c) || noRoom[key] {
+			continue
+		}
+		if d.claim(c, w); !d.handled[w] && len(w.Avoid) == 0 {
+			noRoom[key] = true
 		}
 	}
 }
@@ -262,25 +291,12 @@
 		}
 		return (a.size - a.used) - (b.size - b.used)
 	})
-	var best *shape
-	var room *preempt.Choice
-	tried := map[int]bool{} // sizes of unused shapes
-	for _, sh := range shapes {
-		unused := len(sh.workers) == 0
-		if sh.size-sh.used < total || (unused && tried[sh.size]) || (room != nil && room.Cost == 0) {
-			continue
-		}
-		tried[sh.size] = tried[sh.size] || unused
-		if ch := d.chooseCell(sh, w); ch != nil && (room == nil || ch.Cost < room.Cost) {
-			best, room = sh, ch
+	for _, strict := range []bool{false, true} {
+		sh, room := d.bestShape(shapes, w, strict)
+		if room == nil || d.occupy(sh, w, room) {
+			return
 		}
 	}
-	if room != nil && room.Cost >= wantedCost && d.outside(w) {
-		return
-	}
-	if room != nil && d.occupy(best, w, room) {
-		return
-	}
 	for _, sh := range shapes {
 		if sh.size-sh.used < total {
 			continue
@@ -291,25 +307,28 @@
 	}
 }
 
-// outside starts a job as a borrower beside the workers that blocked jobs are
-// about to get. Its shape stays unused, so the job starts again there at once if
-// it is taken off.
-func (d *decision) outside(w *sched.Waiting) bool {
-	if !w.Spec.Repeatable {
-		return false
+// bestShape returns the shape in which a job costs least, and the room there.
+func (d *decision) bestShape(shapes []*shape, w *sched.Waiting, strict bool) (*shape, *preempt.Choice) {
+	var best *shape
+	var room *preempt.Choice
+	tried := map[int]bool{} // sizes of unused shapes
+	for _, sh := range shapes {
+		unused := len(sh.workers) == 0
+		if sh.size-sh.used < w.Spec.TotalAccelerators() || (unused && tried[sh.size]) || (room != nil && room.Cost == 0) {
+			continue
+		}
+		tried[sh.size] = tried[sh.size] || unused
+		if ch := d.chooseCell(sh, w, strict); ch != nil && (room == nil || ch.Cost < room.Cost) {
+			best, room = sh, ch
+		}
 	}
-	q := d.request(w)
-	q.Closed = func(k int) bool { return d.wanted[k] }
-	p := d.s.cells.Place(q)
-	return p != nil && d.start(w, p, nil)
+	return best, room
 }
 
 // chooseCell returns the cheapest room for a job in a shape. An unused shape may
 // be bound to any cell: its own, that of another unused shape of the same size,
-// or a cell that no shape needs. The rest of a used shape may move to a cell that
-// no shape needs; otherwise a shape that always has some job in it would keep its
-// rack for ever.
-func (d *decision) chooseCell(sh *shape, w *sched.Waiting) *preempt.Choice {
+// or one that no shape needs.
+func (d *decision) chooseCell(sh *shape, w *sched.Waiting, strict bool) *preempt.Choice {
 	own := d.inCell(sh.cell, w, math.Inf(1))
 	if d.s.rules.NoCheapest || (own != nil && own.Cost == 0) {
 		return own
@@ -329,19 +348,60 @@
 			better(o.cell)
 		}
 	}
-	var others []cell.Cell
-	for len(others) < otherCells && (best == nil || best.Cost > 0) {
-		c := d.b.cells.Bind(sh.size - sh.used)
-		if c == nil {
-			break
+	d.inRacks(sh, strict, better)
+	return best
+}
+
+// inRacks offers the room of a shape in other racks: those where borrowers are
+// leaving already, so that a choice made before stays the choice, and those with
+// the most free accelerators. If strict, the present cells of other shapes are
+// left out; otherwise they may have to move.
+func (d *decision) inRacks(sh *shape, strict bool, offer func(cell.Cell)) {
+	extra := map[int]int{}
+	for _, p := range sh.cell {
+		extra[p.Worker] = p.Count
+	}
+	for i := range d.waits {
+		for _, p := range d.waits[i].cell {
+			extra[p.Worker] -= p.Count
 		}
-		others = append(others, c)
-		better(c)
 	}
-	for _, c := range others {
-		d.b.cells.Drop(c)
+	z := d.s.cells
+	for _, i := range d.likelyRacks() {
+		var c cell.Cell
+		for k := z.Racks[i].First; k < z.Racks[i].Last; k++ {
+			n := z.Workers[k].Avail() + min(extra[k], 0)
+			if strict {
+				n = d.b.cells.Left(k) + max(extra[k], 0)
+			}
+			if n > 0 {
+				c = append(c, cell.Part{Worker: k, Count: n})
+			}
+		}
+		offer(c)
 	}
-	return best
+}
+
+// likelyRacks returns the racks that are compared in a reclaim.
+func (d *decision) likelyRacks() []int {
+	if d.likely != nil {
+		return d.likely
+	}
+	all := make([]int, len(d.s.cells.Racks))
+	for i := range all {
+		all[i] = i
+	}
+	d.likely = slices.Clone(mostFree(d.s.cells, all, otherRacks))
+	for _, r := range d.s.stopping {
+		for i := range r.Placement {
+			if k := d.s.cells.Index(r.Placement[i].Worker); k >= 0 {
+				d.likely = append(d.likely, d.s.cells.Workers[k].RackIndex())
+			}
+		}
+	}
+	slices.Sort(d.likely)
+	d.likely = slices.Compact(d.likely)
+	return d.likely
 }
 
 // inCell returns the cheapest room for a job in a cell, or nil.
@@ -355,19 +415,7 @@
 		}
 		places = append(places, preempt.Place{Worker: p.Worker, Limit: p.Count / max(wk.Charge(&w.Spec), 1)})
 	}
-	ch := d.finder(func(r *sched.Running) bool { return r.Preemptible() }).Find(&w.Spec, places, limit)
-	if ch == nil {
-		return nil
-	}
-	if len(ch.Victims) > 0 && ch.Cost == 0 {
-		return ch // the borrowers are leaving already, so the cell stays the choice
-	}
-	for _, sl := range ch.Slots {
-		if d.wanted[sl.Worker] {
-			ch.Cost += wantedCost
-		}
-	}
-	return ch
+	return d.finder(w, func(r *sched.Running) bool { return r.Preemptible() }).Find(&w.Spec, places, limit)
 }
 
 // occupy uses a part of a shape for a job: at once, or when the borrowers have
@@ -404,7 +452,7 @@
 	}
 	starts, waits := d.starts, d.waits
 	if r != nil {
-		starts = append(starts, r)
+		starts = append(starts, d.s.claimedRun(r))
 	}
 	if p != nil {
 		waits = append(waits, *p)
--- a/internal/sched/policy/reserve.go
+++ b/internal/sched/policy/reserve.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"teaselpaddle.example/teaselpaddle/internal/sched"
+	"teaselpaddle.example/teaselpaddle/internal/sched/cell"
 	"teaselpaddle.example/teaselpaddle/internal/sched/estimate"
 	"teaselpaddle.example/teaselpaddle/internal/sched/preempt"
 	"teaselpaddle.example/teaselpaddle/internal/sched/queue"
@@ -22,7 +23,7 @@
 	basePatience = 60 * time.Second
 	// maxRegions is the number of racks that are compared for one job; those with
 	// the most free accelerators.
-	maxRegions = 32
+	maxRegions = 4
 )
 
 // never is the time at which cells become free that no estimate covers.
@@ -129,42 +130,22 @@
 	return d.now.Sub(r.StartedAt) > max(estimate.Of(&r.Spec, d.correction(r.Customer)).High, minOverTime)
 }
 
-// want notes the workers that the oldest blocked jobs are about to get.
-func (d *decision) want() {
-	if d.s.rules.NoReservation || d.s.rules.NoWanted || len(d.b.shapes) == 0 {
-		return
-	}
-	for _, w := range firstN(d.oldest(), maxHolders) {
-		if d.s.cells.Place(d.request(w)) != nil {
-			continue
-		}
-		workers, _ := d.clearing(w, d.yielding(w))
-		for _, k := range workers {
-			d.wanted[k] = true
-		}
-	}
-}
-
-func firstN[T any](v []T, n int) []T { return v[:min(n, len(v))] }
-
-// regions returns the sets of workers that a job may be spread over.
-func (d *decision) regions(w *sched.Waiting) [][]int {
+// regions returns the sets of workers that a job may be spread over: those of
+// racks that hold enough accelerators, counted by holds.
+func (d *decision) regions(w *sched.Waiting, holds func(*cell.Rack) int) [][]int {
 	z := d.s.cells
 	span := d.s.empty.span(&w.Spec)
 	var starts []int
 	for i := 0; i < len(z.Racks); i += span {
 		n := 0
 		for k := i; k < min(i+span, len(z.Racks)); k++ {
-			n += z.Racks[k].Reclaimable()
+			n += holds(&z.Racks[k])
 		}
 		if n >= w.Spec.TotalAccelerators() {
 			starts = append(starts, i)
 		}
 	}
-	if len(starts) > maxRegions {
-		slices.SortStableFunc(starts, func(a, b int) int { return cmp.Compare(z.Racks[b].Free(), z.Racks[a].Free()) })
-		starts = starts[:maxRegions]
-	}
+	starts = mostFree(z, starts, maxRegions)
 	out := make([][]int, 0, len(starts))
 	avoid := d.s.empty.avoid(w)
 	for _, i := range starts {
@@ -179,6 +160,27 @@
 	return out
 }
 
+// mostFree returns the n racks with the most free accelerators.
+func mostFree(z *cell.Zone, starts []int, n int) []int {
+	if len(starts) <= n {
+		return starts
+	}
+	best := make([]int, 0, n+1)
+	for _, i := range starts {
+		at, _ := slices.BinarySearchFunc(best, i, func(a, b int) int {
+			if c := cmp.Compare(z.Racks[b].Free(), z.Racks[a].Free()); c != 0 {
+				return c
+			}
+			return cmp.Compare(a, b)
+		})
+		if at < n {
+			best = slices.Insert(best, at, i)
+			best = best[:min(len(best), n)]
+		}
+	}
+	return best
+}
+
 // limit is the number of tasks that may go to a worker.
 func (d *decision) limit(w *sched.Waiting, k int) int {
 	n := min(d.s.cells.Workers[k].EmptyTasks(&w.Spec), w.Spec.Tasks)
@@ -191,10 +193,10 @@
 // roomFor returns the cheapest way to make room for a job by taking off the
 // allowed attempts, or nil.
 func (d *decision) roomFor(w *sched.Waiting, allowed func(*sched.Running) bool) *preempt.Choice {
-	f := d.finder(allowed)
+	f := d.finder(w, allowed)
 	var best *preempt.Choice
 	limit := math.Inf(1)
-	for _, r := range d.regions(w) {
+	for _, r := range d.regions(w, (*cell.Rack).Reclaimable) {
 		places := make([]preempt.Place, 0, len(r))
 		for _, k := range r {
 			places = append(places, preempt.Place{Worker: k, Limit: d.limit(w, k)})
@@ -216,8 +218,9 @@
 func (d *decision) clearing(w *sched.Waiting, allowed func(*sched.Running) bool) ([]int, time.Time) {
 	var best []ready
 	at := never
-	for _, r := range d.regions(w) {
-		var all []ready
+	var all []ready
+	for _, r := range d.regions(w, (*cell.Rack).Usable) {
+		all = all[:0]
 		for _, k := range r {
 			all = d.readyTimes(all, w, k, allowed)
 		}
@@ -226,7 +229,7 @@
 		}
 		slices.SortStableFunc(all, func(a, b ready) int { return a.at.Compare(b.at) })
 		if t := all[w.Spec.Tasks-1].at; t.Before(at) {
-			best, at = all[:w.Spec.Tasks], t
+			best, at = append(best[:0], all[:w.Spec.Tasks]...), t
 		}
 	}
 	var workers []int
@@ -238,22 +241,25 @@
 	return workers, at
 }
 
+// end is what an attempt holds on a worker and when it is expected to leave.
+type end struct {
+	preempt.Held
+	at time.Time
+}
+
 // readyTimes adds, for each task that a worker can hold, when it has room.
 func (d *decision) readyTimes(out []ready, w *sched.Waiting, k int, allowed func(*sched.Running) bool) []ready {
 	limit := d.limit(w, k)
 	if limit == 0 {
 		return out
 	}
-	type end struct {
-		preempt.Held
-		at time.Time
-	}
-	var ends []end
+	ends := d.ends[:0]
 	for _, h := range d.s.on[k] {
 		if at := d.expectedEnd(h.Run, allowed); at.Before(never) {
 			ends = append(ends, end{h, at})
 		}
 	}
+	d.ends = ends
 	slices.SortFunc(ends, func(a, b end) int {
 		if c := a.at.Compare(b.at); c != 0 {
 			return c
--- a/internal/sched/policy/state.go
+++ b/internal/sched/policy/state.go
@@ -35,17 +35,25 @@
 	cells   *cell.Zone
 	empty   *emptyZone
 
-	runs    map[model.JobID]*sched.Running
-	on      [][]preempt.Held // by worker index, in order of attempts
-	claimed []*sched.Running // attempts in a guarantee, in order
-	overMem map[model.JobID]*sched.Running
+	runs     map[model.JobID]*sched.Running
+	on       [][]preempt.Held // by worker index, in order of attempts
+	claimed  []*claimed       // attempts in a guarantee, in order
+	overMem  map[model.JobID]*sched.Running
+	stopping map[model.JobID]*sched.Running
+
+	// noRoom are kinds of jobs that found no place on free resources; nothing has
+	// become free since that would hold them.
+	noRoom map[signature]bool
 
 	waiting   map[model.JobID]*sched.Waiting
+	fresh     []*sched.Waiting // not yet checked, or found to be refused
+	deadlines map[*sched.Waiting]bool
 	customers map[string]*customer
 	order     []*customer // by name
 
 	policy    model.Policy // of the service with the most say, see setConfig
 	bound     time.Duration
+	base      *bindings // shapes and their use, without cells
 	bindings  *bindings
 	bindingOf uint64 // version of the cells that bindings belongs to
 	largest   int    // accelerators of the largest worker
@@ -63,7 +71,7 @@
 	s := &State{
 		zone: zone, rules: rules,
 		runs: map[model.JobID]*sched.Running{}, waiting: map[model.JobID]*sched.Waiting{},
-		overMem: map[model.JobID]*sched.Running{}, customers: map[string]*customer{},
+		overMem: map[model.JobID]*sched.Running{}, stopping: map[model.JobID]*sched.Running{}, deadlines: map[*sched.Waiting]bool{}, customers: map[string]*customer{},
 	}
 	s.workers = slices.Clone(workers)
 	s.setConfig(cfg)
@@ -90,8 +98,8 @@
 // SetConfig puts another configuration into force.
 func (s *State) SetConfig(cfg *model.Configuration) {
 	s.setConfig(cfg)
-	s.empty = newEmptyZone(s)
-	s.bindings = nil
+	s.recheck()
+	s.unbind()
 }
 
 func (s *State) setConfig(cfg *model.Configuration) {
@@ -167,8 +175,9 @@
 // rebuild makes the cells anew from the workers and the running attempts.
 func (s *State) rebuild() {
 	s.cells = cell.NewZone(s.workers)
-	s.empty = newEmptyZone(s)
-	s.bindings = nil
+	s.noRoom = map[signature]bool{}
+	s.recheck()
+	s.unbind()
 	s.largest = 1
 	for i := range s.workers {
 		s.largest = max(s.largest, s.workers[i].Accelerators)
@@ -177,12 +186,15 @@
 	for _, r := range s.runs {
 		s.hold(r)
 	}
+	for i, c := range s.claimed {
+		s.claimed[i] = s.claimedRun(c.Running)
+	}
 }
 
 // AddWaiting puts a job into its customer's queue.
 func (s *State) AddWaiting(w *sched.Waiting) {
 	if s.waiting[w.ID] == nil {
-		s.waiting[w.ID] = w
+		s.note(w)
 		s.customer(w.Spec.Customer).Insert(w)
 	}
 }
@@ -190,16 +202,36 @@
 // addWaiting leaves the order of the queue to the caller.
 func (s *State) addWaiting(w *sched.Waiting) {
 	if s.waiting[w.ID] == nil {
-		s.waiting[w.ID] = w
+		s.note(w)
 		c := s.customer(w.Spec.Customer)
 		c.Jobs = append(c.Jobs, w)
 	}
 }
 
+// note registers a waiting job.
+func (s *State) note(w *sched.Waiting) {
+	s.waiting[w.ID] = w
+	s.fresh = append(s.fresh, w)
+	if !w.Spec.Deadline.IsZero() {
+		s.deadlines[w] = true
+	}
+}
+
+// recheck lets the next decision check all waiting jobs again.
+func (s *State) recheck() {
+	s.empty = newEmptyZone(s)
+	s.fresh = s.fresh[:0]
+	for _, c := range s.order {
+		s.fresh = append(s.fresh, c.Jobs...)
+	}
+}
+
 // RemoveWaiting takes a job out of its queue.
 func (s *State) RemoveWaiting(id model.JobID) {
 	if w := s.waiting[id]; w != nil {
 		delete(s.waiting, id)
+		delete(s.deadlines, w)
+		s.fresh = slices.DeleteFunc(s.fresh, func(o *sched.Waiting) bool { return o == w })
 		s.customer(w.Spec.Customer).Remove(w)
 	}
 }
@@ -212,9 +244,12 @@
 	s.hold(r)
 	s.count(r, 1)
 	if !r.Borrowed {
-		i, _ := slices.BinarySearchFunc(s.claimed, r, compareRuns)
-		s.claimed = slices.Insert(s.claimed, i, r)
-		s.bindings = nil
+		i, _ := slices.BinarySearchFunc(s.claimed, r, func(c *claimed, r *sched.Running) int { return compareRuns(c.Running, r) })
+		s.claimed = slices.Insert(s.claimed, i, s.claimedRun(r))
+		s.unbind()
+	}
+	if r.Stopping {
+		s.stopping[r.ID] = r
 	}
 	if r.UsedMemoryMiB > r.Spec.MemoryMiB {
 		s.overMem[r.ID] = r
@@ -229,6 +264,7 @@
 	}
 	delete(s.runs, id)
 	delete(s.overMem, id)
+	delete(s.stopping, id)
 	s.count(r, -1)
 	s.cells.ReleaseAll(&r.Spec, r.Placement, !r.Preemptible())
 	for i := range r.Placement {
@@ -238,8 +274,8 @@
 		}
 	}
 	if !r.Borrowed {
-		s.claimed = slices.DeleteFunc(s.claimed, func(o *sched.Running) bool { return o == r })
-		s.bindings = nil
+		s.claimed = slices.DeleteFunc(s.claimed, func(c *claimed) bool { return c.Running == r })
+		s.unbind()
 	}
 }
 
@@ -269,6 +305,9 @@
 	}
 }
 
+// unbind lets the next decision compute the cells of the guarantees anew.
+func (s *State) unbind() { s.base, s.bindings = nil, nil }
+
 // SetEstimates replaces the corrections of declared run times.
 func (s *State) SetEstimates(e map[string]sched.Correction) { s.estimates = e }
 
