--- a/prove/batch_test.go
+++ b/prove/batch_test.go
@@ -128,6 +128,18 @@
 	}
 	sort.Strings(parts)
 	b.r.note("states", strings.Join(parts, ","))
+	refused := map[model.Reason]int{}
+	for _, o := range b.outcomes {
+		for code, k := range o.Refusals {
+			refused[code] += k
+		}
+	}
+	parts = nil
+	for code, k := range refused {
+		parts = append(parts, fmt.Sprintf("%s:%d", strings.ReplaceAll(string(code), " ", "_"), k))
+	}
+	sort.Strings(parts)
+	b.r.note("refused", strings.Join(parts, ","))
 }
 
 // mustBeDone fails the proof for each request that f selects and that is not
--- a/prove/proofs_test.go
+++ b/prove/proofs_test.go
@@ -19,6 +19,7 @@
 	{name: "one-way-cut", bound: 75 * time.Second, run: oneWayCut},
 	{name: "leader-freeze", bound: 75 * time.Second, run: leaderFreeze},
 	{name: "lost-disk-then-second-loss", bound: 90 * time.Second, run: lostDisk},
+	{name: "disk-instance-down", bound: 90 * time.Second, run: withoutDisk},
 	{name: "all-processes-of-a-zone-die", bound: 90 * time.Second, run: zoneDies},
 	{name: "operators-race", bound: 60 * time.Second, run: operatorsRace},
 	{name: "config-never-reverts", bound: 120 * time.Second, run: configNeverReverts},
