--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,4 @@
-.PHONY: build check test demo fmt prove
-.PHONY: build check test demo fmt bench
+.PHONY: build check test demo fmt prove bench
 export CGO_ENABLED = 1
 
 build:
@@ -12,6 +11,7 @@
 check: build
 	@out=$$(go tool gofumpt -l $$(git ls-files -co --exclude-standard '*.go')); if [ -n "$$out" ]; then echo "gofumpt: $$out"; exit 1; fi
 	go vet ./...
+	go vet -tags prove ./prove
 	go tool staticcheck ./...
 	$(MAKE) test
 
@@ -26,5 +26,7 @@
 prove: build
 	go test -tags prove -c -o bin/prove.test ./prove
 	cd prove && ../bin/prove.test -test.timeout 40m -proof '$(NAME)' -seed '$(SEED)'
+
+# Measurements, lines "BENCH <name> <value> <unit> naive <value>".
 bench:
 	go run ./internal/replay/bench
