Wait for the disk replicas where a not-repeatable job needs it

Cause: commits no longer wait for the voters with a disk, so an accepted not-repeatable job, or the record that its start may be sent, could be lost with every process of the zone. Change: Group.WaitDurable; a not-repeatable submission is acknowledged, and its start messages leave, only once the record is durable. While the disk replicas lag such jobs are refused with no_durable_replica and not placed; repeatable ones go on. Entries that were certainly not proposed are tried at the leader again and no longer answered with "unknown".

--- a/internal/control/attempt.go
+++ b/internal/control/attempt.go
@@ -89,6 +89,10 @@
 		a.phase = model.PhaseStart
 	}
 	if a.phase == model.PhaseStart {
+		if !a.startIsDurable(ctx) {
+			a.end(ctx, model.ReasonNoDurableReplica)
+			return
+		}
 		if !a.start(ctx) {
 			a.end(ctx, model.ReasonStartFailed)
 			return
@@ -101,6 +105,18 @@
 	}
 }
 
+// startIsDurable waits until the record that start messages may leave survives
+// the loss of every process of the zone: a not-repeatable job could otherwise be
+// started again. A repeatable job does not wait.
+func (a *attempt) startIsDurable(ctx context.Context) bool {
+	if a.spec.Repeatable {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	return a.c.Group.WaitDurable(ctx) == nil
+}
+
 func (a *attempt) propose(ctx context.Context, cmd *jobs.Command) bool {
 	cmd.ID = a.job
 	cmd.Fence = a.fence
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -21,8 +21,12 @@
 			Accelerators: w.Accelerators, Slots: w.Slots, Usable: usable,
 		})
 	}
+	durable := c.Group.Status().Durable
 	for _, j := range c.Machine.Active() {
 		if j.Attempt == nil {
+			if !j.Spec.Repeatable && !durable {
+				continue // its start could not be made durable
+			}
 			s.Waiting = append(s.Waiting, sched.Waiting{
 				ID: j.ID, Spec: j.Spec, Seq: j.Seq, SubmittedAt: j.SubmittedAt, Avoid: j.FailedOn,
 			})
--- a/internal/raft/rule_test.go
+++ b/internal/raft/rule_test.go
@@ -19,21 +19,22 @@
 }
 
 // Guards against the commit of an entry of an earlier term that a later leader
-// can still overwrite: by the voters alone in a normal election, or by a member
-// with a newer last term in a recovery election.
+// can still overwrite in a normal election, and against calling one durable that
+// a member with a newer last term can overwrite in a recovery election.
 func TestCommitNeedsOwnTermInBothQuorums(t *testing.T) {
 	is := is.New(t)
 	n := member()
 	n.campaign(true)
 	n.Step(Message{Kind: MsgVoteResp, From: a, Term: 4})
 	n.Advance() // stores the first entry of term 4 at index 3
-	ack := func(from ID, index uint64) uint64 {
+	type indexes struct{ commit, durable uint64 }
+	ack := func(from ID, index uint64) indexes {
 		n.Step(Message{Kind: MsgAppendResp, From: from, Term: 4, Index: index})
-		return n.commit
+		return indexes{n.commit, n.durable}
 	}
-	is.Equal(ack(a, 2), uint64(1)) // both quorums hold index 2, of term 2
-	is.Equal(ack(c, 3), uint64(1)) // the voters hold index 3, the disk only 2
-	is.Equal(ack(a, 3), uint64(3))
+	is.Equal(ack(a, 2), indexes{1, 0}) // both quorums hold index 2, of term 2
+	is.Equal(ack(c, 3), indexes{3, 0}) // the voters hold index 3, the disk only 2
+	is.Equal(ack(a, 3), indexes{3, 3})
 
 	// The same for a replacement, which the voters alone decide.
 	next := &Membership{Voters: []Member{{ID: a, Disk: true}, {ID: b}, {ID: ID{"c", 2}}}}
--- a/internal/replica/local.go
+++ b/internal/replica/local.go
@@ -32,6 +32,9 @@
 // ReadIndex returns at once: there is no other member.
 func (l *Local) ReadIndex(context.Context) error { return nil }
 
+// WaitDurable returns at once.
+func (l *Local) WaitDurable(context.Context) error { return nil }
+
 // Transfer does nothing: there is no other member.
 func (l *Local) Transfer(context.Context) error { return nil }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -27,6 +27,11 @@
 	// ReadIndex returns once the local state machine holds everything that was
 	// committed when ReadIndex was called.
 	ReadIndex(ctx context.Context) error
+	// WaitDurable returns once everything applied when it was called is on a
+	// majority of the voters with a disk, so that it survives the loss of every
+	// process. It returns *NotLeaderError if this instance does not lead or stops
+	// leading. A group without such voters waits for nothing.
+	WaitDurable(ctx context.Context) error
 	// Transfer hands the leadership to another voter, if this instance leads.
 	Transfer(ctx context.Context) error
 	Status() Status
@@ -42,7 +47,8 @@
 	Applied uint64
 	// Ready is true once this instance is a voter that has caught up.
 	Ready bool
-	// Durable is true if the group has a voter with a disk.
+	// Durable is true if the group has voters with a disk and a majority of them
+	// keeps up with the log. It is known on the leader only.
 	Durable bool
 	// Members are the voters and learners by instance name.
 	Members []Member
--- a/internal/replica/run.go
+++ b/internal/replica/run.go
@@ -36,6 +36,7 @@
 	proposals chan *proposal
 	reads     chan *read
 	transfers chan chan struct{}
+	durables  chan *durableWait
 	stop      chan struct{}
 	stopOnce  sync.Once
 	done      chan struct{}
@@ -54,6 +55,8 @@
 	nextRead  uint64
 	rounds    map[uint64]*round
 	leaving   []chan struct{} // waiting transfers
+	waits     []*durableWait
+	durableAt time.Time // when the durable index was last at the commit index
 	caughtUp  bool
 	startRead *read // finds out whether the member has caught up
 	counted   raft.Status
@@ -80,7 +83,7 @@
 	r := &Replica{
 		cfg: cfg, log: cfg.Log.WithValues("group", cfg.Group), rnd: rand.New(rand.NewPCG(seed, xxhash.Sum64String(cfg.Self))),
 		inbox: make(chan inbound, inboxSize), proposals: make(chan *proposal), reads: make(chan *read),
-		transfers: make(chan chan struct{}), stop: make(chan struct{}), done: make(chan struct{}),
+		transfers: make(chan chan struct{}), durables: make(chan *durableWait), stop: make(chan struct{}), done: make(chan struct{}),
 		initial: initial, answers: map[string]answer{}, pending: map[uint64]*proposal{},
 		rounds: map[uint64]*round{},
 	}
@@ -160,6 +163,8 @@
 			r.startReads(rd)
 		case ch := <-r.transfers:
 			r.transfer(ch)
+		case w := <-r.durables:
+			r.startDurable(w)
 		}
 		r.drain()
 		r.pump()
@@ -285,6 +290,7 @@
 func (r *Replica) shutdown() {
 	r.cfg.Dispatcher.remove(r)
 	r.failAll(&StoppedError{Group: r.cfg.Group})
+	r.finishDurable(nil)
 	if r.node != nil {
 		_ = r.store.close()
 	}
@@ -301,7 +307,11 @@
 func (r *Replica) publish() {
 	st := Status{}
 	if r.node != nil {
-		st = r.view()
+		n := r.node.Status()
+		r.finishDurable(&n)
+		st = r.view(n)
+	} else {
+		r.finishDurable(nil)
 	}
 	r.mu.Lock()
 	r.status = st
@@ -309,12 +319,11 @@
 	r.finishTransfers(st.Leader != r.cfg.Self)
 }
 
-func (r *Replica) view() Status {
-	n := r.node.Status()
+func (r *Replica) view(n raft.Status) Status {
 	r.count(n)
 	out := Status{
 		Leader: n.Leader.Instance, Leads: n.ReadyToLead, Term: n.Term, Applied: n.Applied,
-		Ready: r.caughtUp && n.Voter, Durable: n.Membership.HasDisk(),
+		Ready: r.caughtUp && n.Voter, Durable: r.keepsUp(&n, time.Now()),
 	}
 	for _, v := range n.Membership.Voters {
 		out.Members = append(out.Members, Member{
--- a/internal/routing/config_test.go
+++ b/internal/routing/config_test.go
@@ -166,7 +166,9 @@
 	d.stop()
 	// A request on a link that b still takes for open would rightly end as unknown.
 	for {
-		_, err := d.b.Peers.Call(t.Context(), "a", link.KindRequest, nil)
+		short, stop := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		_, err := d.b.Peers.Call(short, "a", link.KindRequest, nil)
+		stop()
 		var ns *link.NotSentError
 		if errors.As(err, &ns) {
 			break
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -75,6 +75,7 @@
 const (
 	callTimeout    = 4 * time.Second        // one call to one instance
 	requestTimeout = 10 * time.Second       // all calls of one request
+	durableTimeout = 2 * time.Second        // wait for the replicas with a disk
 	leaderTimeout  = 3 * time.Second        // wait for a leader: longer than an election
 	retryPause     = 100 * time.Millisecond // between two tries
 	retryAfter     = 2 * time.Second        // told to callers
@@ -219,9 +220,8 @@
 	case OpSubmit:
 		cmd.Kind = jobs.KindSubmit
 		cmd.Spec = req.Spec
-		if !req.Spec.Repeatable && !r.Group.Status().Durable {
-			return &Response{Refusal: model.Refuse(model.ReasonNoDurableReplica,
-				"zone %q has no replica with a disk", r.Zone).After(retryAfter)}
+		if !req.Spec.Repeatable {
+			return r.submitOnce(ctx, cmd)
 		}
 	case OpCancel:
 		cmd.Kind = jobs.KindCancel
@@ -233,6 +233,31 @@
 	return r.propose(ctx, cmd)
 }
 
+// submitOnce accepts a not-repeatable job. Its record must survive the loss of
+// every process of the zone, or a resend could run it a second time.
+func (r *Router) submitOnce(ctx context.Context, cmd *jobs.Command) *Response {
+	if r.Machine.Get(cmd.ID) == nil && !r.Group.Status().Durable {
+		return &Response{Refusal: notDurable(r.Zone)}
+	}
+	resp := r.propose(ctx, cmd)
+	if resp.Job == nil || resp.Refusal != nil {
+		return resp
+	}
+	ctx, cancel := context.WithTimeout(ctx, durableTimeout)
+	defer cancel()
+	if err := r.Group.WaitDurable(ctx); err != nil {
+		return &Response{Refusal: notDurable(r.Zone)}
+	}
+	return resp
+}
+
+// notDurable refuses a not-repeatable job. An earlier request with the same key
+// may have been accepted, so nothing is said about its run.
+func notDurable(zone string) *model.Refusal {
+	return model.Refuse(model.ReasonNoDurableReplica,
+		"no replica with a disk keeps up in availability zone %q", zone).After(retryAfter).With(model.Unknown)
+}
+
 func (r *Router) report(ctx context.Context, rep *workerapi.Report) *Response {
 	if rep.Usage != nil && r.Usage != nil {
 		r.Usage(rep.Job, rep.Fence, rep.Usage.MemoryMiB)
@@ -266,8 +291,9 @@
 	}
 	out, err := r.Group.Propose(ctx, entry)
 	var nl *replica.NotLeaderError
-	if errors.As(err, &nl) {
-		return &Response{NotLeader: true}
+	var np *replica.NotProposedError
+	if errors.As(err, &nl) || errors.As(err, &np) {
+		return &Response{NotLeader: true} // the entry will never be applied
 	}
 	if err != nil {
 		return &Response{Refusal: model.Refuse(model.ReasonOutcomeUnknown, "%v", err).
