--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -146,12 +146,7 @@
 	c.run(40)
 	l := c.lead()
 	term := l.node.term
-	for _, name := range c.names {
-		if name != l.name {
-			c.isolate(name)
-			break
-		}
-	}
+	c.isolate(c.after(l).name)
 	c.run(200)
 	clear(c.cut)
 	c.run(40)
@@ -176,6 +171,11 @@
 	c.settle()
 }
 
+// after returns the host that follows h.
+func (c *cluster) after(h *host) *host {
+	return c.hosts[c.names[(slices.Index(c.names, h.name)+1)%len(c.names)]]
+}
+
 func (c *cluster) isolate(name string) {
 	for _, other := range c.names {
 		c.cut[[2]string{name, other}] = true
@@ -192,8 +192,7 @@
 		l := c.lead()
 		c.propose(l, 1)
 		c.run(3)
-		first := c.hosts[c.names[(slices.Index(c.names, l.name)+1)%3]]
-		c.crash(first, true)
+		c.crash(c.after(l), true)
 		for !c.healthy() {
 			c.run(1)
 		}
@@ -249,7 +248,7 @@
 	l := c.lead()
 	h := c.hosts["n2"]
 	if h == l {
-		h = c.hosts["n1"]
+		h = c.hosts["n1"] // n0 has the disk
 	}
 	old := h.node.id
 	c.crash(h, true)
@@ -303,10 +302,7 @@
 	c := newCluster(t, 6, true, true, true)
 	c.run(40)
 	l := c.lead()
-	gone := c.hosts["n0"]
-	if gone == l {
-		gone = c.hosts["n1"]
-	}
+	gone := c.after(l)
 	is.NoErr(l.node.ProposeMembership(Change{Kind: ChangeRemove, Member: gone.node.id}))
 	err := l.node.ProposeMembership(Change{Kind: ChangeRemove, Member: l.node.id})
 	is.Equal(err.(*ChangeError).Reason, ChangePending)
@@ -343,31 +339,11 @@
 	c.propose(l, 1)
 	c.run(5)
 	for i, name := range c.names {
-		n := c.hosts[name].node
-		is.NoErr(n.ReadIndex(uint64(100 + i)))
-		var got []ReadState
-		for range 10 {
-			rd := n.Ready()
-			got = append(got, rd.Reads...)
-			c.pump(c.hosts[name], 0)
-			if len(c.net) > 0 {
-				c.deliver(0, false)
-			}
-			for j := 0; j < len(c.net); j++ {
-				if c.net[j].To != n.id {
-					c.deliver(j, false)
-				}
-			}
-			for len(c.net) > 0 {
-				m := c.net[0]
-				c.net = c.net[1:]
-				c.hosts[m.To.Instance].node.Step(m)
-				got = append(got, n.readStates...)
-				c.pump(c.hosts[m.To.Instance], 0)
-			}
-		}
-		is.True(len(got) > 0)
-		is.Equal(got[0], ReadState{Seq: uint64(100 + i), Index: l.node.commit})
+		h := c.hosts[name]
+		is.NoErr(h.node.ReadIndex(uint64(100 + i)))
+		c.pump(h, 0)
+		c.run(1)
+		is.Equal(h.reads, []ReadState{{Seq: uint64(100 + i), Index: l.node.commit}})
 	}
 	c.isolate(l.name)
 	is.NoErr(l.node.ReadIndex(1))
@@ -375,3 +351,41 @@
 	c.run(5)
 	is.Equal(len(l.node.pendingReads), 1)
 }
+
+// Guards against a member that lost what it had acknowledged, its log having
+// taken a damaged last write for a torn one, and that is never repaired.
+func TestLostTailIsSentAgain(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 9, true, true, true)
+	c.run(40)
+	l := c.lead()
+	for i := range 5 {
+		c.propose(l, i)
+	}
+	c.run(5)
+	h := c.after(l)
+	h.disk.entries = h.disk.entries[:len(h.disk.entries)-2]
+	h.disk.hs.Commit = 1
+	c.crash(h, false)
+	c.settle()
+	is.Equal(c.lead(), l)
+}
+
+// Guards against a log that grows without bound while the only voter with a
+// disk is away.
+func TestProposalsAreBounded(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 10, true, false, false)
+	c.run(40)
+	l := c.hosts["n1"]
+	l.node.campaign(true)
+	c.run(5)
+	is.Equal(c.lead(), l)
+	c.isolate("n0")
+	var err error
+	for i := 0; err == nil; i++ {
+		_, _, err = l.node.Propose(nil)
+		is.True(i <= maxUncommitted)
+	}
+	is.True(err.(*BusyError).Uncommitted >= maxUncommitted)
+}
