Detect failed instances in the daemon; test at-most-once under lossy messages

Cause: requests waited for dead instances in the order of the settings, and no test sent the same requests through several entries while messages were lost, doubled and reordered. Change: the daemon runs the membership protocol, asks instances that are believed to be alive first, and shows its view in GET /v1/status. A property test over three zones with lossy calls, lost worker answers and repeated reports checks starts, not_run and answers. A refusal with no_durable_replica before anything was proposed makes no claim about the run, as the test of the zone's refusals asks.

--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -51,6 +51,7 @@
 		z.Fragmentation = view.NewFragmentation(d.board.List(), d.machine.Active(), usable)
 	case routing.OpStatus:
 		z.Status = view.NewStatus(d.zone.Status(), d.machine.Config(), d.adopter.Confirmed(), now)
+		z.Status.Instances = d.instances()
 	}
 	return z
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"teaselpaddle.example/teaselpaddle/internal/httpapi"
 	"teaselpaddle.example/teaselpaddle/internal/jobs"
 	"teaselpaddle.example/teaselpaddle/internal/link"
+	"teaselpaddle.example/teaselpaddle/internal/membership"
 	"teaselpaddle.example/teaselpaddle/internal/replica"
 	"teaselpaddle.example/teaselpaddle/internal/routing"
 	"teaselpaddle.example/teaselpaddle/internal/sched/cell"
@@ -56,6 +57,7 @@
 	adopter *config.Adopter
 	ctl     *control.Controller
 	spread  *announce.Spreader
+	members *membership.Runner
 	client  *http.Server
 	peer    *http.Server
 
@@ -90,12 +92,14 @@
 	if err := d.openGroups(); err != nil {
 		return nil, err
 	}
+	d.startMembers()
 	d.wire()
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	d.wg.Go(func() { d.ctl.Run(ctx) })
 	d.wg.Go(func() { d.adopter.Run(ctx) })
 	d.wg.Go(func() { d.spread.Run(ctx) })
+	d.wg.Go(func() { d.updateFacts(ctx) })
 	go func() { _ = d.client.Serve(clientLn) }()
 	go func() { _ = d.peer.Serve(peerLn) }()
 	log.Info("serving", "instance", s.Name, "zone", d.self.AvailabilityZone, "clients", d.self.ClientAddress)
@@ -115,7 +119,7 @@
 	}
 	d.zone = zone
 	d.router = &routing.Router{
-		Self: d.s.Name, Zone: d.self.AvailabilityZone, Zones: d.s.Zones(), InZone: d.s.InZone,
+		Self: d.s.Name, Zone: d.self.AvailabilityZone, Zones: d.s.Zones(), InZone: d.inZone,
 		Peers: d.links, Group: d.zone, Machine: d.machine, Log: d.log,
 	}
 	voters := configVoters(d.s)
@@ -186,6 +190,7 @@
 func (d *Daemon) stop() error {
 	d.log.Info("stopping", "instance", d.s.Name)
 	d.stopping.Store(true)
+	d.members.SetFacts(d.facts(time.Now()))
 	time.Sleep(unreadyTime)
 	for _, g := range d.groups() {
 		transfer(g)
@@ -198,6 +203,7 @@
 	for _, g := range d.groups() {
 		g.Stop()
 	}
+	d.members.Close()
 	d.links.Close()
 	_ = d.peer.Shutdown(ctx)
 	d.log.Info("stopped", "instance", d.s.Name)
--- /dev/null
+++ b/internal/routing/property_test.go
@@ -0,0 +1,274 @@
+package routing_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"pgregory.net/rapid"
+
+	"teaselpaddle.example/teaselpaddle/internal/blackboard"
+	"teaselpaddle.example/teaselpaddle/internal/control"
+	"teaselpaddle.example/teaselpaddle/internal/jobs"
+	"teaselpaddle.example/teaselpaddle/internal/link"
+	"teaselpaddle.example/teaselpaddle/internal/model"
+	"teaselpaddle.example/teaselpaddle/internal/replica"
+	"teaselpaddle.example/teaselpaddle/internal/routing"
+	"teaselpaddle.example/teaselpaddle/internal/sched/policy"
+	"teaselpaddle.example/teaselpaddle/internal/workerapi"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "20261203")
+	_ = flag.Set("rapid.checks", "20")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+var zones = []string{"z1", "z2", "z3"}
+
+// chaos decides which messages are lost, doubled and delayed; mu guards rnd.
+type chaos struct {
+	mu  sync.Mutex
+	rnd *rand.Rand
+}
+
+// hit is true in one of n cases.
+func (c *chaos) hit(n int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rnd.IntN(n) == 0
+}
+
+// delay reorders messages.
+func (c *chaos) delay() {
+	c.mu.Lock()
+	d := time.Duration(c.rnd.IntN(5)) * time.Millisecond
+	c.mu.Unlock()
+	time.Sleep(d)
+}
+
+// network connects the instances; each zone has one, named like it.
+type network struct {
+	chaos    *chaos
+	handlers map[string]link.Handler
+}
+
+type port struct {
+	n    *network
+	self string
+}
+
+func (p *port) Call(ctx context.Context, to string, _ link.Kind, body []byte) ([]byte, error) {
+	p.n.chaos.delay()
+	lost := &link.NoReplyError{To: to, Cause: context.DeadlineExceeded}
+	if p.n.chaos.hit(5) {
+		return nil, lost
+	}
+	if p.n.chaos.hit(5) {
+		go func() {
+			p.n.chaos.delay()
+			_, _ = p.n.handlers[to](context.WithoutCancel(ctx), p.self, body)
+		}()
+	}
+	out, err := p.n.handlers[to](ctx, p.self, body)
+	if p.n.chaos.hit(5) {
+		return nil, lost
+	}
+	return out, err
+}
+
+func (p *port) Send(string, link.Kind, []byte) {}
+
+func (p *port) Handle(kind link.Kind, h link.Handler) {
+	if kind == link.KindRequest {
+		p.n.handlers[p.self] = h
+	}
+}
+
+// worker is one zone's worker; it has no limits. It answers truthfully, but its
+// answers get lost and its reports arrive late and more than once.
+type worker struct {
+	d    *deployment
+	name string
+
+	mu     sync.Mutex // guards states and starts
+	states map[uint64]workerapi.TaskState
+	starts map[model.JobID]int
+}
+
+// Do implements workerapi.Client.
+func (w *worker) Do(_ context.Context, address string, c *workerapi.Command) (*workerapi.Reply, error) {
+	w.d.chaos.delay()
+	lost := &workerapi.UnreachableError{Address: address, Cause: context.DeadlineExceeded}
+	if w.d.chaos.hit(8) {
+		return nil, lost
+	}
+	r := w.carryOut(c)
+	if w.d.chaos.hit(8) {
+		return nil, lost
+	}
+	return r, nil
+}
+
+func (w *worker) carryOut(c *workerapi.Command) *workerapi.Reply {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r := &workerapi.Reply{Number: c.Number, Incarnation: 1, Clock: time.Now().UnixMilli()}
+	if c.Op == workerapi.Renew {
+		return r
+	}
+	s, known := w.states[c.Fence]
+	switch {
+	case c.Op == workerapi.Reserve && !known:
+		s = workerapi.TaskReserved
+	case c.Op == workerapi.Start && s == workerapi.TaskReserved:
+		s = workerapi.TaskRunning
+		w.starts[c.Job]++
+		go w.finish(c.Job, c.Fence, c.Task)
+	case c.Op == workerapi.Stop && s == workerapi.TaskReserved:
+		s = workerapi.TaskNotStarted
+	case c.Op == workerapi.Stop && s == workerapi.TaskRunning:
+		s = workerapi.TaskStopped
+	case !known:
+		s = workerapi.TaskAbsent
+	}
+	w.states[c.Fence] = s
+	r.State = s
+	return r
+}
+
+// finish reports a result through random entries until it is acknowledged, and
+// now and then once more.
+func (w *worker) finish(id model.JobID, fence uint64, task int) {
+	w.d.chaos.delay()
+	rep := &workerapi.Report{Worker: w.name, Job: id, Fence: fence, Result: &model.TaskResult{
+		Task: task, Worker: w.name, OK: true, Output: string(id),
+	}}
+	for range 200 {
+		acked := w.d.entry().Report(context.Background(), rep) == nil
+		if acked && !w.d.chaos.hit(3) {
+			return
+		}
+	}
+}
+
+// deployment has a router and a controller in each zone.
+type deployment struct {
+	chaos   *chaos
+	routers []*routing.Router
+	workers []*worker
+	stop    func()
+}
+
+func (d *deployment) entry() *routing.Router {
+	d.chaos.mu.Lock()
+	defer d.chaos.mu.Unlock()
+	return d.routers[d.chaos.rnd.IntN(len(d.routers))]
+}
+
+func deploy(t *rapid.T, seed uint64) *deployment {
+	d := &deployment{chaos: &chaos{rnd: rand.New(rand.NewPCG(seed, 3))}}
+	n := &network{chaos: d.chaos, handlers: map[string]link.Handler{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for _, z := range zones {
+		m := jobs.New()
+		g := replica.NewLocal(z, m)
+		r := &routing.Router{
+			Self: z, Zone: z, Zones: zones, InZone: func(zone string) []string { return []string{zone} },
+			Peers: &port{n, z}, Group: g, Machine: m, Log: logr.Discard(),
+		}
+		r.Register()
+		w := &worker{d: d, name: "w-" + z, states: map[uint64]workerapi.TaskState{}, starts: map[model.JobID]int{}}
+		adopt := &jobs.Command{Kind: jobs.KindAdoptConfig, Config: &model.ConfigChange{
+			To: 1, Changed: []model.Service{{Name: "s", Customers: []model.Customer{{Name: "c", Weight: 1}}}},
+		}}
+		if entry, err := adopt.Encode(); err != nil {
+			t.Fatal(err)
+		} else if _, err = g.Propose(ctx, entry); err != nil {
+			t.Fatal(err)
+		}
+		board := blackboard.New()
+		board.Announce(model.Worker{
+			Name: w.name, Rack: "r", Cores: 1000, MemoryMiB: 1000, Accelerators: 100, Slots: 100, Seq: 1,
+		}, time.Now())
+		c := &control.Controller{
+			Zone: z, Group: g, Machine: m, Board: board, Client: w, Decide: policy.Decide,
+			Lease: 2 * time.Second, Log: logr.Discard(),
+		}
+		wg.Go(func() { c.Run(ctx) })
+		d.routers = append(d.routers, r)
+		d.workers = append(d.workers, w)
+	}
+	d.stop = func() { cancel(); wg.Wait() }
+	return d
+}
+
+// send submits a request until an entry has accepted it, and again after that
+// if the answer is taken for lost, then waits for the final answer.
+func (d *deployment) send(spec *model.JobSpec) *model.Job {
+	ctx := context.Background()
+	for range 200 {
+		resp, err := d.entry().Submit(ctx, spec)
+		if err != nil || d.chaos.hit(3) {
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		get := &routing.Request{Op: routing.OpGet, ID: resp.Job.ID, WaitMillis: 500}
+		got, err := d.entry().Do(ctx, resp.Job.ID.Zone(), get)
+		if err == nil && got.Job.State.Final() {
+			return got.Job
+		}
+	}
+	return nil
+}
+
+// Guards against a not-repeatable job that runs twice, a claim that a job did
+// not run when it did, and an answer that belongs to another job, while the same
+// requests go through random entries and messages are lost, doubled and
+// reordered on every way.
+func TestNotRepeatableJobsRunAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		d := deploy(t, seed)
+		defer d.stop()
+		answers := make([]*model.Job, rapid.IntRange(1, 12).Draw(t, "requests"))
+		var wg sync.WaitGroup
+		for i := range answers {
+			spec := &model.JobSpec{Customer: "c", Key: fmt.Sprint("k", i%8), Tasks: 1, Accelerators: 1, CPU: 1, MemoryMiB: 1}
+			wg.Go(func() { answers[i] = d.send(spec) })
+		}
+		wg.Wait()
+		for i, j := range answers {
+			d.check(t, i, j)
+		}
+	})
+}
+
+func (d *deployment) check(t *rapid.T, i int, j *model.Job) {
+	if j == nil {
+		t.Fatalf("request %d has no final answer", i)
+	}
+	starts := 0
+	for _, w := range d.workers {
+		w.mu.Lock()
+		starts += w.starts[j.ID]
+		w.mu.Unlock()
+	}
+	switch {
+	case starts > 1:
+		t.Fatalf("job %s started %d times", j.ID, starts)
+	case j.State == model.NotRun && starts > 0:
+		t.Fatalf("job %s is called not_run but started", j.ID)
+	case j.State == model.Done && (starts != 1 || j.Results[0].Output != string(j.ID)):
+		t.Fatalf("job %s has a wrong answer: %+v", j.ID, j.Results)
+	}
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -237,6 +237,8 @@
 // every process of the zone, or a resend could run it a second time.
 func (r *Router) submitOnce(ctx context.Context, cmd *jobs.Command) *Response {
 	if r.Machine.Get(cmd.ID) == nil && !r.Group.Status().Durable {
+		// Nothing was proposed, but a leader that was deposed without knowing may
+		// lack the record of an earlier request, so not_run is not claimed.
 		return &Response{Refusal: notDurable(r.Zone)}
 	}
 	resp := r.propose(ctx, cmd)
@@ -246,16 +248,15 @@
 	ctx, cancel := context.WithTimeout(ctx, durableTimeout)
 	defer cancel()
 	if err := r.Group.WaitDurable(ctx); err != nil {
-		return &Response{Refusal: notDurable(r.Zone)}
+		return &Response{Refusal: notDurable(r.Zone).With(model.Unknown)}
 	}
 	return resp
 }
 
-// notDurable refuses a not-repeatable job. An earlier request with the same key
-// may have been accepted, so nothing is said about its run.
+// notDurable refuses a not-repeatable job.
 func notDurable(zone string) *model.Refusal {
 	return model.Refuse(model.ReasonNoDurableReplica,
-		"no replica with a disk keeps up in availability zone %q", zone).After(retryAfter).With(model.Unknown)
+		"no replica with a disk keeps up in availability zone %q", zone).After(retryAfter)
 }
 
 func (r *Router) report(ctx context.Context, rep *workerapi.Report) *Response {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -39,6 +39,18 @@
 	Durable bool             `json:"durable"`
 	Members []replica.Member `json:"members"`
 	Config  ConfigStatus     `json:"config"`
+	// Instances is the answering instance's view of all instances.
+	Instances []Instance `json:"instances,omitempty"`
+}
+
+// Instance is what one instance believes about another.
+type Instance struct {
+	Name             string `json:"name"`
+	AvailabilityZone string `json:"availability_zone"`
+	State            string `json:"state"` // alive, suspect or dead
+	Stopping         bool   `json:"stopping,omitempty"`
+	// ConfigVersion may be up to two minutes old at 270 instances.
+	ConfigVersion uint64 `json:"config_version"`
 }
 
 // ConfigStatus is the configuration in force. Version is 0 if there is none.
