Measure nine real daemons

Cause: no figure of a whole daemon existed: processor time, memory, bytes between instances, accept and start latency, time without a leader, time until a configuration is in force. Change: make measure runs a deployment of nine daemons and 48 stand-in workers through the fault proxies and prints MEASURE lines.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build check test demo fmt prove bench
+.PHONY: build check test demo fmt prove measure bench
 export CGO_ENABLED = 1
 
 build:
@@ -25,8 +25,13 @@
 SEED ?= 1
 prove: build
 	go test -tags prove -c -o bin/prove.test ./prove
-	cd prove && ../bin/prove.test -test.timeout 40m -proof '$(NAME)' -seed '$(SEED)'
+	cd prove && ../bin/prove.test -test.run TestProve -test.timeout 40m -proof '$(NAME)' -seed '$(SEED)'
 
 # Measurements, lines "BENCH <name> <value> <unit> naive <value>".
 bench:
 	go run ./internal/replay/bench
+
+# Figures of nine real daemons: processor time, memory, bytes, latencies.
+measure: build
+	go test -tags prove -c -o bin/prove.test ./prove
+	cd prove && ../bin/prove.test -test.run TestMeasure -test.timeout 10m
--- /dev/null
+++ b/prove/measure_test.go
@@ -0,0 +1,263 @@
+//go:build prove
+
+package prove
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"teaselpaddle.example/teaselpaddle/internal/faultproxy"
+	"teaselpaddle.example/teaselpaddle/internal/model"
+	"teaselpaddle.example/teaselpaddle/internal/standin"
+)
+
+// Sizes of the measurements.
+const (
+	measureTime    = 15 * time.Second
+	loadedRate     = 20 // jobs a second over the whole deployment
+	acceptSamples  = 400
+	publishSamples = 10
+	killSamples    = 3
+	// ticksPerSecond is the unit of the processor times in /proc on Linux.
+	ticksPerSecond = 100
+)
+
+// TestMeasure prints figures of a deployment of nine daemons. It passes no
+// verdict: the times depend on the machine.
+func TestMeasure(t *testing.T) {
+	p := proof{name: "measure", bound: 6 * time.Minute, setup: options{workersPerRack: 8, leaseSeconds: 10}, run: measure}
+	p.execute(t, *seedFlag)
+}
+
+func measure(r *run) {
+	r.sleep(5 * time.Second)
+	r.cost("idle", nil)
+	r.accept("repeatable", true)
+	r.accept("not_repeatable", false)
+	r.starts()
+	r.cost("loaded", func(i int) { r.post(r.daemons[i%len(r.daemons)], r.small("load", i, true)) })
+	r.publishes("all_up")
+	r.leaderKills()
+}
+
+func (r *run) print(name string, value float64, unit string) {
+	fmt.Printf("MEASURE %s %.3g %s\n", name, value, unit)
+}
+
+func (r *run) small(prefix string, i int, repeatable bool) model.JobSpec {
+	return model.JobSpec{
+		Customer: customers[i%len(customers)], Key: fmt.Sprintf("%s-%d", prefix, i), Repeatable: repeatable,
+		Tasks: 1, Accelerators: 1, CPU: 1, MemoryMiB: 256, EstimatedSeconds: 1, Payload: "sleep=50ms",
+	}
+}
+
+// post submits a job and returns its status; 0 without an answer.
+func (r *run) post(d *daemon, s model.JobSpec) int {
+	body, err := json.Marshal(&s)
+	if err != nil {
+		r.fatalf("%v", err)
+	}
+	resp, err := http.Post("http://"+d.ClientAddress+"/v1/jobs", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// usage is what a daemon has used so far.
+type usage struct {
+	cpu  float64 // seconds
+	sent int64   // bytes to other instances
+}
+
+func (c *cluster) usage(d *daemon) usage {
+	u := usage{cpu: cpuSeconds(d.cmd.Process.Pid)}
+	for _, other := range c.daemons {
+		if p := c.proxies[[2]string{d.Name, other.Name}]; p != nil {
+			u.sent += p.Bytes(faultproxy.ToTarget)
+		}
+		if p := c.proxies[[2]string{other.Name, d.Name}]; p != nil {
+			u.sent += p.Bytes(faultproxy.FromTarget)
+		}
+	}
+	return u
+}
+
+func cpuSeconds(pid int) float64 {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0
+	}
+	f := strings.Fields(string(raw[bytes.LastIndexByte(raw, ')')+2:]))
+	user, _ := strconv.ParseFloat(f[11], 64)
+	system, _ := strconv.ParseFloat(f[12], 64)
+	return (user + system) / ticksPerSecond
+}
+
+// residentMiB is the process's resident memory.
+func residentMiB(pid int) float64 {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(raw)) {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kib, _ := strconv.ParseFloat(strings.Fields(rest)[0], 64)
+			return kib / 1024
+		}
+	}
+	return 0
+}
+
+// cost prints what the daemons use while load submits jobs. The leader of
+// amman-1 with a configuration voter, if it is one, costs the most, so mean and
+// maximum are printed.
+func (r *run) cost(name string, load func(i int)) {
+	before := map[*daemon]usage{}
+	for _, d := range r.daemons {
+		before[d] = r.usage(d)
+	}
+	begun := time.Now()
+	for i := 0; time.Since(begun) < measureTime; i++ {
+		if load != nil {
+			go load(i)
+		}
+		r.sleep(time.Second / loadedRate)
+	}
+	secs := time.Since(begun).Seconds()
+	var cpu, sent, mem []float64
+	for _, d := range r.daemons {
+		u := r.usage(d)
+		cpu = append(cpu, 100*(u.cpu-before[d].cpu)/secs)
+		sent = append(sent, float64(u.sent-before[d].sent)/secs)
+		mem = append(mem, residentMiB(d.cmd.Process.Pid))
+	}
+	for _, v := range []struct {
+		name, unit string
+		values     []float64
+	}{{"cpu", "percent_of_a_core", cpu}, {"sent_to_instances", "B/s", sent}, {"memory", "MiB", mem}} {
+		r.print(name+"_"+v.name+"_mean", mean(v.values), v.unit)
+		r.print(name+"_"+v.name+"_max", slices.Max(v.values), v.unit)
+	}
+}
+
+func mean(list []float64) float64 {
+	sum := 0.0
+	for _, v := range list {
+		sum += v
+	}
+	return sum / float64(len(list))
+}
+
+func quantile(list []float64, q float64) float64 {
+	s := slices.Sorted(slices.Values(list))
+	return s[min(len(s)-1, int(q*float64(len(s))))]
+}
+
+// accept prints how long the owner zone takes to accept a job, asked through
+// one of its followers.
+func (r *run) accept(name string, repeatable bool) {
+	d := r.follower("amman-1")
+	var ms []float64
+	for i := range acceptSamples {
+		s := owned("amman-1", r.small("accept-"+name, i, repeatable))
+		begun := time.Now()
+		if status := r.post(d, s); status/100 != 2 {
+			r.failf("accept %s: status %d", name, status)
+			return
+		}
+		ms = append(ms, time.Since(begun).Seconds()*1000)
+	}
+	r.print("accept_"+name+"_p50", quantile(ms, 0.5), "ms")
+	r.print("accept_"+name+"_p99", quantile(ms, 0.99), "ms")
+}
+
+// starts prints the time from submission to the start on the worker for urgent
+// jobs while cells are free.
+func (r *run) starts() {
+	d := r.follower("amman-1")
+	begun := map[string]time.Time{}
+	for i := range 50 {
+		s := owned("amman-1", r.small("urgent", i, true))
+		s.Urgent = true
+		begun[hash(&s)] = time.Now()
+		r.post(d, s)
+		r.sleep(20 * time.Millisecond)
+	}
+	r.sleep(2 * time.Second)
+	var ms []float64
+	for _, e := range r.events() {
+		id := string(e.Job)
+		if t, ok := begun[id[strings.LastIndexByte(id, '.')+1:]]; ok && e.Event == standin.EventStart {
+			ms = append(ms, e.At.Sub(t).Seconds()*1000)
+		}
+	}
+	if len(ms) == 0 {
+		r.failf("no urgent job started")
+		return
+	}
+	r.print("urgent_start_p50", quantile(ms, 0.5), "ms")
+	r.print("urgent_start_max", slices.Max(ms), "ms")
+}
+
+// publishes prints the time from a publish to its version being in force on
+// every instance.
+func (r *run) publishes(name string) {
+	var secs []float64
+	for i := range publishSamples {
+		folder := r.writeConfig(fmt.Sprintf("measure-%s-%d", name, i), 2000+i)
+		was := version(r.daemons[0])
+		begun := time.Now()
+		r.publish(r.daemons[i%len(r.daemons)], folder)
+		r.until("configuration in force", 20*time.Second, func() bool {
+			for _, d := range r.daemons {
+				if d.running() && version(d) <= was {
+					return false
+				}
+			}
+			return true
+		})
+		secs = append(secs, time.Since(begun).Seconds())
+	}
+	r.print("config_in_force_"+name+"_p50", quantile(secs, 0.5), "s")
+	r.print("config_in_force_"+name+"_max", slices.Max(secs), "s")
+}
+
+// leaderKills prints the time from SIGKILL of a zone's leader to the next
+// accepted job of the zone, and the time in which a killed instance is ready
+// again.
+func (r *run) leaderKills() {
+	var gap, ready []float64
+	for i := range killSamples {
+		l := r.waitLeader("amman-2", nil)
+		other := r.follower("amman-2")
+		l.kill()
+		begun := time.Now()
+		for n := 0; ; n++ {
+			if r.post(other, owned("amman-2", r.small(fmt.Sprintf("kill-%d", i), n, true)))/100 == 2 {
+				break
+			}
+			r.sleep(10 * time.Millisecond)
+		}
+		gap = append(gap, time.Since(begun).Seconds())
+		begun = time.Now()
+		r.restart(l)
+		r.waitReady(l)
+		ready = append(ready, time.Since(begun).Seconds())
+		r.sleep(3 * time.Second)
+	}
+	r.print("leader_killed_to_next_accept_median", quantile(gap, 0.5), "s")
+	r.print("leader_killed_to_next_accept_max", slices.Max(gap), "s")
+	r.print("restarted_to_ready_median", quantile(ready, 0.5), "s")
+	r.print("machine_cores", float64(runtime.NumCPU()), "cores")
+}
