Add make up: the demo's deployment without the demo

Cause: a new user had nothing to try the command-line tool against. Change: UP=1 keeps the deployment running and prints how to reach it.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build check test demo fmt prove measure bench
+.PHONY: build check test demo up fmt prove measure bench
 export CGO_ENABLED = 1
 
 build:
@@ -21,6 +21,10 @@
 demo: build
 	scripts/demo.sh
 
+# Starts the demo's deployment and keeps it running until it is interrupted.
+up: build
+	UP=1 scripts/demo.sh
+
 # Failure proofs with real processes: make prove NAME=<part of a name> SEED=<n>.
 SEED ?= 1
 prove: build
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -6,6 +6,9 @@
 # completion times and a summary line; exits with 0 only if every job has its
 # whole answer and the workers' journals agree.
 #
+# With UP=1 it sends no jobs: it prints how to reach the deployment and keeps it
+# running until it is interrupted.
+#
 # With PER_ZONE=1 no daemon is killed or stopped, since its zone would have no
 # other one.
 set -euo pipefail
@@ -146,6 +149,12 @@
 done
 bin/teaselpaddle --server "${entries[0]}" publish --yes examples/authority
 
+if [[ -n ${UP:-} ]]; then
+  echo "export TEASELPADDLE_SERVER=$(IFS=,; echo "${entries[*]}")"
+  echo "The deployment runs until this script is interrupted."
+  wait
+fi
+
 : >"$dir/answers"
 bin/standin-load --verbose --entries "${entries[@]}" --journals "$dir/journals" --jobs "$JOBS" --timeout 35s \
   --customers ministry-of-works water-utility workshop-irbid workshop-zarqa >"$dir/answers" &
