Do not show a configuration before the instance has caught up

Change: until it is ready the instance refuses with the code stopping and Retry-After. A body refused by the decoder is no longer counted twice.

--- a/internal/httpapi/config.go
+++ b/internal/httpapi/config.go
@@ -9,7 +9,6 @@
 	"teaselpaddle.example/teaselpaddle/internal/config"
 	"teaselpaddle.example/teaselpaddle/internal/model"
 	"teaselpaddle.example/teaselpaddle/internal/routing"
-	"teaselpaddle.example/teaselpaddle/internal/telemetry"
 	"teaselpaddle.example/teaselpaddle/internal/view"
 )
 
@@ -56,7 +55,6 @@
 func (a *API) publish(w http.ResponseWriter, r *http.Request) {
 	var p config.Publish
 	if err := decode(w, r, &p); err != nil {
-		telemetry.Refused(model.ReasonInvalid)
 		writeError(w, err)
 		return
 	}
@@ -74,6 +72,11 @@
 	cfg := a.Router.Machine.Config()
 	switch source := r.URL.Query().Get("source"); source {
 	case "", "zone":
+		if !a.Ready() {
+			// After a restart the replica may hold an older version than before.
+			refuse(w, model.Refuse(model.ReasonStopping, "this instance has not caught up or is stopping"))
+			return
+		}
 	case "accepted":
 		var err error
 		if cfg, err = a.Router.Accepted(r.Context()); err != nil {
