Answer at once when a zone's instances are silent

Cause: the instances of a zone were asked one after the other, so behind a silent cut a caller waited 4.8 s for its refusal (proof zone-cut-and-heal). Ruled out: a shorter time limit for each call; an election in the owner zone takes up to 2 s and must not look like a cut. Change: the next instance is asked after 300 ms without an answer, within the retry budget, and silent instances are not asked in a second round.

--- a/internal/routing/remote.go
+++ b/internal/routing/remote.go
@@ -20,6 +20,9 @@
 	retryBurst = 20
 	backoff    = 50 * time.Millisecond
 	maxBackoff = 500 * time.Millisecond
+	// giveUp is the time after which a zone is not asked in another round: the
+	// instances were silent, and the caller is told at once.
+	giveUp = time.Second
 	// failFast is how long a zone counts as unreachable after every one of its
 	// instances failed: requests in this time are answered at once.
 	failFast = time.Second
@@ -72,12 +75,13 @@
 		return unreachable(zone)
 	}
 	h.budget.Request()
+	begun := time.Now()
 	for try := 0; ; try++ {
-		if resp := r.anyInstance(ctx, zone, req); resp != nil {
+		if resp := r.anyInstance(ctx, zone, req, h.budget); resp != nil {
 			h.setDown(time.Time{})
 			return resp
 		}
-		if ctx.Err() != nil || !h.budget.Allow() || !retry.Sleep(ctx, retry.Backoff(try, backoff, maxBackoff)) {
+		if ctx.Err() != nil || time.Since(begun) > giveUp || !h.budget.Allow() || !retry.Sleep(ctx, retry.Backoff(try, backoff, maxBackoff)) {
 			break
 		}
 		telemetry.Retried(model.ReasonOwnerUnreachable)
@@ -102,20 +106,60 @@
 		"availability zone %q cannot be reached", zone).After(retryAfter).With(model.Unknown)}
 }
 
-// anyInstance returns the first answer of a zone's instances, or nil.
-func (r *Router) anyInstance(ctx context.Context, zone string, req *Request) *Response {
-	for _, to := range r.InZone(zone) {
-		resp, err := r.call(ctx, to, req)
-		if err == nil && !noLeader(resp) {
-			return resp
-		}
-		if err != nil {
-			r.Log.V(1).Info("request failed", "to", to, "op", req.Op, "job", req.ID, "error", err.Error())
+// hedgeDelay is the time without an answer after which the next instance of a
+// zone is asked as well. One after the other, three silent instances kept a
+// caller waiting for 4.8 s.
+const hedgeDelay = 300 * time.Millisecond
+
+// anyInstance returns the first answer of a zone's instances, or nil. The next
+// instance is asked when one has failed or has been silent for a while; every
+// operation is idempotent, so several may carry it out. The retry budget bounds
+// the extra load when a whole zone is slow.
+func (r *Router) anyInstance(ctx context.Context, zone string, req *Request, budget *retry.Budget) *Response {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	names := r.InZone(zone)
+	answers := make(chan *Response, len(names))
+	asked, open := 0, 0
+	ask := func() {
+		if asked < len(names) {
+			to := names[asked]
+			asked++
+			open++
+			go func() { answers <- r.conclusive(ctx, to, req) }()
 		}
-		if ctx.Err() != nil {
-			return nil
+	}
+	ask()
+	patience := hedgeDelay + time.Duration(req.WaitMillis)*time.Millisecond
+	for {
+		hedge := time.NewTimer(patience)
+		select {
+		case resp := <-answers:
+			hedge.Stop()
+			open--
+			if resp != nil || (open == 0 && asked == len(names)) {
+				return resp
+			}
+			ask()
+		case <-hedge.C:
+			if asked < len(names) && budget.Allow() {
+				telemetry.Retried(model.ReasonTimeout)
+				ask()
+			}
 		}
 	}
+}
+
+// conclusive asks one instance. It returns nil if it gave no answer or found no
+// leader.
+func (r *Router) conclusive(ctx context.Context, to string, req *Request) *Response {
+	resp, err := r.call(ctx, to, req)
+	if err == nil && !noLeader(resp) {
+		return resp
+	}
+	if err != nil && ctx.Err() == nil {
+		r.Log.V(1).Info("request failed", "to", to, "op", req.Op, "job", req.ID, "error", err.Error())
+	}
 	return nil
 }
 
--- a/internal/routing/remote_test.go
+++ b/internal/routing/remote_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,11 +17,11 @@
 // fakePeers answers calls with f.
 type fakePeers struct {
 	f func(ctx context.Context, to string) ([]byte, error)
-	n int
+	n atomic.Int64
 }
 
 func (p *fakePeers) Call(ctx context.Context, to string, _ link.Kind, _ []byte) ([]byte, error) {
-	p.n++
+	p.n.Add(1)
 	return p.f(ctx, to)
 }
 func (p *fakePeers) Send(string, link.Kind, []byte) {}
@@ -45,9 +46,9 @@
 	is.Equal(resp.Refusal.State, model.Unknown)
 	is.True(resp.Refusal.RetryAfter > 0)
 	is.True(time.Since(begin) < time.Second)
-	tries := p.n
+	tries := p.n.Load()
 	r.remote(context.Background(), "there", &Request{Op: OpGet})
-	is.Equal(p.n, tries)
+	is.Equal(p.n.Load(), tries)
 }
 
 // Guards against a caller that gives up and thereby makes the zone count as
@@ -80,3 +81,21 @@
 	resp := newRouter(p).remote(context.Background(), "there", &Request{Op: OpGet})
 	is.Equal(resp.Job.ID, model.JobID("j"))
 }
+
+// Guards against waiting for a silent instance while another one can answer.
+func TestSilentInstanceIsNotWaitedFor(t *testing.T) {
+	is := is.New(t)
+	want, err := codec.Marshal(&Response{Job: &model.Job{ID: "j"}})
+	is.NoErr(err)
+	p := &fakePeers{f: func(ctx context.Context, to string) ([]byte, error) {
+		if to == "a" {
+			<-ctx.Done()
+			return nil, &link.NoReplyError{To: to, Cause: ctx.Err()}
+		}
+		return want, nil
+	}}
+	begin := time.Now()
+	resp := newRouter(p).remote(context.Background(), "there", &Request{Op: OpGet})
+	is.Equal(resp.Job.ID, model.JobID("j"))
+	is.True(time.Since(begin) < time.Second)
+}
--- a/prove/measure_test.go
+++ b/prove/measure_test.go
@@ -215,10 +215,13 @@
 func (r *run) publishes(name string) {
 	var secs []float64
 	for i := range publishSamples {
-		folder := r.writeConfig(fmt.Sprintf("measure-%s-%d", name, i), 2000+i)
 		was := version(r.daemons[0])
+		p := r.change(was, fmt.Sprintf("measure-%s-%d", name, i), 2000+i)
 		begun := time.Now()
-		r.publish(r.daemons[i%len(r.daemons)], folder)
+		if a := r.putUntilSure(r.daemons, i, p); a.status != http.StatusOK {
+			r.failf("publish %d: status %d, code %s", i, a.status, a.Code)
+			return
+		}
 		r.until("configuration in force", 20*time.Second, func() bool {
 			for _, d := range r.daemons {
 				if d.running() && version(d) <= was {
