List jobs in the callers' view

Cause: GET /v1/jobs showed internal fields (seq, fence, failed_on) and every job's payload and results. Change: the list uses the same type as the other answers, without payload and results; the command-line tool decodes that type.

--- a/internal/cli/jobs.go
+++ b/internal/cli/jobs.go
@@ -45,7 +45,7 @@
 		}
 		spec.Payload = string(b)
 	}
-	var j model.Job
+	var j httpapi.Job
 	req := &request{method: http.MethodPost, path: "/v1/jobs", body: spec}
 	err := e.client.persist(ctx, req, &j, func(err error) {
 		fmt.Fprintf(e.err, "retrying with the same key: %v\n", err)
@@ -60,10 +60,10 @@
 }
 
 // waitFinal waits for a job's final state and shows its answer.
-func (e *env) waitFinal(ctx context.Context, j *model.Job) error {
+func (e *env) waitFinal(ctx context.Context, j *httpapi.Job) error {
 	path := "/v1/jobs/" + url.PathEscape(string(j.ID)) + "?wait=" + waitPart.String()
 	for !j.State.Final() {
-		var next model.Job
+		var next httpapi.Job
 		err := e.client.do(ctx, &request{method: http.MethodGet, path: path, wait: waitPart}, &next)
 		switch {
 		case err == nil:
@@ -86,11 +86,11 @@
 	return nil
 }
 
-func (e *env) showJob(j *model.Job) error {
+func (e *env) showJob(j *httpapi.Job) error {
 	if e.json {
 		return writeJSON(e.out, j)
 	}
-	jobTable([]*model.Job{j}).write(e.out)
+	jobTable([]*httpapi.Job{j}).write(e.out)
 	if len(j.Results) == 0 {
 		return nil
 	}
@@ -104,7 +104,7 @@
 	return nil
 }
 
-func jobTable(jobs []*model.Job) *table {
+func jobTable(jobs []*httpapi.Job) *table {
 	t := &table{head: []string{"JOB", "CUSTOMER", "KEY", "STATE", "REASON", "TASKS", "ACCELERATORS", "ATTEMPTS", "SUBMITTED", "FINISHED"}}
 	for _, j := range jobs {
 		t.row(j.ID, j.Spec.Customer, j.Spec.Key, j.State, j.Reason, j.Spec.Tasks, j.Spec.TotalAccelerators(), j.Attempts,
@@ -118,7 +118,7 @@
 }
 
 func (c *cancelCmd) run(ctx context.Context, e *env) error {
-	var j model.Job
+	var j httpapi.Job
 	req := &request{method: http.MethodDelete, path: "/v1/jobs/" + url.PathEscape(c.Job)}
 	err := e.client.persist(ctx, req, &j, func(err error) { fmt.Fprintf(e.err, "retrying: %v\n", err) })
 	if err != nil {
@@ -139,7 +139,7 @@
 		return err
 	}
 	if c.Active {
-		var active []*model.Job
+		var active []*httpapi.Job
 		for _, j := range list.Jobs {
 			if !j.State.Final() {
 				active = append(active, j)
--- a/internal/cli/views.go
+++ b/internal/cli/views.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"teaselpaddle.example/teaselpaddle/internal/httpapi"
-	"teaselpaddle.example/teaselpaddle/internal/model"
 	"teaselpaddle.example/teaselpaddle/internal/view"
 )
 
@@ -47,7 +46,7 @@
 
 func (c *statusCmd) run(ctx context.Context, e *env) error {
 	if c.Job != "" {
-		var j model.Job
+		var j httpapi.Job
 		path := "/v1/jobs/" + url.PathEscape(c.Job)
 		if err := e.client.do(ctx, &request{method: http.MethodGet, path: path}, &j); err != nil {
 			return err
--- a/internal/httpapi/config.go
+++ b/internal/httpapi/config.go
@@ -35,8 +35,8 @@
 
 // JobList is the answer to a list of jobs.
 type JobList struct {
-	Jobs    []*model.Job `json:"jobs"`
-	Partial bool         `json:"partial"`
+	Jobs    []*Job `json:"jobs"`
+	Partial bool   `json:"partial"`
 	// Unreachable are the zones whose jobs are missing.
 	Unreachable []view.Zone `json:"unreachable,omitempty"`
 }
@@ -128,11 +128,13 @@
 
 // list answers with the jobs of all zones that can be reached.
 func (a *API) list(w http.ResponseWriter, r *http.Request) {
-	out := &JobList{Jobs: []*model.Job{}}
+	out := &JobList{Jobs: []*Job{}}
 	req := &routing.Request{Op: routing.OpList, Customer: r.URL.Query().Get("customer")}
 	for _, z := range a.Router.Each(r.Context(), req) {
 		if z.Refusal == nil {
-			out.Jobs = append(out.Jobs, z.Response.Jobs...)
+			for _, j := range z.Response.Jobs {
+				out.Jobs = append(out.Jobs, listed(j))
+			}
 			continue
 		}
 		out.Partial = true
--- a/internal/httpapi/jobs.go
+++ b/internal/httpapi/jobs.go
@@ -51,6 +51,15 @@
 	return out
 }
 
+// listed is the view of a job in a list: without payload and results, which can
+// be large.
+func listed(j *model.Job) *Job {
+	out := NewJob(j)
+	out.Spec.Payload = ""
+	out.Results = nil
+	return out
+}
+
 func (a *API) submit(w http.ResponseWriter, r *http.Request) {
 	var spec model.JobSpec
 	if err := decode(w, r, &spec); err != nil {
