--- a/internal/replay/scale/scale.go
+++ b/internal/replay/scale/scale.go
@@ -131,6 +131,9 @@
 	}
 }
 
+// maxTries bounds the search for attempts that still run.
+const maxTries = 100
+
 // Times are the measured times of decisions.
 type Times struct{ P50, P99, Max time.Duration }
 
@@ -163,7 +166,8 @@
 		jobs[j.ID] = j
 		begin := time.Now()
 		st.AddWaiting(&j)
-		for ended := 0; ended < j.Spec.Tasks; {
+		// A small zone may run fewer tasks than were submitted.
+		for ended, tries := 0, 0; ended < j.Spec.Tasks && tries < maxTries; tries++ {
 			if k := z.rnd.IntN(len(ids)); running[ids[k]] > 0 {
 				st.RemoveRunning(ids[k])
 				ended += running[ids[k]]
