--- a/internal/replay/bench/main.go
+++ b/internal/replay/bench/main.go
@@ -63,6 +63,8 @@
 	line(p+"scattered", r.Scattered, "accelerators/zone", figure(n.Scattered))
 	line(p+"large_starved", r.LargeStarved, "share", figure(n.LargeStarved))
 	line(p+"guarantee_misses", float64(r.GuaranteeMisses), "jobs", figure(float64(n.GuaranteeMisses)))
+	line(p+"failed", float64(r.Failed), "jobs", figure(float64(n.Failed)))
+	line(p+"large_wait_max", r.LargeWait.Max, "s", figure(n.LargeWait.Max))
 	line(p+"reclaim_p99", r.Reclaim.P99, "s", figure(n.Reclaim.P99))
 	line(p+"reclaim_max", r.Reclaim.Max, "s", figure(n.Reclaim.Max))
 	lost := replayAll(traces, replay.Options{LoseWork: true})
