Record the inputs of a zone's decisions on request

Cause: the recorder for replay was not used by the daemon. Change: the setting trace_file; TRACES=DIR for the demo.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -92,6 +92,10 @@
 	if err := d.openGroups(); err != nil {
 		return nil, err
 	}
+	rec, err := d.openRecorder()
+	if err != nil {
+		return nil, err
+	}
 	d.startMembers()
 	d.wire()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -100,6 +104,9 @@
 	d.wg.Go(func() { d.adopter.Run(ctx) })
 	d.wg.Go(func() { d.spread.Run(ctx) })
 	d.wg.Go(func() { d.updateFacts(ctx) })
+	if rec != nil {
+		d.wg.Go(func() { rec.run(ctx) })
+	}
 	go func() { _ = d.client.Serve(clientLn) }()
 	go func() { _ = d.peer.Serve(peerLn) }()
 	log.Info("serving", "instance", s.Name, "zone", d.self.AvailabilityZone, "clients", d.self.ClientAddress)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -40,6 +40,9 @@
 	// LeaseSeconds is how long a worker runs a task without hearing from the
 	// leader; default: 10.
 	LeaseSeconds float64 `json:"lease_seconds,omitempty"`
+	// TraceFile is the file to which the inputs of the zone's decisions are
+	// recorded for replay; empty records nothing.
+	TraceFile string `json:"trace_file,omitempty"`
 	// MaxRequests is the number of requests in work at the same time; more are
 	// refused as overloaded; default: 1024.
 	MaxRequests int        `json:"max_requests,omitempty"`
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -9,6 +9,9 @@
 # With UP=1 it sends no jobs: it prints how to reach the deployment and keeps it
 # running until it is interrupted.
 #
+# With TRACES set each daemon records its zone's decisions to a file there, for
+# "teaselpaddle replay".
+#
 # With PER_ZONE=1 no daemon is killed or stopped, since its zone would have no
 # other one.
 set -euo pipefail
@@ -117,7 +120,12 @@
     mkdir -p "$dir/data/$name"
     folder="\"data_folder\": \"$dir/data/$name\","
   fi
-  echo "{\"name\": \"$name\", $folder \"instances\": [$instances]}" >"$dir/$name.jsonc"
+  trace=""
+  if [[ -n ${TRACES:-} ]]; then
+    mkdir -p "$TRACES"
+    trace="\"trace_file\": \"$(realpath "$TRACES")/$name.trace\","
+  fi
+  echo "{\"name\": \"$name\", $folder $trace \"instances\": [$instances]}" >"$dir/$name.jsonc"
   bin/teaselpaddled --settings "$dir/$name.jsonc" 2>"$dir/$name.log" &
   pid_of[$name]=$!
 done
