--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -169,6 +169,7 @@
   wait_for "first quarter of the answers" 350 answered $((JOBS / 4))
   victim=amman-1-${LETTERS[PER_ZONE - 1]}
   kill -KILL "${pid_of[$victim]}"
+  wait "${pid_of[$victim]}" 2>/dev/null || true # keeps the shell from reporting the kill
   echo "demo: killed $victim"
   wait_for "half of the answers" 350 answered $((JOBS / 2))
   kill -TERM "${pid_of[amman-2-b]}"
