--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -16,7 +16,6 @@
 	"teaselpaddle.example/teaselpaddle/internal/model"
 	"teaselpaddle.example/teaselpaddle/internal/replica"
 	"teaselpaddle.example/teaselpaddle/internal/sched"
-	"teaselpaddle.example/teaselpaddle/internal/telemetry"
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
 
@@ -24,6 +23,10 @@
 const (
 	leaderPoll      = 50 * time.Millisecond  // how often the leadership is checked
 	placementPeriod = 200 * time.Millisecond // placement runs at least this often
+	// proposeTimeout bounds the wait for one command, so that a leader whose quorum
+	// is gone notices that it was deposed. A command that ends this way may still be
+	// applied; the state machine refuses what no longer fits.
+	proposeTimeout = 5 * time.Second
 	// expirePeriod is how often results past their retention time are dropped.
 	expirePeriod = time.Hour
 	// workerSilence is the time after the last announcement from which a worker
@@ -48,6 +51,7 @@
 	learned  estimates
 	usage    usageTable
 	short    int       // guaranteed shapes that were missing at the last report
+	decided  time.Time // when the last decision was made
 	contacts *contacts // of the present term
 
 	mu       sync.Mutex // guards attempts
@@ -134,47 +138,6 @@
 	return a
 }
 
-// place runs one decision and applies its plan.
-func (c *Controller) place(ctx context.Context) {
-	cfg := c.Machine.Config()
-	if cfg == nil {
-		return
-	}
-	c.concludeLate(ctx, time.Now())
-	plan := c.Decide(c.snapshot(cfg, time.Now()))
-	for i := range plan.Rejections {
-		r := &plan.Rejections[i]
-		c.Log.Info("job concluded", "job", r.ID, "zone", c.Zone, "reason", r.Reason)
-		telemetry.Refused(r.Reason)
-		c.propose(ctx, &jobs.Command{Kind: jobs.KindConclude, ID: r.ID, Reason: r.Reason})
-	}
-	for i := range plan.Preemptions {
-		c.preempt(&plan.Preemptions[i])
-	}
-	for i := range plan.Starts {
-		s := &plan.Starts[i]
-		c.propose(ctx, &jobs.Command{
-			Kind: jobs.KindIntend, ID: s.ID,
-			Intend: &jobs.Intend{Placement: s.Placement, Borrowed: s.Borrowed, Claim: s.Claim},
-		})
-	}
-	for i := range plan.Actions {
-		c.act(&plan.Actions[i])
-	}
-	c.reportShortfalls(plan.Shortfalls)
-}
-
-// concludeLate gives queued jobs whose deadline has passed their final answer.
-func (c *Controller) concludeLate(ctx context.Context, now time.Time) {
-	for _, j := range c.Machine.Active() {
-		if j.State == model.Queued && !j.Spec.Deadline.IsZero() && now.After(j.Spec.Deadline) {
-			c.Log.Info("job concluded", "job", j.ID, "customer", j.Spec.Customer, "reason", model.ReasonDeadlinePassed)
-			telemetry.Refused(model.ReasonDeadlinePassed)
-			c.propose(ctx, &jobs.Command{Kind: jobs.KindConclude, ID: j.ID, Reason: model.ReasonDeadlinePassed})
-		}
-	}
-}
-
 // expire drops results past their retention time.
 func (c *Controller) expire(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -192,6 +155,8 @@
 		c.Log.Error(err, "command cannot be encoded", "job", cmd.ID)
 		return false
 	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
 	out, err := c.Group.Propose(ctx, entry)
 	if err != nil {
 		c.Log.V(1).Info("command not committed", "job", cmd.ID, "error", err.Error())
