Resolve workers' addresses at each command; slots of their own for workers

Cause: a new leader that took an attempt over before it had heard of its worker kept an empty address and gave the job up after its lease; callers that wait for answers could fill the slots that the workers' reports need; workers that never came back stayed on the blackboard. Change: the address is looked up at each command; workers' requests have their own limit; a worker is forgotten after an hour of silence. Measured: TestTakeoverBeforeAnnouncement passes; before, the command had no worker to go to.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -22,6 +22,10 @@
 // worker is known to be alive on every instance within 4 s.
 const Period = 2 * time.Second
 
+// forgetAfter is the time after which a silent worker is forgotten. It is longer
+// than any lease, so a leader can still reach a worker whose lease it waits for.
+const forgetAfter = time.Hour
+
 // message is what instances send each other.
 type message struct {
 	Full  []model.Worker `cbor:"1,keyasint,omitempty"`
@@ -63,8 +67,9 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-t.C:
+		case now := <-t.C:
 			s.flush()
+			s.Board.Prune(now.Add(-forgetAfter))
 		}
 	}
 }
--- a/internal/blackboard/blackboard.go
+++ b/internal/blackboard/blackboard.go
@@ -149,12 +149,18 @@
 	b.notify()
 }
 
-// Remove forgets a worker.
-func (b *Board) Remove(name string) {
-	s := b.shard(name)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.entries, name)
+// Prune forgets the workers that were not heard since the given time.
+func (b *Board) Prune(before time.Time) {
+	for i := range b.shards {
+		s := &b.shards[i]
+		s.mu.Lock()
+		for name, e := range s.entries {
+			if e.Health.LastSeen.Before(before) {
+				delete(s.entries, name)
+			}
+		}
+		s.mu.Unlock()
+	}
 }
 
 // List returns all entries by name.
--- a/internal/control/attempt.go
+++ b/internal/control/attempt.go
@@ -24,11 +24,10 @@
 )
 
 // task is the driver's knowledge of one task. The attempt's mu guards all
-// fields but place and address.
+// fields but place.
 type task struct {
-	place   model.TaskPlacement
-	address string
-	state   workerapi.TaskState
+	place model.TaskPlacement
+	state workerapi.TaskState
 	// reservedBy is the worker's incarnation that reserved the task under this
 	// leader; 0 if it is not known.
 	reservedBy uint64
@@ -71,10 +70,7 @@
 		leaseEnd = time.Now().Add(c.Lease + takeoverMargin)
 	}
 	for _, p := range j.Attempt.Placement {
-		e, _ := c.Board.Get(p.Worker)
-		a.tasks = append(a.tasks, &task{
-			place: p, address: e.Worker.Address, leaseEnd: leaseEnd, started: a.phase == model.PhaseRun,
-		})
+		a.tasks = append(a.tasks, &task{place: p, leaseEnd: leaseEnd, started: a.phase == model.PhaseRun})
 	}
 	return a
 }
@@ -166,12 +162,17 @@
 
 // ask sends one command and notes the answer.
 func (a *attempt) ask(ctx context.Context, t *task, cmd *workerapi.Command) *workerapi.Reply {
+	e, known := a.c.Board.Get(t.place.Worker)
+	if !known {
+		// A new leader may take attempts over before it has heard of the worker.
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
 	if cmd.Op == workerapi.Start {
 		a.granted(t, a.c.contacts.grant(t.place.Worker, cmd, a.c.Lease))
 	}
-	r, err := a.c.Client.Do(ctx, t.address, cmd)
+	r, err := a.c.Client.Do(ctx, e.Worker.Address, cmd)
 	if err != nil || r.Refused == model.ReasonStaleTerm {
 		return nil
 	}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -97,6 +97,7 @@
 
 // rig runs a controller over two fake workers.
 type rig struct {
+	board *blackboard.Board
 	t     *testing.T
 	m     *jobs.Machine
 	group *replica.Local
@@ -110,6 +111,7 @@
 	m := jobs.New()
 	r := &rig{t: t, m: m, group: replica.NewLocal("i", m), fakes: &fakes{workers: map[string]*fakeWorker{}}}
 	board := blackboard.New()
+	r.board = board
 	for _, name := range []string{"a", "b"} {
 		r.fakes.workers[name] = &fakeWorker{states: map[uint64]workerapi.TaskState{}, incarnation: 7}
 		board.Announce(model.Worker{Name: name, Address: name, Rack: "r", Accelerators: 1, Slots: 1, Seq: 1}, time.Now())
@@ -268,3 +270,31 @@
 	is.Equal(cmd.Echo, int64(50))
 	is.Equal(cmd.EchoIncarnation, uint64(1))
 }
+
+// Guards against losing a running job because a new leader takes it over before
+// it has heard of its workers.
+func TestTakeoverBeforeAnnouncement(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, func(_, _ *fakeWorker) {})
+	r.submit(false)
+	r.state(model.Running)
+	r.board.Prune(time.Now().Add(time.Hour))
+	board := blackboard.New()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	next := &Controller{
+		Zone: "z", Group: r.group, Machine: r.m, Board: board, Client: r.fakes,
+		Decide: naive.Decide, Lease: 10 * testLease, Log: logr.Discard(),
+	}
+	go next.Run(ctx)
+	time.Sleep(testLease / 3)
+	for _, name := range []string{"a", "b"} {
+		w := model.Worker{Name: name, Address: name, Rack: "r", Accelerators: 1, Slots: 1, Seq: 2}
+		board.Announce(w, time.Now())
+		r.board.Announce(w, time.Now())
+	}
+	time.Sleep(4 * testLease)
+	j := r.m.Get(r.id)
+	is.Equal(j.State, model.Running)
+	is.Equal(j.Attempts, 1)
+}
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -49,6 +49,13 @@
 		r.Use(limit(n))
 		a.routes(r)
 	})
+	// Workers have slots of their own: callers that wait for answers must not keep
+	// out the results that they wait for.
+	r.Group(func(r chi.Router) {
+		r.Use(limit(maxWorkerRequests))
+		r.Post("/v1/workers/announce", a.announce)
+		r.Post("/v1/workers/reports", a.report)
+	})
 	// Probes and metrics are answered even when the instance is overloaded.
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	r.Get("/readyz", a.ready)
@@ -62,8 +69,6 @@
 	r.Get("/v1/jobs/{id}", a.get)
 	r.Delete("/v1/jobs/{id}", a.cancel)
 	a.operators(r)
-	r.Post("/v1/workers/announce", a.announce)
-	r.Post("/v1/workers/reports", a.report)
 }
 
 // refuse counts a refusal and answers with it.
--- a/internal/httpapi/server.go
+++ b/internal/httpapi/server.go
@@ -20,6 +20,8 @@
 	writeTimeout = maxWait + 30*time.Second
 	// defaultMaxRequests applies if API.MaxRequests is 0.
 	defaultMaxRequests = 1024
+	// maxWorkerRequests are the requests of workers in work at the same time.
+	maxWorkerRequests = 512
 )
 
 // NewServer returns a server with limits against slow clients.
