Bound the search for reservations in one decision

Cause: with hundreds of blocked customers the search for cells to hold took a third of a pass over 10,000 waiting jobs. Change: cells are sought for at most twelve jobs in one decision; jobs that cannot be taken off are remembered as finding no room too.

--- a/internal/sched/policy/decide.go
+++ b/internal/sched/policy/decide.go
@@ -229,7 +229,7 @@
 	}
 	q := d.request(w)
 	p := d.s.cells.Place(q)
-	if p == nil && w.Spec.Repeatable && len(w.Avoid) == 0 && d.s.listable(&w.Spec) {
+	if p == nil && d.noRoom(w, q) {
 		d.s.noRoom[sig.anywhere()] = true
 		return false
 	}
@@ -248,6 +248,20 @@
 	return false
 }
 
+// noRoom reports whether a job that found no place would find none either if it
+// could be taken off.
+func (d *decision) noRoom(w *sched.Waiting, q *cell.Request) bool {
+	if len(w.Avoid) > 0 || !d.s.listable(&w.Spec) {
+		return false
+	}
+	if q.Keep == nil {
+		return true
+	}
+	free := *q
+	free.Keep = nil
+	return d.s.cells.Place(&free) == nil
+}
+
 // closed reports whether a worker is held for another job that this one could
 // delay.
 func (d *decision) closed(w *sched.Waiting, k int) bool {
--- a/internal/sched/policy/reserve.go
+++ b/internal/sched/policy/reserve.go
@@ -18,6 +18,9 @@
 	// maxHolders is the number of jobs that hold cells at the same time. More
 	// would keep more cells from short work than the jobs at the front need.
 	maxHolders = 4
+	// maxSearches bounds the jobs for which cells are sought: with hundreds of
+	// blocked customers the search took a third of a pass.
+	maxSearches = 12
 	// basePatience is how long a job waits for cells to become free before it
 	// holds some, where only completion time counts.
 	basePatience = 60 * time.Second
@@ -58,14 +61,15 @@
 	if d.s.rules.NoReservation {
 		return
 	}
-	holders := 0
+	holders, searches := 0, 0
 	for _, w := range d.oldest() {
-		if holders == maxHolders {
+		if holders == maxHolders || searches == maxSearches {
 			return
 		}
 		if d.s.customers[w.Spec.Customer].OverQuota(w.Spec.TotalAccelerators()) || d.try(w) {
 			continue
 		}
+		searches++
 		if d.hold(w) {
 			holders++
 		}
