--- a/internal/control/act.go
+++ b/internal/control/act.go
@@ -19,7 +19,7 @@
 		return
 	}
 	c.Log.Info("job preempted", "job", p.ID, "customer", a.spec.Customer, "zone", c.Zone, "for", p.For)
-	a.preempt(p.Bound)
+	a.preempt(p.For, p.Bound)
 }
 
 // act throttles, checkpoints or stops an attempt that uses more than it
@@ -59,8 +59,10 @@
 	})
 }
 
-// preempt makes watch end the attempt; the tasks have bound to checkpoint.
-func (a *attempt) preempt(bound time.Duration) {
+// preempt makes watch end the attempt for another job; the tasks have bound to
+// checkpoint.
+func (a *attempt) preempt(other model.JobID, bound time.Duration) {
+	a.stoppingFor.Store(&other)
 	a.bound.Store(int64(bound))
 	a.preempted.Store(true)
 	a.wakeUp()
--- a/internal/control/attempt.go
+++ b/internal/control/attempt.go
@@ -50,6 +50,7 @@
 
 	preempted    atomic.Bool                  // a reclaim takes the attempt off
 	bound        atomic.Int64                 // time to checkpoint before the stop, in ns
+	stoppingFor  atomic.Pointer[model.JobID]  // the job that a reclaim makes room for
 	stopping     atomic.Bool                  // the tasks are being stopped
 	throttled    atomic.Bool                  // the tasks were told to throttle
 	checkpointed atomic.Bool                  // the tasks were told to checkpoint
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -46,6 +46,9 @@
 	}
 	if a := c.attempt(j.ID); a != nil {
 		r.Stopping = a.preempted.Load() || a.stopping.Load()
+		if other := a.stoppingFor.Load(); other != nil {
+			r.StoppingFor = *other
+		}
 		r.Throttled = a.throttled.Load()
 		r.Checkpointed = a.checkpointed.Load()
 	}
--- a/internal/model/job.go
+++ b/internal/model/job.go
@@ -104,8 +104,8 @@
 	Fence     uint64          `json:"fence"`
 	Phase     Phase           `json:"phase"`
 	Placement []TaskPlacement `json:"placement"`
-	// Borrowed is true if the attempt runs outside its customer's guarantee and
-	// may be taken off.
+	// Borrowed is true if the attempt runs outside its customer's guarantee. It
+	// may be taken off if its job is repeatable as well.
 	Borrowed bool `json:"borrowed,omitempty"`
 	// Claim is the guaranteed shape that the attempt runs in, if any.
 	Claim     Claim        `json:"claim,omitzero"`
