Export every refusal and retry counter from the start

Cause: a counter appeared only after its first refusal, so an alert on it had no series; three reasons were used nowhere.

--- a/internal/model/reason.go
+++ b/internal/model/reason.go
@@ -43,10 +43,60 @@
 	ReasonReserveFailed  Reason = "reserve_failed"
 	ReasonStartFailed    Reason = "start_failed"
 	ReasonReclaimed      Reason = "reclaimed"
-	ReasonLeaderChanged  Reason = "leader_changed"
-	ReasonLinkSilent     Reason = "link_silent"
 	ReasonTimeout        Reason = "timeout"
-	ReasonGangMemberLost Reason = "gang_member_lost"
 	ReasonOverTime       Reason = "over_declared_time"
 	ReasonOverMemory     Reason = "over_declared_memory"
 )
+
+// RefusalReasons are the reasons that a refusal or a final answer can have. Each
+// has a counter from the start, so that an alert can rest on it.
+var RefusalReasons = []Reason{
+	ReasonInvalid,
+	ReasonTooLarge,
+	ReasonNotFound,
+	ReasonKeyConflict,
+	ReasonUnknownCustomer,
+	ReasonQueueFull,
+	ReasonNeverFits,
+	ReasonDeadlineUnmet,
+	ReasonNoConfiguration,
+	ReasonNoDurableReplica,
+	ReasonNoLeader,
+	ReasonOwnerUnreachable,
+	ReasonOutcomeUnknown,
+	ReasonStopping,
+	ReasonOverloaded,
+	ReasonVersionConflict,
+	ReasonPublishKeyReuse,
+	ReasonGuaranteesTooBig,
+	ReasonStaleFence,
+	ReasonStaleTerm,
+	ReasonWorkerFull,
+	ReasonWorkerLeaving,
+	ReasonInternal,
+	ReasonMethodNotAllowed,
+	ReasonPlacementOutdated,
+	ReasonCancelled,
+	ReasonDeadlinePassed,
+	ReasonTaskFailed,
+	ReasonTooManyFails,
+	ReasonOverTime,
+	ReasonOverMemory,
+}
+
+// RetryReasons are the reasons for which something is tried again.
+var RetryReasons = []Reason{
+	ReasonNoDurableReplica,
+	ReasonNoLeader,
+	ReasonOwnerUnreachable,
+	ReasonCancelled,
+	ReasonDeadlinePassed,
+	ReasonTaskFailed,
+	ReasonWorkerLost,
+	ReasonReserveFailed,
+	ReasonStartFailed,
+	ReasonReclaimed,
+	ReasonTimeout,
+	ReasonOverTime,
+	ReasonOverMemory,
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -29,14 +29,40 @@
 	return zapr.NewLogger(zap.New(core))
 }
 
+var (
+	refusals = counters("teaselpaddle_refusals_total", model.RefusalReasons)
+	retries  = counters("teaselpaddle_retries_total", model.RetryReasons)
+)
+
+// counters makes one counter for each reason, at 0.
+func counters(name string, reasons []model.Reason) map[model.Reason]*metrics.Counter {
+	out := map[model.Reason]*metrics.Counter{}
+	for _, r := range reasons {
+		out[r] = counter(name, r)
+	}
+	return out
+}
+
+func counter(name string, r model.Reason) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf("%s{reason=%q}", name, string(r)))
+}
+
 // Refused counts a refusal.
 func Refused(r model.Reason) {
-	metrics.GetOrCreateCounter(fmt.Sprintf("teaselpaddle_refusals_total{reason=%q}", string(r))).Inc()
+	if c := refusals[r]; c != nil {
+		c.Inc()
+		return
+	}
+	counter("teaselpaddle_refusals_total", r).Inc()
 }
 
 // Retried counts a retry.
 func Retried(r model.Reason) {
-	metrics.GetOrCreateCounter(fmt.Sprintf("teaselpaddle_retries_total{reason=%q}", string(r))).Inc()
+	if c := retries[r]; c != nil {
+		c.Inc()
+		return
+	}
+	counter("teaselpaddle_retries_total", r).Inc()
 }
 
 // Count adds one to the named counter.
