Make the worker health usable before the controllers run

Cause: a request for the operators' view that arrived before the controllers had started used a tracker that was not made yet. Change: the tracker's zero value is ready. Measured: the tests of health and control pass under the race detector.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -11,7 +11,6 @@
 	"github.com/go-logr/logr"
 
 	"teaselpaddle.example/teaselpaddle/internal/blackboard"
-	"teaselpaddle.example/teaselpaddle/internal/health"
 	"teaselpaddle.example/teaselpaddle/internal/jobs"
 	"teaselpaddle.example/teaselpaddle/internal/model"
 	"teaselpaddle.example/teaselpaddle/internal/replica"
@@ -60,7 +59,6 @@
 
 // Run acts whenever this instance leads, until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
-	c.health.tracker = health.New()
 	c.Machine.Subscribe(c.health.observe)
 	c.Machine.Subscribe(c.learned.observe)
 	c.Machine.Subscribe(c.usage.observe)
--- a/internal/control/workerhealth.go
+++ b/internal/control/workerhealth.go
@@ -15,9 +15,10 @@
 
 // workerHealth feeds the tracker from the changes of job records. It lives as
 // long as the daemon, on every replica, so a new leader knows the bad workers.
+// The zero value is ready.
 type workerHealth struct {
 	mu      sync.Mutex // guards tracker
-	tracker *health.Tracker
+	tracker health.Tracker
 }
 
 // observe is the hook on the jobs machine.
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -32,18 +32,18 @@
 	probing   bool          // one more failure suspends it again
 }
 
-// Tracker follows the workers of one zone. It is not safe for concurrent use.
+// Tracker follows the workers of one zone. The zero value is empty and ready. It
+// is not safe for concurrent use.
 type Tracker struct {
 	workers map[string]*worker
 	jobs    map[model.JobID][]string // workers that a job's failures count against
 }
 
-// New returns an empty tracker.
-func New() *Tracker {
-	return &Tracker{workers: map[string]*worker{}, jobs: map[model.JobID][]string{}}
-}
-
 func (t *Tracker) worker(name string) *worker {
+	if t.workers == nil {
+		t.workers = map[string]*worker{}
+		t.jobs = map[model.JobID][]string{}
+	}
 	w := t.workers[name]
 	if w == nil {
 		w = &worker{probe: firstProbe}
--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -15,7 +15,7 @@
 // Guards against a worker that fails everything and keeps getting work.
 func TestBadWorkerIsSuspendedAndProbed(t *testing.T) {
 	is := is.New(t)
-	tr := New()
+	tr := &Tracker{}
 	for i := range 3 {
 		is.True(!tr.Suspended("w", start))
 		tr.Failed(model.JobID(fmt.Sprint("j", i)), "w", start)
@@ -33,7 +33,7 @@
 // Guards against bad jobs that take good workers out of use.
 func TestBadJobsDoNotSuspendWorkers(t *testing.T) {
 	is := is.New(t)
-	tr := New()
+	tr := &Tracker{}
 	for i := range 3 {
 		id := model.JobID(fmt.Sprint("bad", i))
 		for _, w := range []string{"a", "b", "c"} {
@@ -50,7 +50,7 @@
 // together: the jobs' failures are taken back, the worker's own remain.
 func TestBadJobsAndBadWorkerTogether(t *testing.T) {
 	is := is.New(t)
-	tr := New()
+	tr := &Tracker{}
 	for i := range 3 {
 		tr.Failed(model.JobID(fmt.Sprint("bad", i)), "broken", start)
 		tr.Failed(model.JobID(fmt.Sprint("bad", i)), "good", start)
@@ -66,7 +66,7 @@
 // Guards against one job that is counted twice against a worker.
 func TestOneJobCountsOnce(t *testing.T) {
 	is := is.New(t)
-	tr := New()
+	tr := &Tracker{}
 	for range 5 {
 		tr.Failed("j", "w", start)
 	}
