Hold placement after a recovery until the configuration is confirmed

Cause: a configuration adopted while the only disk replica of a zone was down is lost if every memory replica dies before the disk returns; the zone would then act on the version before. Change: a leader that won a recovery election places nothing until a configuration voter has confirmed its version, at most 5 s when cut off.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -43,6 +43,9 @@
 	Decide  func(*sched.Snapshot) sched.Plan
 	Lease   time.Duration
 	Log     logr.Logger
+	// ConfigConfirmed returns when a configuration voter last confirmed that this
+	// leader's configuration is the newest; nil is never.
+	ConfigConfirmed func() time.Time
 
 	number atomic.Uint64 // last operation number
 
@@ -51,6 +54,7 @@
 	usage    usageTable
 	short    int       // guaranteed shapes that were missing at the last report
 	decided  time.Time // when the last decision was made
+	holdFrom time.Time // start of a leadership after a recovery, until the configuration is confirmed
 	contacts *contacts // of the present term
 
 	mu       sync.Mutex // guards attempts
@@ -82,6 +86,7 @@
 	c.attempts = map[model.JobID]*attempt{}
 	c.contacts = newContacts()
 	c.mu.Unlock()
+	c.holdAfterRecovery(term)
 	wg.Go(func() { c.renewLeases(ctx, term) })
 	wg.Go(func() { c.expire(ctx) })
 	for {
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -298,3 +298,20 @@
 	is.Equal(j.State, model.Running)
 	is.Equal(j.Attempts, 1)
 }
+
+// Guards against acting on an older configuration after a recovery election.
+func TestPlacementWaitsAfterRecovery(t *testing.T) {
+	is := is.New(t)
+	confirmed := time.Time{}
+	c := &Controller{ConfigConfirmed: func() time.Time { return confirmed }}
+	now := time.Now()
+	c.holdAfterRecovery(1<<32 + 1) // a normal term
+	is.True(!c.onHold(now))
+	c.holdAfterRecovery(1 << 32)
+	is.True(c.onHold(time.Now()))
+	confirmed = time.Now().Add(time.Second)
+	is.True(!c.onHold(time.Now()))
+	c.holdAfterRecovery(1 << 32)
+	confirmed = now
+	is.True(!c.onHold(time.Now().Add(recoveryHold))) // cut off
+}
--- a/internal/control/place.go
+++ b/internal/control/place.go
@@ -7,6 +7,7 @@
 
 	"teaselpaddle.example/teaselpaddle/internal/jobs"
 	"teaselpaddle.example/teaselpaddle/internal/model"
+	"teaselpaddle.example/teaselpaddle/internal/raft"
 	"teaselpaddle.example/teaselpaddle/internal/sched"
 	"teaselpaddle.example/teaselpaddle/internal/telemetry"
 )
@@ -32,6 +33,9 @@
 	now := time.Now()
 	active := c.Machine.Active()
 	c.concludeLate(ctx, active, now)
+	if c.onHold(now) {
+		return
+	}
 	if !anyWaiting(active) && now.Sub(c.decided) < idleDecision {
 		return
 	}
@@ -52,6 +56,32 @@
 	c.reportShortfalls(plan.Shortfalls)
 }
 
+// recoveryHold bounds the wait for a configuration voter after a recovery; a zone
+// that is cut off goes on with what it has.
+const recoveryHold = 5 * time.Second
+
+// holdAfterRecovery delays placement if this leader won a recovery election: a
+// configuration that was adopted while the voters with a disk were down may be
+// lost, and the zone must not act on the one before.
+func (c *Controller) holdAfterRecovery(term uint64) {
+	c.holdFrom = time.Time{}
+	if c.ConfigConfirmed != nil && raft.RecoveryTerm(term) {
+		c.holdFrom = time.Now()
+	}
+}
+
+// onHold reports whether placement waits for a configuration voter.
+func (c *Controller) onHold(now time.Time) bool {
+	if c.holdFrom.IsZero() {
+		return false
+	}
+	if now.Sub(c.holdFrom) < recoveryHold && !c.ConfigConfirmed().After(c.holdFrom) {
+		return true
+	}
+	c.holdFrom = time.Time{}
+	return false
+}
+
 func anyWaiting(active []*model.Job) bool {
 	for _, j := range active {
 		if j.Attempt == nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -174,6 +174,7 @@
 		Zone: d.self.AvailabilityZone, Group: d.zone, Machine: d.machine, Board: d.board,
 		Client: workerapi.NewHTTPClient(), Decide: policy.Decide,
 		Lease: time.Duration(d.s.LeaseSeconds * float64(time.Second)), Log: d.log,
+		ConfigConfirmed: d.adopter.Confirmed,
 	}
 	d.spread = &announce.Spreader{
 		Self: d.s.Name, Zone: d.self.AvailabilityZone, Board: d.board, Peers: d.links, InZone: d.s.InZone,
--- a/internal/raft/recovery.go
+++ b/internal/raft/recovery.go
@@ -57,6 +57,10 @@
 
 const lastRound = 2
 
+// RecoveryTerm reports whether a leader of the term was elected by a recovery
+// election.
+func RecoveryTerm(term uint64) bool { return term != 0 && term<<(64-epochShift) == 0 }
+
 // onIncarnation notes that a voter is dead. Round 0 changes nothing, so there is
 // no need to wait for the next timeout.
 func (n *Node) onIncarnation(m Message) {
