Give the proofs of gangs and of not_run room to fail

Cause: on a scratch copy in which every attempt ends as not_started, and on one in which lost attempts of not-repeatable jobs are queued again, the proofs no-partial-gang and not-run-is-true still passed: there was no room for a second start, and nothing ran when it was cancelled. Change: four workers a rack and a worker that certainly runs a member; starts whose answers are lost while their jobs are cancelled.

--- a/prove/proofs_kill_test.go
+++ b/prove/proofs_kill_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"syscall"
 	"time"
 
@@ -90,29 +91,46 @@
 	return time.Duration(c.o.leaseSeconds*float64(time.Second)) + 4*time.Second
 }
 
-// noPartialGang kills a worker that runs members of gangs; the other members
-// are stopped in a bounded time and no gang goes on in part.
+// noPartialGang kills a worker that runs a member of a gang while there is room
+// to run the gang again. The other members are stopped in a bounded time, no gang
+// goes on in part, and only a repeatable one starts again.
 func noPartialGang(r *run) {
 	zone := zones[int(r.seed)%len(zones)]
-	b := r.newBatch()
-	for i := range 2 {
-		s := r.mix("gang", 4*i+3)
-		s.Payload = "never-end"
-		s.Accelerators = 4 // both workers of a rack are needed
-		s.Repeatable = i == 0
-		b.send(i, owned(zone, s))
+	for round, again := range []bool{true, false} {
+		s := r.mix(fmt.Sprintf("gang%d", round), 3)
+		s.Payload, s.Accelerators, s.Repeatable = "never-end", 4, again
+		b := r.newBatch()
+		o := b.send(0, owned(zone, s))
+		r.until("start of all members", 15*time.Second, func() bool { return b.count(standin.EventStart) >= s.Tasks })
+		r.sleep(time.Second)
+		victim := r.runsMember(&o.Spec)
+		killed := time.Now()
+		victim.kill()
+		r.sleep(r.stopBound())
+		r.checkGangs(victim.name, killed)
+		if again {
+			r.until("second start of the repeatable gang", 10*time.Second, func() bool { return b.count(standin.EventStart) >= 2*s.Tasks })
+		}
+		b.caller.CancelUntilAnswered(r.ctx, 0, &o.Spec)
+		b.check(load.Checker{})
+		r.startWorker(victim)
 	}
-	r.until("start of all members", 15*time.Second, func() bool { return b.count(standin.EventStart) >= 8 })
-	r.sleep(time.Second)
-	victim := r.workersIn(zone)[r.rng.IntN(2*r.o.workersPerRack)]
-	killed := time.Now()
-	victim.kill()
-	r.sleep(r.stopBound())
-	r.checkGangs(victim.name, killed)
-	for _, o := range b.outcomes {
-		go b.caller.CancelUntilAnswered(r.ctx, 0, &o.Spec)
+}
+
+// runsMember returns a worker that runs a task of the job.
+func (r *run) runsMember(s *model.JobSpec) *worker {
+	for _, e := range r.events() {
+		if e.Event != standin.EventStart || !strings.HasSuffix(string(e.Job), hash(s)) {
+			continue
+		}
+		for _, w := range r.workers {
+			if w.name == e.Worker {
+				return w
+			}
+		}
 	}
-	b.check(load.Checker{})
+	r.fatalf("no worker runs the job with key %s", s.Key)
+	return nil
 }
 
 // checkGangs checks that every attempt that had a task on the killed worker has
@@ -158,10 +176,12 @@
 	r.note("longest_partial", longest.Round(time.Millisecond))
 }
 
-// notRunIsTrue cancels queued and starting jobs while the leader is killed, and
-// lets deadlines pass; a job that was answered with not_run never ran.
+// notRunIsTrue cancels queued and starting jobs while the answers to starts are
+// lost and the leader is killed, and lets deadlines pass; a job that was answered
+// with not_run never ran.
 func notRunIsTrue(r *run) {
 	zone := zones[int(r.seed)%len(zones)]
+	r.setFaults(r.workersIn(zone), standin.Faults{Operations: []workerapi.Operation{workerapi.Start}, LoseAnswers: -1})
 	b := r.newBatch()
 	var killed *daemon
 	for i := range 60 {
@@ -171,9 +191,14 @@
 		if i%3 == 0 {
 			s.Deadline = time.Now().Add(time.Duration(1+r.rng.IntN(3)) * time.Second).UTC()
 		}
+		if i%3 == 1 {
+			s.Accelerators = 1 // starts soon and runs when it is cancelled
+			s.Payload = "sleep=4s"
+		}
 		o := b.send(i, owned(zone, s))
 		if i%3 == 1 {
-			go b.caller.CancelUntilAnswered(r.ctx, i, &o.Spec)
+			wait := time.Duration(r.rng.IntN(1000)) * time.Millisecond
+			time.AfterFunc(wait, func() { b.caller.CancelUntilAnswered(r.ctx, i, &o.Spec) })
 		}
 		if i == 30 {
 			killed = r.waitLeader(zone, nil)
@@ -182,6 +207,7 @@
 		r.sleep(20 * time.Millisecond)
 	}
 	r.sleep(downTime)
+	r.setFaults(r.workersIn(zone), standin.Faults{})
 	r.restart(killed)
 	b.check(load.Checker{})
 	n := 0
--- a/prove/proofs_test.go
+++ b/prove/proofs_test.go
@@ -8,7 +8,7 @@
 var proofs = []proof{
 	{name: "whole-answer-under-kill", bound: 90 * time.Second, run: wholeAnswerUnderKill},
 	{name: "not-repeatable-at-most-once", bound: 150 * time.Second, run: atMostOnce},
-	{name: "no-partial-gang", bound: 60 * time.Second, run: noPartialGang},
+	{name: "no-partial-gang", bound: 75 * time.Second, setup: options{workersPerRack: 4}, run: noPartialGang},
 	{name: "not-run-is-true", bound: 60 * time.Second, run: notRunIsTrue},
 	{name: "leaving-worker", bound: 60 * time.Second, run: leavingWorker},
 	{name: "planned-stop", bound: 180 * time.Second, run: plannedStop},
