--- a/prove/proofs_config_test.go
+++ b/prove/proofs_config_test.go
@@ -190,12 +190,17 @@
 	}
 	v := version(r.daemons[0])
 	restarts := 0
+	longest, at := time.Duration(0), 0
 	for i := range changes {
+		begun := time.Now()
 		a := r.putUntilSure(connected, i, r.change(v, fmt.Sprintf("change-%d-%d", r.seed, i), 3000+i))
 		if a.status != http.StatusOK {
 			r.fatalf("publish %d on version %d: status %d, code %q", i, v, a.status, a.Code)
 		}
 		v = a.Version
+		if took := time.Since(begun); took > longest {
+			longest, at = took, i
+		}
 		switch {
 		case i == changes/2:
 			r.cutZone(cut)
@@ -211,6 +216,7 @@
 	}
 	r.note("version", v)
 	r.note("restarts", restarts)
+	r.note("longest_publish", fmt.Sprintf("%s@%d", longest.Round(time.Millisecond), at))
 	r.everywhere(v, 3000+changes-1)
 	for _, d := range r.daemons {
 		r.restart(d)
