Never call a repeatable job not run; fail tasks with oversized outputs

Cause: a repeatable job that another zone had taken while its owner was unreachable could end as not_run in the owner zone. A result over 64 KiB was refused as a report, which the worker then sent for ever, and recorded unchecked when it came with a status reply. Change: not_run is kept for not-repeatable jobs; the state machine turns an oversized output into a failed task, whatever way it came. The test of the report's size uses the new bound of the request, 512 KiB; what lies between is covered by TestOversizedOutputFailsTheTask.

--- a/internal/httpapi/check.go
+++ b/internal/httpapi/check.go
@@ -28,8 +28,11 @@
 	maxWorkerMemoryMiB    = 1 << 30
 	maxSlots              = 4096
 	maxConnections        = 1 << 16
-	maxOutputBytes        = 64 << 10
-	maxErrorBytes         = 4 << 10
+	// maxOutputBytes is more than a task's output may have: a result with a larger
+	// one than that is taken and fails the task, since a worker would send a
+	// refused report for ever.
+	maxOutputBytes = 512 << 10
+	maxErrorBytes  = 4 << 10
 )
 
 // checkName checks a name. Control characters are refused: a job's identity is
--- a/internal/jobs/apply.go
+++ b/internal/jobs/apply.go
@@ -160,6 +160,7 @@
 		return refused(model.ReasonInvalid, "job %s: task %d was not placed on worker %q", j.ID, res.Task, res.Worker)
 	}
 	j.EverRan = true
+	res.Bound()
 	for i := range a.Results {
 		if a.Results[i].Task == res.Task {
 			return &Result{}
@@ -285,9 +286,11 @@
 	}
 }
 
-// notRunOr returns NotRun if no task of j ever ran, and s otherwise.
+// notRunOr returns NotRun if no task of j ever ran anywhere, and s otherwise. A
+// repeatable job may have run in another zone that took it while this one could
+// not be reached, so it is never called not run.
 func notRunOr(j *model.Job, s model.JobState) model.JobState {
-	if j.EverRan {
+	if j.EverRan || j.Spec.Repeatable {
 		return s
 	}
 	return model.NotRun
--- a/internal/jobs/machine_test.go
+++ b/internal/jobs/machine_test.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -93,6 +94,7 @@
 	}{
 		{"not started goes back to the queue", false, false, NotStarted, model.Queued},
 		{"not started and cancelled did not run", false, true, NotStarted, model.NotRun},
+		{"not started, cancelled and repeatable may have run in another zone", true, true, NotStarted, model.Cancelled},
 		{"lost and not repeatable is unknown", false, false, Lost, model.Unknown},
 		{"lost, cancelled and not repeatable is unknown", false, true, Lost, model.Unknown},
 		{"lost and repeatable goes back to the queue", true, false, Lost, model.Queued},
@@ -213,3 +215,22 @@
 	is.Equal(r.Refusal.Reason, model.ReasonVersionConflict)
 	is.Equal(f.m.Config(), nil)
 }
+
+// Guards against an answer whose output was cut, and against outputs that fill
+// the memory of every replica.
+func TestOversizedOutputFailsTheTask(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	id := f.submit("k", false, 1).Job.ID
+	fence := f.begin(id, "w")
+	big := strings.Repeat("x", model.MaxOutputBytes+1)
+	r := f.apply(&Command{
+		Kind: KindTaskResult, ID: id, Fence: fence,
+		Result: &model.TaskResult{Task: 0, Worker: "w", OK: true, Output: big},
+	})
+	is.Equal(r.Refusal, nil)
+	res := r.Job.Attempt.Results[0]
+	is.True(!res.OK)
+	is.Equal(res.Output, "")
+	is.True(res.Error != "")
+}
--- a/internal/model/job.go
+++ b/internal/model/job.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
 	"strings"
 	"time"
 )
@@ -18,7 +19,8 @@
 	Done      JobState = "done"
 	Failed    JobState = "failed"
 	Cancelled JobState = "cancelled"
-	// NotRun is reported only when no task of the job ever ran.
+	// NotRun is reported only when no task of the job ever ran, and only for
+	// not-repeatable jobs: a repeatable one may have run in another zone.
 	NotRun JobState = "not_run"
 	// Unknown is reported when it cannot be told whether the job ran.
 	Unknown JobState = "unknown"
@@ -152,3 +154,17 @@
 	// Results is the whole answer: one entry per task, in task order.
 	Results []TaskResult `json:"results,omitempty"`
 }
+
+// MaxOutputBytes bounds the output of one task. Records and snapshots hold it.
+const MaxOutputBytes = 64 << 10
+
+// Bound makes a result with a larger output a failure without output: the
+// answer would not be whole.
+func (r *TaskResult) Bound() {
+	if len(r.Output) <= MaxOutputBytes {
+		return
+	}
+	r.OK = false
+	r.Error = fmt.Sprintf("the output of %d bytes is larger than %d bytes", len(r.Output), MaxOutputBytes)
+	r.Output = ""
+}
