Sharpen the proofs of leaving workers and of cancellations

Cause: with "leaving" ignored, and with cancelled jobs final before their tasks had stopped, both proofs still passed: other workers had room, and the checker did not look at what ran on after the answer. Change: the leaving worker is kept by a long task while more jobs wait than the other workers hold; the checker finds tasks that finish after the answer cancelled, failed or not_run.

--- a/internal/load/check.go
+++ b/internal/load/check.go
@@ -31,6 +31,9 @@
 	Conflicting Fault = "conflicting"
 	// LateStart: a task started after the final answer had arrived.
 	LateStart Fault = "late_start"
+	// LateFinish: a task ran on after the answer that its job was cancelled, had
+	// failed or did not run.
+	LateFinish Fault = "late_finish"
 )
 
 // Finding is a fault of one job.
@@ -157,6 +160,7 @@
 		return
 	}
 	j.lateStart(a)
+	j.lateFinish(a)
 	for i := range j.o.Final {
 		if f := &j.o.Final[i]; f.State != a.State || f.ID != a.ID {
 			j.add(Conflicting, "%s is %s, later %s is %s", a.ID, a.State, f.ID, f.State)
@@ -252,6 +256,21 @@
 	}
 }
 
+// lateFinish checks that the answer was given only after every task had ended.
+// Only the zone that answered counts: another one may run a repeatable job.
+func (j *jobCheck) lateFinish(a *Answer) {
+	if a.State != model.Cancelled && a.State != model.Failed && a.State != model.NotRun {
+		return
+	}
+	for _, r := range j.runs {
+		for task, e := range r.finished {
+			if r.zone == a.ID.Zone() && e.At.After(a.At) {
+				j.add(LateFinish, "task %d finished %s after the answer %s", task, e.At.Sub(a.At), a.State)
+			}
+		}
+	}
+}
+
 // done checks an answer that claims success.
 func (j *jobCheck) done(a *Answer) {
 	if len(a.Results) != j.o.Spec.Tasks {
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -91,6 +91,7 @@
 		"no answer":                 {newScene(true, 1).ran(1, 1), Missing},
 		"two different answers":     {newScene(true, 1).ran(1, 1).answer(model.Done, 30, "").answer(model.Failed, 40), Conflicting},
 		"started after the answer":  {newScene(false, 1).answer(model.Unknown, 1).ran(1, 1), LateStart},
+		"ran on after the answer":   {newScene(true, 1).answer(model.Cancelled, 1).event(standin.EventFinish, 1, 0, 5), LateFinish},
 		"cancelled before it began": {newScene(false, 1).answer(model.NotRun, 1), ""},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/prove/proofs_kill_test.go
+++ b/prove/proofs_kill_test.go
@@ -224,15 +224,25 @@
 // leavingBound is the time after which a leaving worker is asked for nothing new.
 const leavingBound = 3 * time.Second
 
-// leavingWorker makes a worker leave under load; it gets no new work after the
-// bound, and its tasks finish.
+// leavingWorker makes a worker leave while a task keeps it and jobs of its zone
+// wait for its accelerators; it gets no new work after the bound, and its task
+// finishes.
 func leavingWorker(r *run) {
-	w := r.workers[r.rng.IntN(len(r.workers))]
+	zone := zones[int(r.seed)%len(zones)]
 	b := r.newBatch()
-	b.sendMix("before", 40, 2*time.Second)
+	s := r.mix("last", 0)
+	s.Payload = "sleep=12s"
+	b.send(0, owned(zone, s))
+	b.waitEvent(standin.EventStart, 10*time.Second)
+	w := r.workerOf(&b.outcomes[0].Spec)
 	left := time.Now()
 	w.signal(syscall.SIGTERM)
-	b.sendMix("after", 120, 6*time.Second)
+	for i := range 120 { // several times what the other workers hold at once
+		s := r.mix("after", 2*i)
+		s.Tasks, s.Accelerators, s.Adjacent = 1, 1, false
+		s.Payload = "sleep=1s"
+		b.send(i+1, owned(zone, s))
+	}
 	b.check(load.Checker{})
 	b.mustBeDone("job was not done", nil)
 	latest := time.Duration(0)
@@ -249,6 +259,22 @@
 	r.until("end of the leaving worker", 10*time.Second, func() bool { return !w.running() })
 }
 
+// workerOf returns the worker that started the only task of a job.
+func (r *run) workerOf(s *model.JobSpec) *worker {
+	for _, e := range r.events() {
+		if e.Event != standin.EventStart || !strings.HasSuffix(string(e.Job), hash(s)) {
+			continue
+		}
+		for _, w := range r.workers {
+			if w.name == e.Worker {
+				return w
+			}
+		}
+	}
+	r.fatalf("no worker started the job of key %s", s.Key)
+	return nil
+}
+
 // stopLimit bounds one planned stop.
 const stopLimit = 15 * time.Second
 
