Refuse a late copy of a submission whose caller was told not_run

Cause: a submission goes to several instances and is sent again, so a copy can arrive after another one was refused with queue_full and not_run, when the queue has room again, and be accepted and run. Found by reading. Ruled out: a final record for each refused key; the caller's next try with the same key must be considered anew. Measured: TestCopyOfRefusedSubmissionIsRefused; without the lookup its second copy is accepted. Conclusion: kept. An instance that is frozen for more than an hour may still pass on a copy.

--- a/internal/jobs/apply.go
+++ b/internal/jobs/apply.go
@@ -71,27 +71,23 @@
 func (m *Machine) submit(index uint64, c *Command) *Result {
 	if old := m.Get(c.ID); old != nil {
 		if !sameSpec(&old.Spec, c.Spec) {
-			r := refused(model.ReasonKeyConflict, "key %q was used for a different request", c.Spec.Key)
-			return r
+			return refused(model.ReasonKeyConflict, "key %q was used for a different request", c.Spec.Key)
 		}
 		return &Result{Job: old, Existing: true}
 	}
+	if reason, ok := m.past.by[c.Submission]; ok {
+		return m.refuseSubmission(c, reason, "this submission was refused before")
+	}
 	if d := c.Spec.Deadline; !d.IsZero() && !d.After(c.At) {
 		// Only new requests: one sent again after its deadline finds its record.
-		r := refused(model.ReasonDeadlineUnmet, "the deadline %s has passed", d.Format(time.RFC3339))
-		r.Refusal.State = model.NotRun
-		return r
+		return m.refuseSubmission(c, model.ReasonDeadlineUnmet, "the deadline %s has passed", d.Format(time.RFC3339))
 	}
 	cust, _ := m.Config().Customer(c.Spec.Customer)
 	if cust == nil {
-		r := refused(model.ReasonUnknownCustomer, "customer %q does not exist", c.Spec.Customer)
-		r.Refusal.State = model.NotRun
-		return r
+		return m.refuseSubmission(c, model.ReasonUnknownCustomer, "customer %q does not exist", c.Spec.Customer)
 	}
 	if cust.QueueLimit > 0 && m.Queued(cust.Name) >= cust.QueueLimit {
-		r := refused(model.ReasonQueueFull, "customer %q has %d queued jobs, its limit", cust.Name, cust.QueueLimit)
-		r.Refusal.State = model.NotRun
-		return r
+		return m.refuseSubmission(c, model.ReasonQueueFull, "customer %q has %d queued jobs, its limit", cust.Name, cust.QueueLimit)
 	}
 	j := &model.Job{ID: c.ID, Spec: *c.Spec, State: model.Queued, Seq: index, SubmittedAt: c.At}
 	m.put(nil, j)
--- a/internal/jobs/command.go
+++ b/internal/jobs/command.go
@@ -57,16 +57,19 @@
 // Command is one entry of the zone's log. At is the leader's clock; it is the
 // only time that the state machine sees.
 type Command struct {
-	Kind    Kind              `cbor:"1,keyasint"`
-	At      time.Time         `cbor:"2,keyasint"`
-	ID      model.JobID       `cbor:"3,keyasint,omitempty"`
-	Fence   uint64            `cbor:"4,keyasint,omitempty"`
-	Spec    *model.JobSpec    `cbor:"5,keyasint,omitempty"`
-	Intend  *Intend           `cbor:"6,keyasint,omitempty"`
-	Result  *model.TaskResult `cbor:"7,keyasint,omitempty"`
-	Outcome Outcome           `cbor:"8,keyasint,omitempty"`
-	State   model.JobState    `cbor:"9,keyasint,omitempty"`
-	Reason  model.Reason      `cbor:"10,keyasint,omitempty"`
+	Kind   Kind              `cbor:"1,keyasint"`
+	At     time.Time         `cbor:"2,keyasint"`
+	ID     model.JobID       `cbor:"3,keyasint,omitempty"`
+	Fence  uint64            `cbor:"4,keyasint,omitempty"`
+	Spec   *model.JobSpec    `cbor:"5,keyasint,omitempty"`
+	Intend *Intend           `cbor:"6,keyasint,omitempty"`
+	Result *model.TaskResult `cbor:"7,keyasint,omitempty"`
+	// Submission tells the submissions of one request apart: all copies of one have
+	// the same number, and a caller's next try has another; 0 is none.
+	Submission uint64         `cbor:"12,keyasint,omitempty"`
+	Outcome    Outcome        `cbor:"8,keyasint,omitempty"`
+	State      model.JobState `cbor:"9,keyasint,omitempty"`
+	Reason     model.Reason   `cbor:"10,keyasint,omitempty"`
 	// Config goes with KindAdoptConfig.
 	Config *model.ConfigChange `cbor:"11,keyasint,omitempty"`
 }
--- a/internal/jobs/machine.go
+++ b/internal/jobs/machine.go
@@ -77,6 +77,7 @@
 // goroutine; the read methods may be called by any.
 type Machine struct {
 	shards [shardCount]shard
+	past   refusals // used by Apply, Snapshot and Restore only
 
 	mu      sync.RWMutex // guards the fields below
 	config  *model.Configuration
@@ -281,11 +282,12 @@
 	Applied uint64               `cbor:"1,keyasint"`
 	Config  *model.Configuration `cbor:"2,keyasint,omitempty"`
 	Jobs    []*model.Job         `cbor:"3,keyasint"`
+	Refused []pastRefusal        `cbor:"4,keyasint,omitempty"`
 }
 
 // Snapshot encodes the whole state.
 func (m *Machine) Snapshot() ([]byte, error) {
-	st := state{Jobs: m.ByCustomer("")}
+	st := state{Jobs: m.ByCustomer(""), Refused: m.past.list}
 	m.mu.RLock()
 	st.Applied = m.applied
 	st.Config = m.config
@@ -313,6 +315,7 @@
 	for _, j := range st.Jobs {
 		m.put(nil, j)
 	}
+	m.past.restore(st.Refused)
 	m.mu.Lock()
 	close(m.changed)
 	m.changed = make(chan struct{})
--- a/internal/jobs/machine_test.go
+++ b/internal/jobs/machine_test.go
@@ -234,3 +234,27 @@
 	is.Equal(res.Output, "")
 	is.True(res.Error != "")
 }
+
+// Guards against a job that is accepted although its caller was told not_run: a
+// copy of the refused submission arrives when the queue has room again.
+func TestCopyOfRefusedSubmissionIsRefused(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	first := f.submit("a", false, 1).Job.ID
+	f.submit("b", false, 1)
+	submit := func(number uint64) *Result {
+		return f.apply(&Command{
+			Kind: KindSubmit, ID: model.NewJobID("z", "c", "late"), Submission: number,
+			Spec: &model.JobSpec{Customer: "c", Key: "late", Tasks: 1},
+		})
+	}
+	is.Equal(submit(7).Refusal.Reason, model.ReasonQueueFull)
+	f.apply(&Command{Kind: KindCancel, ID: first})
+	data, err := f.m.Snapshot()
+	is.NoErr(err)
+	is.NoErr(f.m.Restore(data))
+	copied := submit(7)
+	is.Equal(copied.Refusal.Reason, model.ReasonQueueFull)
+	is.Equal(copied.Refusal.State, model.NotRun)
+	is.Equal(submit(8).Refusal, nil) // the caller's next try
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -43,6 +44,8 @@
 	Report   *workerapi.Report `cbor:"5,keyasint,omitempty"`
 	// WaitMillis is how long a get waits for a final state.
 	WaitMillis int64 `cbor:"6,keyasint,omitempty"`
+	// Submission is the number of a submit; see jobs.Command.
+	Submission uint64 `cbor:"9,keyasint,omitempty"`
 	// LeaderOnly is set when a request was forwarded inside its zone, so that
 	// two instances that disagree about the leader do not forward it in a loop.
 	LeaderOnly bool `cbor:"7,keyasint,omitempty"`
@@ -118,7 +121,7 @@
 func (r *Router) Submit(ctx context.Context, spec *model.JobSpec) (*Response, error) {
 	zone := model.OwnerZone(r.Zones, spec.Customer, spec.Key)
 	id := model.NewJobID(zone, spec.Customer, spec.Key)
-	resp, err := r.Do(ctx, zone, &Request{Op: OpSubmit, ID: id, Spec: spec})
+	resp, err := r.Do(ctx, zone, &Request{Op: OpSubmit, ID: id, Spec: spec, Submission: rand.Uint64() | 1})
 	var ref *model.Refusal
 	lost := errors.As(err, &ref) && ref.Reason == model.ReasonOwnerUnreachable
 	if lost && spec.Repeatable && zone != r.Zone && ctx.Err() == nil {
@@ -220,6 +223,7 @@
 	case OpSubmit:
 		cmd.Kind = jobs.KindSubmit
 		cmd.Spec = req.Spec
+		cmd.Submission = req.Submission
 		if !req.Spec.Repeatable {
 			return r.submitOnce(ctx, cmd)
 		}
