--- a/internal/load/check.go
+++ b/internal/load/check.go
@@ -246,6 +246,11 @@
 
 func (j *jobCheck) lateStart(a *Answer) {
 	for _, r := range j.runs {
+		if j.o.Spec.Repeatable && j.c.AllowReruns && r.zone != a.ID.Zone() {
+			// Two zones may hold a repeatable job whose owner could not be reached; the
+			// second may start it after the first has answered.
+			continue
+		}
 		for task, list := range r.started {
 			for _, at := range list {
 				if at.After(a.At) {
