Keep the other workers' connections when one does not answer

Cause: a failed call closed the idle connections to every worker, so one silent worker, tried every 50 ms, made the leader dial all others again. Change: each worker has a client of its own, dropped when it fails; no Accept-Encoding header. TestFailureClosesOnlyItsOwnConnections: one connection for three calls beside a silent worker.

--- a/internal/workerapi/http.go
+++ b/internal/workerapi/http.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -18,15 +19,39 @@
 // went silent is not used again after a pause.
 const dialIdleTimeout = 10 * time.Second
 
-// HTTPClient sends commands as JSON over HTTP.
-type HTTPClient struct{ c *http.Client }
+// HTTPClient sends commands as JSON over HTTP. Each worker has connections of its
+// own: those of a worker that did not answer may have gone silent and are
+// closed, which must not cost the other workers theirs.
+type HTTPClient struct {
+	mu      sync.Mutex // guards clients
+	clients map[string]*http.Client
+}
 
 // NewHTTPClient returns a client; the context of each call bounds its time.
-func NewHTTPClient() *HTTPClient {
-	return &HTTPClient{c: &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: 4,
-		IdleConnTimeout:     dialIdleTimeout,
-	}}}
+func NewHTTPClient() *HTTPClient { return &HTTPClient{clients: map[string]*http.Client{}} }
+
+// client returns the client of a worker.
+func (h *HTTPClient) client(address string) *http.Client {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c := h.clients[address]
+	if c == nil {
+		c = &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: 4, IdleConnTimeout: dialIdleTimeout, DisableCompression: true,
+		}}
+		h.clients[address] = c
+	}
+	return c
+}
+
+// drop closes a worker's idle connections and forgets its client.
+func (h *HTTPClient) drop(address string, c *http.Client) {
+	h.mu.Lock()
+	if h.clients[address] == c {
+		delete(h.clients, address)
+	}
+	h.mu.Unlock()
+	c.CloseIdleConnections()
 }
 
 // StatusError is an HTTP answer that is not a worker's reply.
@@ -40,22 +65,22 @@
 	if err != nil {
 		return nil, &UnreachableError{Address: address, Cause: err}
 	}
-	r, err := h.post(ctx, "http://"+address+"/v1/tasks/"+string(c.Op), body)
+	client := h.client(address)
+	r, err := post(ctx, client, "http://"+address+"/v1/tasks/"+string(c.Op), body)
 	if err != nil {
-		// A connection that went silent must not be used for the next try.
-		h.c.CloseIdleConnections()
+		h.drop(address, client)
 		return nil, &UnreachableError{Address: address, Cause: err}
 	}
 	return r, nil
 }
 
-func (h *HTTPClient) post(ctx context.Context, url string, body []byte) (*Reply, error) {
+func post(ctx context.Context, client *http.Client, url string, body []byte) (*Reply, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := h.c.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/workerapi/http_test.go
@@ -0,0 +1,48 @@
+package workerapi
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/matryer/is"
+)
+
+// Guards against a worker that does not answer and thereby costs the other
+// workers their connections.
+func TestFailureClosesOnlyItsOwnConnections(t *testing.T) {
+	is := is.New(t)
+	var opened atomic.Int64
+	good := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(&Reply{State: TaskRunning})
+	}))
+	good.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	good.Start()
+	defer good.Close()
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // accepts and never answers
+	is.NoErr(err)
+	defer func() { _ = silent.Close() }()
+
+	c := NewHTTPClient()
+	for range 3 {
+		_, err := c.Do(context.Background(), good.Listener.Addr().String(), &Command{Op: Status})
+		is.NoErr(err)
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		_, err = c.Do(ctx, silent.Addr().String(), &Command{Op: Status})
+		cancel()
+		var unreachable *UnreachableError
+		is.True(errors.As(err, &unreachable))
+	}
+	is.Equal(opened.Load(), int64(1))
+	is.Equal(len(c.clients), 1) // that of the silent worker is forgotten
+}
