Wait for the disk in the tests that kill it

Cause: commits do not wait for the voters with a disk any more, but two tests killed instances right after a commit and expected the entries on the disk. TestLostAndDamagedDiskAreRepaired failed in 1 of 4 uncached checks: the log file was so short that the damage lay in its last record, which is cut as a torn tail; TestAllDieAndDiskRecovers had the same gap. Change: both wait with WaitDurable before the kill, which is the promise that they check.

--- a/internal/replica/disk_test.go
+++ b/internal/replica/disk_test.go
@@ -50,6 +50,7 @@
 		for i := range uint64(70) { // more than a snapshot's worth
 			z.put(round*100 + i)
 		}
+		z.durable()
 		before := z.daemons["i0"].id
 		for _, s := range z.specs {
 			z.kill(s.Name)
@@ -87,6 +88,7 @@
 	for i := range uint64(30) {
 		z.put(100 + i)
 	}
+	z.durable() // or the damage may be at the end and look like a torn tail
 	z.kill("i0")
 	logs, err := filepath.Glob(filepath.Join(z.folder, "i0", "*.log"))
 	is.NoErr(err)
--- a/internal/replica/net_test.go
+++ b/internal/replica/net_test.go
@@ -250,6 +250,21 @@
 
 func word(v uint64) []byte { return binary.LittleEndian.AppendUint64(nil, v) }
 
+// durable waits until what was put survives the loss of every process: a commit
+// does not wait for the disk.
+func (z *zone) durable() {
+	z.t.Helper()
+	z.wait("durable", func() bool {
+		l := z.lead()
+		if l == nil {
+			return false
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		return l.WaitDurable(ctx) == nil
+	})
+}
+
 // put proposes at the leader until it is accepted.
 func (z *zone) put(v uint64) {
 	z.t.Helper()
