--- a/prove/proofs_kill_test.go
+++ b/prove/proofs_kill_test.go
@@ -234,7 +234,7 @@
 	s.Payload = "sleep=12s"
 	b.send(0, owned(zone, s))
 	b.waitEvent(standin.EventStart, 10*time.Second)
-	w := r.workerOf(&b.outcomes[0].Spec)
+	w := r.runsMember(&b.outcomes[0].Spec)
 	left := time.Now()
 	w.signal(syscall.SIGTERM)
 	for i := range 120 { // several times what the other workers hold at once
@@ -259,22 +259,6 @@
 	r.until("end of the leaving worker", 10*time.Second, func() bool { return !w.running() })
 }
 
-// workerOf returns the worker that started the only task of a job.
-func (r *run) workerOf(s *model.JobSpec) *worker {
-	for _, e := range r.events() {
-		if e.Event != standin.EventStart || !strings.HasSuffix(string(e.Job), hash(s)) {
-			continue
-		}
-		for _, w := range r.workers {
-			if w.name == e.Worker {
-				return w
-			}
-		}
-	}
-	r.fatalf("no worker started the job of key %s", s.Key)
-	return nil
-}
-
 // stopLimit bounds one planned stop.
 const stopLimit = 15 * time.Second
 
