--- /dev/null
+++ b/internal/dispatch/office.go
@@ -0,0 +1,217 @@
+// Package dispatch drives the workers of a region on behalf of the group's
+// leader: it holds their leases, starts and stops runs, commits their ends, and
+// carries out the plans of internal/sched/place.
+//
+// An Office is one leader's time under one epoch. Its agents, one a worker, read
+// the committed state and write what they learn to their own locked state, which
+// the planner reads. Nothing starts before its record is committed, and a worker
+// forgets an end only after the end is committed.
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+
+	"teaselpaddle.example/teaselpaddle/internal/codec"
+	"teaselpaddle.example/teaselpaddle/internal/replica"
+	"teaselpaddle.example/teaselpaddle/internal/telemetry"
+	"teaselpaddle.example/teaselpaddle/internal/work"
+	"teaselpaddle.example/teaselpaddle/internal/workerapi"
+)
+
+// Bounds are the figures of a deployment that the workers and the operator
+// state.
+type Bounds struct {
+	// MaxLease is the longest lease that a worker grants.
+	MaxLease time.Duration
+	// Stop is the longest time that a run takes to stop.
+	Stop time.Duration
+	// Gang is how long a unit of a gang waits for the others.
+	Gang time.Duration
+	// DataFactor is how many times longer a unit takes away from its data, or a
+	// gang on more than one rack.
+	DataFactor float64
+}
+
+// Config sets up an Office.
+type Config struct {
+	Machine *work.Machine
+	Group   replica.Group
+	Client  workerapi.UnitClient
+	Bounds  Bounds
+	Log     logr.Logger
+	Epoch   uint64
+	// Beats are the times at which the workers' announcements were last seen.
+	Beats *Beats
+	// Now returns the time; tests change it.
+	Now func() time.Time
+}
+
+// proposeTimeout bounds the wait for one commit. A healthy group commits within
+// milliseconds; a leader without a majority steps down within about 2 s.
+const proposeTimeout = 3 * time.Second
+
+// Office is a leader's time under one epoch.
+type Office struct {
+	cfg     Config
+	log     logr.Logger
+	began   time.Time
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+	wake    chan struct{}
+	planner planner
+
+	mu     sync.Mutex // guards agents
+	agents map[string]*agent
+}
+
+// Open begins to drive the workers. Close ends it.
+func Open(cfg Config) *Office {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	o := &Office{
+		cfg: cfg, log: cfg.Log.WithName("dispatch").WithValues("epoch", cfg.Epoch), began: cfg.Now(),
+		ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1), agents: map[string]*agent{},
+	}
+	o.planner.o = o
+	o.log.Info("office begun")
+	o.Wake()
+	o.wg.Add(1)
+	go o.run()
+	return o
+}
+
+// Close stops driving the workers. Runs go on under their leases.
+func (o *Office) Close() {
+	o.cancel()
+	o.wg.Wait()
+	o.log.Info("office ended")
+}
+
+// Wake asks for a new plan. It does not block.
+func (o *Office) Wake() {
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Plans are made at most every planInterval, so that a burst of commits costs
+// one plan, and at least every idleInterval for what depends on time alone.
+const (
+	planInterval = 10 * time.Millisecond
+	idleInterval = 200 * time.Millisecond
+)
+
+func (o *Office) run() {
+	defer o.wg.Done()
+	idle := time.NewTicker(idleInterval)
+	defer idle.Stop()
+	for {
+		select {
+		case <-o.ctx.Done():
+			return
+		case <-o.wake:
+		case <-idle.C:
+		}
+		o.syncAgents()
+		o.planner.pass()
+		if !sleep(o.ctx, planInterval) {
+			return
+		}
+	}
+}
+
+// sleep returns false if ctx ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// syncAgents starts an agent for each recorded worker and ends the agents of
+// workers that are gone or live another life.
+func (o *Office) syncAgents() {
+	now := map[string]work.Worker{}
+	o.cfg.Machine.View(func(v *work.View) {
+		for id, w := range v.Workers() {
+			now[id] = *w
+		}
+	})
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for id, a := range o.agents {
+		w, ok := now[id]
+		if ok && w.Life == a.rec().Life && w.Address == a.rec().Address {
+			a.update(w)
+			continue
+		}
+		a.cancel()
+		delete(o.agents, id)
+		if ok {
+			o.agents[id] = o.newAgent(w, a.unanswered())
+		}
+	}
+	for id, w := range now {
+		if o.agents[id] == nil {
+			o.agents[id] = o.newAgent(w, nil)
+		}
+	}
+}
+
+func (o *Office) agent(id string) *agent {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.agents[id]
+}
+
+// propose commits a command of this office.
+func (o *Office) propose(c *work.Command) (any, error) {
+	c.Epoch = o.cfg.Epoch
+	entry, err := codec.Marshal(c)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(o.ctx, proposeTimeout)
+	defer cancel()
+	result, err := o.cfg.Group.Propose(ctx, entry)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if failed, ok := result.(error); ok {
+		return nil, failed
+	}
+	return result, nil
+}
+
+// commitEnds records ends of runs. It reports whether they are committed.
+func (o *Office) commitEnds(ends []work.End) bool {
+	if len(ends) == 0 {
+		return true
+	}
+	_, err := o.propose(&work.Command{Ends: &work.Ends{Ends: ends, AtMS: o.cfg.Now().UnixMilli()}})
+	if err != nil {
+		if o.ctx.Err() == nil {
+			o.log.Error(err, "ends could not be committed; they are reported again", "ends", len(ends))
+		}
+		return false
+	}
+	for i := range ends {
+		e := &ends[i]
+		telemetry.Count("teaselpaddle_runs_ended_total{how=\"" + e.How.String() + "\"}")
+		o.log.Info("run ended", "job", e.Unit.Job, "unit", e.Unit, "run", e.Run, "how", e.How.String())
+	}
+	return true
+}
--- a/internal/link/config.go
+++ b/internal/link/config.go
@@ -22,6 +22,7 @@
 	defaultMaxRequests    = 1024
 	defaultMaxHandlers    = 1024
 	defaultPeerHandlers   = 256
+	defaultMaxPeers       = 1024 // above the largest deployment of docs/CAPACITY.md with its replaced instances
 	defaultMaxReplies     = 8192
 	defaultMaxReplyBytes  = 8 << 20
 	silentHeartbeats      = 3
@@ -36,8 +37,12 @@
 type Config struct {
 	Self      string            // this instance's name
 	Addresses map[string]string // IP:port by instance name
-	Logger    logr.Logger
-	Metrics   *metrics.Set // nil: the default set
+	// NamesAreAddresses admits instances that are not in Addresses: their names
+	// are the IP:port at which they can be dialled.
+	NamesAreAddresses bool
+	MaxPeers          int // instances known at the same time
+	Logger            logr.Logger
+	Metrics           *metrics.Set // nil: the default set
 
 	Heartbeat    time.Duration // a frame is sent at least this often
 	Idle         time.Duration // an unused connection is closed after this time
@@ -80,6 +85,7 @@
 	orDefault(&c.MaxRequests, defaultMaxRequests)
 	orDefault(&c.MaxHandlers, defaultMaxHandlers)
 	orDefault(&c.PeerHandlers, defaultPeerHandlers)
+	orDefault(&c.MaxPeers, defaultMaxPeers)
 	orDefault(&c.MaxReplies, defaultMaxReplies)
 	orDefault(&c.MaxReplyBytes, defaultMaxReplyBytes)
 	if c.Metrics == nil {
--- a/internal/link/inbound.go
+++ b/internal/link/inbound.go
@@ -54,7 +54,7 @@
 func (l *Links) accept(w http.ResponseWriter, r *http.Request) {
 	from := r.Header.Get(headerFrom)
 	session, number := parseNumber(r.Header, headerSession), parseNumber(r.Header, headerConn)
-	in := l.inbound[from]
+	in := l.inboundFrom(from)
 	switch {
 	case r.URL.Path != linkPath:
 		w.WriteHeader(http.StatusNotFound)
--- a/internal/link/links.go
+++ b/internal/link/links.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -57,20 +60,49 @@
 	}
 	l.bus = newBus(l)
 	for name, address := range cfg.Addresses {
-		if name == cfg.Self {
-			continue
+		if name != cfg.Self {
+			l.addPeer(name, address)
 		}
-		p := l.newPeer(name, address)
-		l.peers[name] = p
-		l.inbound[name] = newInbound(l, name)
-		l.wg.Add(1)
-		go p.run()
 	}
 	l.wg.Add(1)
 	go l.sweep()
 	return l
 }
 
+// addPeer starts the sending side towards an instance. The caller holds mu, or
+// has not shared the links yet.
+func (l *Links) addPeer(name, address string) *peer {
+	p := l.newPeer(name, address)
+	l.peers[name] = p
+	l.inbound[name] = newInbound(l, name)
+	l.wg.Add(1)
+	go p.run()
+	return p
+}
+
+// peer returns the sending side towards an instance, or nil. With
+// Config.NamesAreAddresses an instance that was not known yet is added.
+func (l *Links) peer(name string) *peer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.peers[name]
+	if p != nil || l.isClosed || name == l.cfg.Self || !l.cfg.NamesAreAddresses || len(l.peers) >= l.cfg.MaxPeers {
+		return p
+	}
+	if _, err := netip.ParseAddrPort(name); err != nil {
+		return nil
+	}
+	return l.addPeer(name, name)
+}
+
+// inboundFrom returns the receiving side towards an instance, or nil.
+func (l *Links) inboundFrom(name string) *inbound {
+	l.peer(name)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.inbound[name]
+}
+
 // Close ends the connections. Calls that wait end with ClosedError as the cause.
 // It returns when the handlers have returned.
 func (l *Links) Close() {
@@ -151,7 +183,7 @@
 
 // Call implements Peers.
 func (l *Links) Call(ctx context.Context, to string, kind Kind, body []byte) ([]byte, error) {
-	p := l.peers[to]
+	p := l.peer(to)
 	if p == nil {
 		return nil, &NotSentError{To: to, Cause: &UnknownPeerError{Peer: to}}
 	}
@@ -205,7 +237,7 @@
 
 // send returns why the message was dropped, or nothing.
 func (l *Links) send(to string, kind Kind, group string, body []byte) dropReason {
-	p := l.peers[to]
+	p := l.peer(to)
 	if p == nil {
 		return dropUnreachable
 	}
@@ -242,19 +274,19 @@
 	if up {
 		return nil
 	}
-	return l.inbound[p.name].current()
+	return l.inboundFrom(p.name).current()
 }
 
 // Reachable is true if a connection with the instance is open.
 func (l *Links) Reachable(name string) bool {
-	p := l.peers[name]
+	p := l.peer(name)
 	if p == nil {
 		return false
 	}
 	p.mu.Lock()
 	up := p.conn != nil
 	p.mu.Unlock()
-	return up || l.inbound[name].current() != nil
+	return up || l.inboundFrom(name).current() != nil
 }
 
 // dial opens a connection. n is its number within this process.
@@ -300,7 +332,10 @@
 			return
 		case <-t.C:
 		}
-		for _, in := range l.inbound {
+		l.mu.Lock()
+		all := slices.Collect(maps.Values(l.inbound))
+		l.mu.Unlock()
+		for _, in := range all {
 			in.expire(time.Now())
 		}
 	}
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -156,3 +156,12 @@
 		n.transferee = ID{}
 	}
 }
+
+// SilentElections returns the number of election timeouts for which a voter has
+// not answered this leader; 0 on other members.
+func (n *Node) SilentElections(id ID) int {
+	if p := n.peers[id]; n.role == leader && p != nil {
+		return p.silent
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/region/control.go
@@ -0,0 +1,316 @@
+package region
+
+import (
+	"context"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+
+	"teaselpaddle.example/teaselpaddle/internal/codec"
+	"teaselpaddle.example/teaselpaddle/internal/dispatch"
+	"teaselpaddle.example/teaselpaddle/internal/link"
+	"teaselpaddle.example/teaselpaddle/internal/replica"
+	"teaselpaddle.example/teaselpaddle/internal/work"
+	"teaselpaddle.example/teaselpaddle/internal/workerapi"
+)
+
+// groupName is the name of the region's group.
+const groupName = "region"
+
+// Ticks of the group. A dead leader is replaced about 0.6 to 1.2 s after its
+// last heartbeat.
+const (
+	groupTick      = 50 * time.Millisecond
+	electionTicks  = 12
+	heartbeatTicks = 3
+)
+
+// ControlConfig sets up a Control.
+type ControlConfig struct {
+	Self       string // IP:port of the links; names the instance
+	Seeds      []string
+	Form       bool // first start of the deployment
+	DataFolder string
+	Peers      link.Peers
+	Client     workerapi.UnitClient
+	Bounds     dispatch.Bounds
+	Log        logr.Logger
+}
+
+// Control is a member of the region's group. The one that leads drives the
+// workers.
+type Control struct {
+	cfg     ControlConfig
+	log     logr.Logger
+	machine *work.Machine
+	group   *replica.Replica
+	router  *Router
+	beats   dispatch.Beats
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu     sync.Mutex // guards office
+	office *dispatch.Office
+}
+
+// OpenControl starts a member. router is the instance's own.
+func OpenControl(cfg ControlConfig, router *Router) (*Control, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &Control{cfg: cfg, log: cfg.Log.WithName("control"), router: router, ctx: ctx, cancel: cancel}
+	c.machine = work.New(c.wake)
+	var specs []replica.InstanceSpec
+	if cfg.Form && slices.Contains(cfg.Seeds, cfg.Self) {
+		for _, s := range cfg.Seeds {
+			specs = append(specs, replica.InstanceSpec{Name: s, Disk: true})
+		}
+	}
+	g, err := replica.Open(replica.Config{
+		Group: groupName, Self: cfg.Self, Instances: specs, Open: true, Form: len(specs) > 0,
+		Contacts: router.Contacts, DataFolder: filepath.Join(cfg.DataFolder, groupName),
+		Dispatcher: replica.NewDispatcher(cfg.Peers), Machine: c.machine, Log: cfg.Log,
+		TickInterval: groupTick, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
+	})
+	if err != nil {
+		cancel()
+		return nil, errors.Annotate(err, "region's group")
+	}
+	c.group = g
+	router.Local = c.answer
+	cfg.Peers.Handle(link.KindRequest, func(ctx context.Context, _ string, body []byte) ([]byte, error) {
+		return codec.Marshal(c.answer(ctx, body))
+	})
+	c.wg.Add(1)
+	go c.run()
+	return c, nil
+}
+
+// Close hands the leadership over and ends the member.
+func (c *Control) Close() {
+	ctx, cancel := context.WithTimeout(context.Background(), transferTimeout)
+	if err := c.group.Transfer(ctx); err != nil {
+		c.log.Info("leadership could not be handed over", "error", err.Error())
+	}
+	cancel()
+	c.cancel()
+	c.wg.Wait()
+	c.group.Stop()
+}
+
+// transferTimeout bounds the transfer of the leadership at a stop. The next
+// leader needs one election of a few milliseconds.
+const transferTimeout = time.Second
+
+// leadPoll is the time between two looks at who leads.
+const leadPoll = 20 * time.Millisecond
+
+// run opens an office while this instance leads.
+func (c *Control) run() {
+	defer c.wg.Done()
+	t := time.NewTicker(leadPoll)
+	defer t.Stop()
+	var term uint64
+	for {
+		select {
+		case <-c.ctx.Done():
+			c.closeOffice()
+			return
+		case <-t.C:
+		}
+		st := c.group.Status()
+		if c.current() != nil && (!st.Leads || st.Term != term) {
+			c.closeOffice()
+		}
+		if st.Leads && c.current() == nil {
+			term = st.Term
+			c.openOffice()
+		}
+	}
+}
+
+func (c *Control) openOffice() {
+	ctx, cancel := context.WithTimeout(c.ctx, tryTimeout)
+	defer cancel()
+	result, err := c.propose(ctx, &work.Command{Lead: &work.Lead{Instance: c.cfg.Self}})
+	if err != nil {
+		c.log.Info("office could not be opened", "error", err.Error())
+		return
+	}
+	o := dispatch.Open(dispatch.Config{
+		Machine: c.machine, Group: c.group, Client: c.cfg.Client, Bounds: c.cfg.Bounds,
+		Log: c.cfg.Log, Epoch: result.(uint64), Beats: &c.beats,
+	})
+	c.mu.Lock()
+	c.office = o
+	c.mu.Unlock()
+}
+
+func (c *Control) closeOffice() {
+	c.mu.Lock()
+	o := c.office
+	c.office = nil
+	c.mu.Unlock()
+	if o != nil {
+		o.Close()
+	}
+}
+
+func (c *Control) current() *dispatch.Office {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.office
+}
+
+func (c *Control) wake() {
+	if o := c.current(); o != nil {
+		o.Wake()
+	}
+}
+
+func (c *Control) propose(ctx context.Context, cmd *work.Command) (any, error) {
+	entry, err := codec.Marshal(cmd)
+	if err != nil {
+		return nil, err
+	}
+	result, err := c.group.Propose(ctx, entry)
+	if err != nil {
+		return nil, err
+	}
+	if failed, ok := result.(error); ok {
+		return nil, failed
+	}
+	return result, nil
+}
+
+// answer carries a request out if this instance leads.
+func (c *Control) answer(ctx context.Context, body []byte) *Reply {
+	st := c.group.Status()
+	rep := &Reply{Members: memberNames(st)}
+	var req request
+	if err := codec.Unmarshal(body, &req); err != nil {
+		c.log.Error(err, "request cannot be decoded")
+		rep.Unsure = true
+		return rep
+	}
+	if !st.Leads {
+		rep.NotLeader = true
+		if st.Leader != c.cfg.Self {
+			rep.Leader = st.Leader
+		}
+		return rep
+	}
+	switch {
+	case req.Submit != nil:
+		c.commit(ctx, rep, &work.Command{Submit: req.Submit})
+	case req.Cancel != nil:
+		c.commit(ctx, rep, &work.Command{Cancel: req.Cancel})
+	case req.Publish != nil:
+		c.commit(ctx, rep, &work.Command{Publish: req.Publish})
+	case req.Announce != nil:
+		c.announce(ctx, rep, req.Announce)
+	case req.Ping != nil:
+	default:
+		c.read(ctx, rep, &req)
+	}
+	return rep
+}
+
+func memberNames(st replica.Status) []string {
+	out := make([]string, 0, len(st.Members))
+	for _, m := range st.Members {
+		out = append(out, m.Instance)
+	}
+	return out
+}
+
+// commit proposes a command whose result is a verdict.
+func (c *Control) commit(ctx context.Context, rep *Reply, cmd *work.Command) {
+	result, err := c.propose(ctx, cmd)
+	var nl *replica.NotLeaderError
+	var not *replica.NotProposedError
+	switch {
+	case err == nil:
+		rep.Verdict, _ = result.(work.Verdict)
+	case errors.As(err, &nl):
+		rep.NotLeader, rep.Leader = true, nl.Leader
+	case errors.As(err, &not):
+		rep.NotLeader = true
+	default:
+		c.log.Info("commit not confirmed", "error", err.Error())
+		rep.Unsure = true
+	}
+}
+
+// read answers from the state once the group has confirmed that it is current.
+func (c *Control) read(ctx context.Context, rep *Reply, req *request) {
+	if err := c.group.ReadIndex(ctx); err != nil {
+		c.log.V(1).Info("read not confirmed", "error", err.Error())
+		rep.NotLeader = true
+		return
+	}
+	c.machine.View(func(v *work.View) {
+		switch {
+		case req.Config != nil:
+			if cfg := v.Config(); cfg != nil {
+				rep.Document = cfg.Document
+			}
+		case req.Pending != nil:
+			var q *work.Queue
+			if q, _, rep.Verdict = v.Admit(*req.Pending); q == nil {
+				return
+			}
+			if q.Prefix != req.Pending.Path {
+				rep.Verdict = work.NoQueue
+				return
+			}
+			rep.Pending = v.Pending(q)
+		case req.Job != nil:
+			q, customer, verdict := v.Admit(req.Job.Call)
+			rep.Verdict = verdict
+			if q == nil {
+				return
+			}
+			j := v.Job(req.Job.ID, customer)
+			if j == nil {
+				rep.Verdict = work.NoJob
+				return
+			}
+			rep.State = j.State
+		}
+	})
+}
+
+// announce notes that a worker lives and commits what is new about it.
+func (c *Control) announce(ctx context.Context, rep *Reply, a *Announcement) {
+	w := a.Worker
+	known := false
+	gone := true
+	c.machine.View(func(v *work.View) {
+		cur := v.Workers()[w.ID]
+		if cur == nil {
+			return
+		}
+		gone = false
+		known = cur.Life > w.Life ||
+			cur.Life == w.Life && cur.Address == w.Address && cur.Service == w.Service && (cur.Draining || !w.Draining)
+	})
+	if a.Leaving {
+		if !gone {
+			c.commit(ctx, rep, &work.Command{Worker: &work.WorkerChange{Worker: w, Gone: true}})
+		}
+		return
+	}
+	c.beats.Note(w.ID, w.Life, time.Now())
+	if known {
+		return
+	}
+	c.commit(ctx, rep, &work.Command{Worker: &work.WorkerChange{Worker: w}})
+	if !rep.NotLeader && !rep.Unsure {
+		c.log.Info("worker recorded", "worker", w.ID, "life", w.Life, "address", w.Address, "draining", w.Draining)
+	}
+}
--- /dev/null
+++ b/internal/region/message.go
@@ -0,0 +1,52 @@
+// Package region runs the parts of a deployment whose jobs belong to one group
+// over all availability zones: control instances, which hold the group's state
+// on disk and lead it in turn, and entry instances, which hold none and forward.
+package region
+
+import (
+	"teaselpaddle.example/teaselpaddle/internal/work"
+)
+
+// request is a request for the group's leader; exactly one field is set. Every
+// request may be sent again: it has the effect of one.
+type request struct {
+	Submit   *work.Submit  `cbor:"1,keyasint,omitempty"`
+	Cancel   *work.Cancel  `cbor:"2,keyasint,omitempty"`
+	Job      *JobQuery     `cbor:"3,keyasint,omitempty"`
+	Pending  *work.Call    `cbor:"4,keyasint,omitempty"`
+	Publish  *work.Config  `cbor:"5,keyasint,omitempty"`
+	Config   *struct{}     `cbor:"6,keyasint,omitempty"`
+	Announce *Announcement `cbor:"7,keyasint,omitempty"`
+	Ping     *struct{}     `cbor:"8,keyasint,omitempty"`
+}
+
+// JobQuery asks for a job's state.
+type JobQuery struct {
+	Call work.Call `cbor:"1,keyasint"`
+	ID   string    `cbor:"2,keyasint"`
+}
+
+// Announcement is what a worker says of itself.
+type Announcement struct {
+	Worker  work.Worker `cbor:"1,keyasint"`
+	Leaving bool        `cbor:"2,keyasint,omitempty"` // it ends now
+}
+
+// Reply answers a request.
+type Reply struct {
+	// NotLeader is set if the instance asked does not lead; Leader is the one it
+	// knows of, or "".
+	NotLeader bool   `cbor:"1,keyasint,omitempty"`
+	Leader    string `cbor:"2,keyasint,omitempty"`
+	// Members are the group's members, so that an instance learns of new ones.
+	Members []string `cbor:"3,keyasint,omitempty"`
+	// Unsure is set if the leader could not confirm its answer in time. The
+	// request may have been carried out.
+	Unsure  bool         `cbor:"4,keyasint,omitempty"`
+	Verdict work.Verdict `cbor:"5,keyasint,omitempty"`
+	State   work.State   `cbor:"6,keyasint,omitempty"`
+	Pending int          `cbor:"7,keyasint,omitempty"`
+	// Document is the configuration as its operator published it; nil if there is
+	// none yet.
+	Document []byte `cbor:"8,keyasint,omitempty"`
+}
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -29,9 +29,18 @@
 
 // Config sets up a member.
 type Config struct {
-	Group      string // name of the group, the same on all its instances
-	Self       string // instance name
-	Instances  []InstanceSpec
+	Group     string // name of the group, the same on all its instances
+	Self      string // instance name
+	Instances []InstanceSpec
+	// Open admits instances that are not among Instances. Such an instance joins
+	// as a learner through an address of Contacts and becomes a voter once it has
+	// caught up; a voter that stays silent is removed in its favour. Instances
+	// then only form the group, and only if Form is set.
+	Open bool
+	// Form allows the first formation of an open group.
+	Form bool
+	// Contacts returns instances that may know the leader; of an open group only.
+	Contacts   func() []string
 	DataFolder string // of this group; empty for a member without a disk
 	FS         wal.FS // nil for the operating system's
 	Dispatcher *Dispatcher
@@ -70,6 +79,9 @@
 	if c.SnapshotEntries == 0 {
 		c.SnapshotEntries = defaultSnapshotEntries
 	}
+	if c.Open {
+		return nil
+	}
 	self := c.spec(c.Self)
 	if self == nil {
 		return &ConfigError{Group: c.Group, Detail: fmt.Sprintf("instance %q is not among its instances", c.Self)}
@@ -98,3 +110,11 @@
 	}
 	return true
 }
+
+// mayForm reports whether this instance forms the group if no other holds state.
+func (c *Config) mayForm() bool {
+	if c.Open && (!c.Form || c.spec(c.Self) == nil) {
+		return false
+	}
+	return c.first()
+}
--- a/internal/replica/dispatch.go
+++ b/internal/replica/dispatch.go
@@ -75,7 +75,7 @@
 // receive queues a message. It is dropped if the queue is full; the protocol
 // bears lost messages.
 func (r *Replica) receive(from string, f *frame) {
-	if r.cfg.spec(from) == nil {
+	if !r.cfg.Open && r.cfg.spec(from) == nil {
 		return
 	}
 	if f.Msg != nil {
--- a/internal/replica/form.go
+++ b/internal/replica/form.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"time"
 
 	"teaselpaddle.example/teaselpaddle/internal/raft"
@@ -10,6 +11,9 @@
 const (
 	formTicks = 5 // between two questions to the other instances
 	joinTicks = 8 // between two requests to join
+	// removalElections is the number of election timeouts after which a silent
+	// voter gives way to a waiting learner. A restart takes less.
+	removalElections = 3
 	// answerTicks is how long an answer to a question counts.
 	answerTicks = 2 * formTicks
 )
@@ -36,7 +40,7 @@
 // configured instance has said that it holds nothing. The others take the first
 // membership from the leader's first messages.
 func (r *Replica) tickForm() {
-	if r.node.HoldsState() || !r.cfg.first() || r.lostState {
+	if r.node.HoldsState() || !r.cfg.mayForm() || r.lostState {
 		return
 	}
 	if r.ticks%formTicks == 0 {
@@ -94,14 +98,31 @@
 	if st.Voter && !st.Leader.IsZero() {
 		return
 	}
-	for _, in := range r.cfg.Instances {
-		if in.Name != r.cfg.Self {
+	for _, name := range r.contacts() {
+		if name != r.cfg.Self {
 			m := &raft.Message{Kind: raft.MsgJoin, Disk: r.cfg.DataFolder != ""}
-			r.send(in.Name, &frame{Msg: m})
+			r.send(name, &frame{Msg: m})
 		}
 	}
 }
 
+// contacts returns the instances that may lead the group.
+func (r *Replica) contacts() []string {
+	var out []string
+	for _, in := range r.cfg.Instances {
+		out = append(out, in.Name)
+	}
+	if !r.cfg.Open {
+		return out
+	}
+	for _, v := range r.node.Status().Membership.Voters {
+		out = append(out, v.ID.Instance)
+	}
+	out = append(out, r.cfg.Contacts()...)
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // admit makes learners that have caught up voters: in place of the dead
 // incarnation of their instance, or in addition.
 func (r *Replica) admit() {
@@ -114,6 +135,9 @@
 		if st.Membership.Instance(l.Member.ID.Instance) != nil {
 			kind = raft.ChangeReplace
 		}
+		if kind == raft.ChangeAdd && r.cfg.Open && r.removeSilent() {
+			return
+		}
 		err := r.node.ProposeMembership(raft.Change{Kind: kind, Member: l.Member.ID})
 		if err == nil {
 			r.log.Info("learner becomes voter", "member", l.Member.ID.String())
@@ -122,3 +146,21 @@
 		r.log.V(1).Info("learner cannot become voter yet", "member", l.Member.ID.String(), "reason", err.Error())
 	}
 }
+
+// removeSilent removes a voter that has not answered for a long time, so that
+// the learner which takes its place does not enlarge the quorum. It reports
+// whether a removal has begun.
+func (r *Replica) removeSilent() bool {
+	for _, v := range r.node.Status().Membership.Voters {
+		if r.node.SilentElections(v.ID) < removalElections {
+			continue
+		}
+		err := r.node.ProposeMembership(raft.Change{Kind: raft.ChangeRemove, Member: v.ID})
+		if err == nil {
+			r.log.Info("silent voter removed in favour of a learner", "member", v.ID.String())
+			return true
+		}
+		r.log.V(1).Info("silent voter cannot be removed yet", "member", v.ID.String(), "reason", err.Error())
+	}
+	return false
+}
--- a/internal/replica/run.go
+++ b/internal/replica/run.go
@@ -199,7 +199,7 @@
 	if m == nil {
 		return
 	}
-	if m.Kind == raft.MsgJoin && m.Disk != r.cfg.spec(in.from).Disk {
+	if m.Kind == raft.MsgJoin && !r.cfg.Open && m.Disk != r.cfg.spec(in.from).Disk {
 		r.log.Info("instance may not join: its disk differs from the settings", "instance", in.from)
 		return
 	}
--- /dev/null
+++ b/internal/sched/place/place.go
@@ -0,0 +1,347 @@
+// Package place decides where the units of waiting steps run. It is pure: a
+// snapshot goes in, a plan comes out. The plan is checked against the present
+// state when it is committed.
+package place
+
+import (
+	"cmp"
+	"slices"
+
+	"teaselpaddle.example/teaselpaddle/internal/work"
+)
+
+// Snapshot is what a decision is made from. Decide changes the Free of its
+// workers.
+type Snapshot struct {
+	NowMS   int64 // Unix ms
+	Workers []*Worker
+	Groups  []*Group
+}
+
+// Worker is a worker as the leader believes it to be.
+type Worker struct {
+	ID       string
+	Rack     string
+	Service  string
+	Labels   []string
+	Capacity work.Resources
+	// Free is the capacity less everything that runs or may still run there.
+	Free work.Resources
+	// Coming is the part of the capacity in use that is being given back.
+	Coming work.Resources
+	// Slow is set if the worker was seen to work slowly; it is used last.
+	Slow    bool
+	Running []*Running
+}
+
+// Running is a run that may be stopped in favour of a group.
+type Running struct {
+	Ref        work.UnitRef
+	Run        int
+	Gang       string // names the gang; "" for a unit of its own
+	Need       work.Resources
+	Priority   int
+	Guaranteed bool
+	LostMS     int64 // work since the last checkpoint, ms
+	Stopping   bool
+}
+
+// Group is a step with units that wait.
+type Group struct {
+	Job        string
+	Occurrence int
+	StepIndex  int
+	Step       *work.Step
+	Service    string
+	Priority   int
+	Guaranteed bool  // within its customer's guaranteed accelerators
+	SinceMS    int64 // when its turn came, Unix ms
+	AimMS      int64 // Unix ms by which the job should be completed
+	Seq        uint64
+	Waiting    []int // unit indexes
+	Total      int
+	Avoid      map[string]bool // workers on which a unit of it has failed
+	On         map[string]int  // units of it that run, by worker
+}
+
+// Placement is a unit and its worker.
+type Placement struct {
+	Group  *Group
+	Unit   int
+	Worker string
+}
+
+// Plan is what to do. The placements of one group stand together; those of a
+// gang are complete.
+type Plan struct {
+	Starts []Placement
+	Stops  []*Running
+	// Held are the groups that wait although their turn has come.
+	Held []*Group
+}
+
+// Waits before a group is placed away from its data or across racks, where it
+// takes several times as long. Under little load the short one holds: room is
+// there, and waiting longer serves nobody.
+const (
+	busyPatienceMS = 8000
+	idlePatienceMS = 1500
+	// idleShare is the share of the capacity in use below which load is little.
+	idleShare = 0.5
+)
+
+type decision struct {
+	s       *Snapshot
+	plan    Plan
+	idle    bool
+	stopped map[*Running]bool
+	gangs   map[string][]*Running
+	at      map[*Running]*Worker
+}
+
+// Decide returns the plan for a snapshot.
+func Decide(s *Snapshot) Plan {
+	d := &decision{s: s, stopped: map[*Running]bool{}, gangs: map[string][]*Running{}, at: map[*Running]*Worker{}}
+	var all, free work.Resources
+	for _, w := range s.Workers {
+		all = all.Add(w.Capacity)
+		free = free.Add(w.Free)
+		for _, r := range w.Running {
+			d.at[r] = w
+			if r.Gang != "" {
+				d.gangs[r.Gang] = append(d.gangs[r.Gang], r)
+			}
+		}
+	}
+	used := func(f, a int64) float64 { return 1 - float64(f)/float64(max(a, 1)) }
+	d.idle = max(used(free.Accelerators, all.Accelerators), used(free.CPU, all.CPU), used(free.MemoryMB, all.MemoryMB)) < idleShare
+	slices.SortStableFunc(s.Groups, s.order)
+	for _, g := range s.Groups {
+		d.place(g)
+	}
+	return d.plan
+}
+
+// order puts guaranteed groups first, then by priority; within a priority those
+// that can still be on time come first, the oldest of them first.
+func (s *Snapshot) order(a, b *Group) int {
+	return cmp.Or(
+		cmp.Compare(rank(a), rank(b)),
+		cmp.Compare(lateRank(a, s.NowMS), lateRank(b, s.NowMS)),
+		cmp.Compare(a.Seq, b.Seq),
+		cmp.Compare(a.Occurrence, b.Occurrence),
+		cmp.Compare(a.StepIndex, b.StepIndex),
+	)
+}
+
+func rank(g *Group) int {
+	if g.Guaranteed {
+		return -1
+	}
+	return g.Priority
+}
+
+func lateRank(g *Group, nowMS int64) int {
+	if g.AimMS > 0 && nowMS > g.AimMS {
+		return 1
+	}
+	return 0
+}
+
+// place starts what fits, and makes room for urgent groups.
+func (d *decision) place(g *Group) {
+	workers := d.candidates(g)
+	if g.Step.Gang {
+		d.placeGang(g, workers)
+		return
+	}
+	left := d.placeUnits(g, workers)
+	if len(left) == 0 {
+		return
+	}
+	d.plan.Held = append(d.plan.Held, g)
+	if g.Priority == 0 {
+		d.makeRoom(g, workers, len(left))
+	}
+}
+
+// candidates returns the workers that may run a group.
+func (d *decision) candidates(g *Group) []*Worker {
+	var out []*Worker
+	for _, w := range d.s.Workers {
+		if w.Service != g.Service || g.Avoid[w.ID] {
+			continue
+		}
+		if l := g.Step.RequiredLabel; l != "" && !slices.Contains(w.Labels, l) {
+			continue
+		}
+		out = append(out, w)
+	}
+	if len(out) == 0 && len(g.Avoid) > 0 {
+		avoid := g.Avoid
+		g.Avoid = nil
+		out = d.candidates(g)
+		g.Avoid = avoid
+	}
+	return out
+}
+
+// room returns how many units of a group fit into a worker's resources.
+func room(g *Group, w *Worker, free work.Resources) int {
+	limit := g.Total
+	if m := g.Step.MaxPerWorker; m > 0 {
+		limit = m - g.On[w.ID]
+	}
+	return free.Times(g.Step.Need, max(limit, 0))
+}
+
+// patient reports whether a group still waits for a better place.
+func (d *decision) patient(g *Group) bool {
+	limit := int64(busyPatienceMS)
+	if d.idle || g.Priority == 0 {
+		limit = idlePatienceMS
+	}
+	return d.s.NowMS-g.SinceMS < limit
+}
+
+// byFit sorts workers so that slow ones come last and full ones first: small
+// units fill split workers and leave whole workers to large units.
+func byFit(workers []*Worker) {
+	slices.SortStableFunc(workers, func(a, b *Worker) int {
+		return cmp.Or(
+			cmp.Compare(btoi(a.Slow), btoi(b.Slow)),
+			cmp.Compare(a.Free.Accelerators, b.Free.Accelerators),
+			cmp.Compare(a.Free.CPU, b.Free.CPU),
+			cmp.Compare(a.ID, b.ID),
+		)
+	})
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// placeUnits places units of their own one by one and returns those left.
+func (d *decision) placeUnits(g *Group, workers []*Worker) []int {
+	left := g.Waiting
+	near := workers
+	if r := g.Step.DataRack; r != "" {
+		near = onRack(workers, r)
+	}
+	left = d.fill(g, near, left)
+	if len(left) > 0 && len(near) < len(workers) && !d.patient(g) {
+		left = d.fill(g, workers, left)
+	}
+	return left
+}
+
+func onRack(workers []*Worker, rack string) []*Worker {
+	var out []*Worker
+	for _, w := range workers {
+		if w.Rack == rack {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// fill starts units on workers while they fit.
+func (d *decision) fill(g *Group, workers []*Worker, left []int) []int {
+	byFit(workers)
+	for _, w := range workers {
+		n := min(room(g, w, w.Free), len(left))
+		for _, i := range left[:n] {
+			d.startAt(g, i, w)
+		}
+		left = left[n:]
+	}
+	return left
+}
+
+func (d *decision) startAt(g *Group, unit int, w *Worker) {
+	d.reserve(g, w, 1)
+	d.plan.Starts = append(d.plan.Starts, Placement{Group: g, Unit: unit, Worker: w.ID})
+}
+
+// reserve takes room for n units.
+func (d *decision) reserve(g *Group, w *Worker, n int) {
+	for range n {
+		w.Free = w.Free.Sub(g.Step.Need)
+	}
+	if g.On == nil {
+		g.On = map[string]int{}
+	}
+	g.On[w.ID] += n
+}
+
+// placeGang places all units or none.
+func (d *decision) placeGang(g *Group, workers []*Worker) {
+	if len(g.Waiting) < g.Total {
+		return // units of the last run have not ended yet
+	}
+	sets := d.gangSets(g, workers)
+	for _, set := range sets {
+		if d.fits(g, set, func(w *Worker) work.Resources { return w.Free }) {
+			d.fill(g, set, g.Waiting)
+			return
+		}
+	}
+	d.plan.Held = append(d.plan.Held, g)
+	if g.Priority == 0 {
+		d.makeRoomGang(g, sets)
+	}
+}
+
+// gangSets returns the sets of workers on which a gang may run, best first.
+func (d *decision) gangSets(g *Group, workers []*Worker) [][]*Worker {
+	if !g.Step.SameRack && g.Step.DataRack == "" {
+		return [][]*Worker{workers}
+	}
+	racks := map[string][]*Worker{}
+	var names []string
+	for _, w := range workers {
+		if racks[w.Rack] == nil {
+			names = append(names, w.Rack)
+		}
+		racks[w.Rack] = append(racks[w.Rack], w)
+	}
+	// The data's rack first, then the rack with the least room to spare.
+	spare := func(r string) int64 {
+		var n int64
+		for _, w := range racks[r] {
+			n += max(w.Free.Accelerators, 0)
+		}
+		return n
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(
+			cmp.Compare(btoi(a != g.Step.DataRack), btoi(b != g.Step.DataRack)),
+			cmp.Compare(spare(a), spare(b)),
+			cmp.Compare(a, b),
+		)
+	})
+	var sets [][]*Worker
+	whole := func(w *Worker) work.Resources { return w.Capacity }
+	patient := d.patient(g)
+	for _, r := range names {
+		if d.fits(g, racks[r], whole) && (r == g.Step.DataRack || g.Step.DataRack == "" || !patient) {
+			sets = append(sets, racks[r])
+		}
+	}
+	if len(sets) == 0 || !patient {
+		sets = append(sets, workers)
+	}
+	return sets
+}
+
+// fits reports whether all units of a gang fit into a set of workers.
+func (d *decision) fits(g *Group, set []*Worker, free func(*Worker) work.Resources) bool {
+	n := 0
+	for _, w := range set {
+		n += room(g, w, free(w))
+	}
+	return n >= g.Total
+}
