Let the lease of a silent worker end

Ruled out: missing leave message, room, queue order; the log shows the worker's last answer and no further decision. Change: while calls fail the assumed end stays. A hold waits at most a quarter of a lease. Test: TestRunsOfSilentWorkerStartElsewhere fails without the change.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -18,6 +18,9 @@
 	// holdWait is the longest wait for an end that a hold asks for. Longer waits
 	// cost fewer calls; a lease outlasts several of them.
 	holdWait = 2 * time.Second
+	// renewals is the least number of holds within one lease, so that a lost one
+	// does not end it.
+	renewals = 4
 	// callTimeout bounds a call that does not wait. Worker and leader are
 	// milliseconds apart, so a later answer means a broken connection.
 	callTimeout = 600 * time.Millisecond
@@ -208,7 +211,7 @@
 			return 0, true
 		}
 	}
-	return holdWait, true
+	return min(holdWait, a.o.cfg.Bounds.MaxLease/renewals), true
 }
 
 // activeRuns returns the runs that the group records for this life.
@@ -248,11 +251,16 @@
 }
 
 // lease returns the end of a lease from now on, on the worker's clock, and notes
-// that it was sent. It is 0 before the worker's clock is known.
+// that it was sent. It is 0, which extends nothing, before the worker's clock is
+// known. A worker that does not answer is not sent a later end: any call may
+// reach it, so its lease would never be known to be over.
 func (a *agent) lease(now time.Time) int64 {
 	if a.clockAt.IsZero() {
 		return 0
 	}
+	if a.failures > 0 {
+		return a.untilMS
+	}
 	until := a.nowMS(now) + a.o.cfg.Bounds.MaxLease.Milliseconds()
 	a.untilMS = max(a.untilMS, until)
 	return until
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,421 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"teaselpaddle.example/teaselpaddle/internal/codec"
+	"teaselpaddle.example/teaselpaddle/internal/replica"
+	"teaselpaddle.example/teaselpaddle/internal/work"
+	"teaselpaddle.example/teaselpaddle/internal/workerapi"
+)
+
+// localGroup applies every entry at once.
+type localGroup struct {
+	mu    sync.Mutex
+	m     *work.Machine
+	index uint64
+}
+
+func (g *localGroup) Propose(_ context.Context, entry []byte) (any, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.index++
+	return g.m.Apply(g.index, entry), nil
+}
+func (g *localGroup) ReadIndex(context.Context) error   { return nil }
+func (g *localGroup) WaitDurable(context.Context) error { return nil }
+func (g *localGroup) Transfer(context.Context) error    { return nil }
+func (g *localGroup) Status() replica.Status            { return replica.Status{Leads: true} }
+func (g *localGroup) Stop()                             {}
+
+// fakeWorker keeps to the workers' protocol.
+type fakeWorker struct {
+	life    int64
+	began   time.Time
+	running map[runKey]time.Time // by when they are done
+	fenced  map[work.UnitRef]int // highest run that is refused
+	ends    []workerapi.UnitEnd
+	next    int64
+	epoch   uint64
+	until   int64
+	silent  bool // swallows calls
+	lose    int  // answers to starts that are lost
+	hang    bool // what it runs stands still
+	fail    bool // all that it starts fails
+}
+
+// fakeWorkers implements workerapi.UnitClient.
+type fakeWorkers struct {
+	mu       sync.Mutex
+	t        *testing.T
+	by       map[string]*fakeWorker
+	duration time.Duration
+	starts   map[work.UnitRef][]string // workers on which a unit began
+}
+
+func newFakeWorkers(t *testing.T, duration time.Duration, ids ...string) *fakeWorkers {
+	f := &fakeWorkers{t: t, by: map[string]*fakeWorker{}, duration: duration, starts: map[work.UnitRef][]string{}}
+	for _, id := range ids {
+		f.by[id] = newFakeWorker(1)
+	}
+	return f
+}
+
+func newFakeWorker(life int64) *fakeWorker {
+	return &fakeWorker{life: life, began: time.Now(), running: map[runKey]time.Time{}, fenced: map[work.UnitRef]int{}}
+}
+
+func (w *fakeWorker) clock() int64 { return time.Since(w.began).Milliseconds() }
+
+func (w *fakeWorker) end(k runKey, how work.Ending) {
+	delete(w.running, k)
+	w.next++
+	w.ends = append(w.ends, workerapi.UnitEnd{Number: w.next, Unit: k.unit, Run: k.run, How: how})
+	w.fenced[k.unit] = max(w.fenced[k.unit], k.run)
+}
+
+func (w *fakeWorker) advance() {
+	for k, at := range w.running {
+		switch {
+		case w.clock() > w.until:
+			w.end(k, work.EndLapsed)
+		case w.fail:
+			w.end(k, work.EndFailed)
+		case !w.hang && time.Now().After(at):
+			w.end(k, work.EndDone)
+		}
+	}
+}
+
+func (f *fakeWorkers) worker(id string) (*fakeWorker, error) {
+	w := f.by[id]
+	if w == nil || w.silent {
+		return nil, &workerapi.NoAnswerError{Cause: context.DeadlineExceeded}
+	}
+	w.advance()
+	return w, nil
+}
+
+func (f *fakeWorkers) Start(_ context.Context, t workerapi.UnitWorker, o workerapi.UnitStart) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w, err := f.worker(t.ID)
+	if err != nil {
+		return err
+	}
+	k := runKey{o.Unit, o.Run}
+	w.until = max(w.until, o.UntilMS)
+	if _, there := w.running[k]; there {
+		return nil
+	}
+	switch {
+	case o.Epoch < w.epoch:
+		return &workerapi.OrderRefusedError{Reason: workerapi.RefusedEpoch}
+	case o.Run <= w.fenced[o.Unit]:
+		return &workerapi.OrderRefusedError{Reason: workerapi.RefusedOld}
+	case w.clock() > o.UntilMS:
+		return &workerapi.OrderRefusedError{Reason: workerapi.RefusedLate}
+	}
+	f.noteStart(t.ID, k)
+	w.running[k] = time.Now().Add(f.duration)
+	if w.lose > 0 {
+		w.lose--
+		return &workerapi.NoAnswerError{Cause: context.DeadlineExceeded}
+	}
+	return nil
+}
+
+// noteStart fails the test if the unit runs on another worker.
+func (f *fakeWorkers) noteStart(id string, k runKey) {
+	f.starts[k.unit] = append(f.starts[k.unit], id)
+	for other, w := range f.by {
+		w.advance()
+		for r := range w.running {
+			if r.unit == k.unit {
+				f.t.Errorf("unit %v runs on %s and starts on %s", k.unit, other, id)
+			}
+		}
+	}
+}
+
+func (f *fakeWorkers) Stop(_ context.Context, t workerapi.UnitWorker, o workerapi.UnitStop) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w, err := f.worker(t.ID)
+	if err != nil {
+		return err
+	}
+	if _, there := w.running[runKey{o.Unit, o.Run}]; there {
+		w.end(runKey{o.Unit, o.Run}, work.EndStopped)
+	}
+	w.fenced[o.Unit] = max(w.fenced[o.Unit], o.Run)
+	return nil
+}
+
+func (f *fakeWorkers) Hold(ctx context.Context, t workerapi.UnitWorker, o workerapi.UnitHold) (*workerapi.UnitReport, error) {
+	until := time.Now().Add(time.Duration(o.WaitMS) * time.Millisecond)
+	for first := true; ; first = false {
+		f.mu.Lock()
+		w, err := f.worker(t.ID)
+		if err != nil {
+			f.mu.Unlock()
+			return nil, err
+		}
+		if first {
+			w.epoch = max(w.epoch, o.Epoch)
+			w.until = max(w.until, o.UntilMS)
+			for len(w.ends) > 0 && w.ends[0].Number <= o.Noted {
+				w.ends = w.ends[1:]
+			}
+		}
+		if len(w.ends) > 0 || time.Now().After(until) {
+			rep := &workerapi.UnitReport{Life: w.life, ClockMS: w.clock()}
+			for k := range w.running {
+				rep.Runs = append(rep.Runs, workerapi.UnitRun{Unit: k.unit, Run: k.run})
+			}
+			rep.Ends = append(rep.Ends, w.ends...)
+			f.mu.Unlock()
+			return rep, nil
+		}
+		f.mu.Unlock()
+		if !sleep(ctx, 5*time.Millisecond) {
+			return nil, &workerapi.NoAnswerError{Cause: ctx.Err()}
+		}
+	}
+}
+
+// bed is a machine with workers, a queue and an office.
+type bed struct {
+	is      *is.I
+	t       *testing.T
+	m       *work.Machine
+	group   *localGroup
+	workers *fakeWorkers
+	beats   *Beats
+	office  *Office
+}
+
+const testLease = 400 * time.Millisecond
+
+func newBed(t *testing.T, workers *fakeWorkers) *bed {
+	b := &bed{is: is.New(t), t: t, workers: workers, beats: &Beats{}}
+	b.m = work.New(func() {
+		if b.office != nil {
+			b.office.Wake()
+		}
+	})
+	b.group = &localGroup{m: b.m}
+	b.apply(&work.Command{Publish: &work.Config{
+		Version: 1, Services: []work.Service{{Name: "desk"}}, Document: []byte("{}"),
+		Queues: []work.Queue{
+			{Name: "urgent", Host: "h", Prefix: "/u/", Priority: 0, MaxAttempts: 2, Service: "desk", Public: true},
+			{Name: "batch", Host: "h", Prefix: "/b/", Priority: 2, MaxAttempts: 2, Service: "desk", Public: true},
+		},
+	}})
+	for id := range workers.by {
+		b.announce(id, 1)
+	}
+	b.open()
+	return b
+}
+
+func (b *bed) open() {
+	epoch := b.apply(&work.Command{Lead: &work.Lead{Instance: "test"}}).(uint64)
+	b.office = Open(Config{
+		Machine: b.m, Group: b.group, Client: b.workers, Epoch: epoch, Beats: b.beats, Log: logr.Discard(),
+		Bounds: Bounds{MaxLease: testLease},
+	})
+	b.t.Cleanup(b.office.Close)
+}
+
+func (b *bed) announce(id string, life int64) {
+	b.apply(&work.Command{Worker: &work.WorkerChange{Worker: work.Worker{
+		ID: id, Life: life, Address: id, Service: "desk", Rack: "r1",
+		Capacity: work.Resources{CPU: 8000, MemoryMB: 8000, Accelerators: 8},
+	}}})
+	b.beats.Note(id, life, time.Now().Add(time.Hour))
+}
+
+func (b *bed) apply(c *work.Command) any {
+	b.t.Helper()
+	entry, err := codec.Marshal(c)
+	b.is.NoErr(err)
+	result, err := b.group.Propose(context.Background(), entry)
+	b.is.NoErr(err)
+	return result
+}
+
+func (b *bed) submit(path, id string, steps ...work.Step) {
+	b.t.Helper()
+	v := b.apply(&work.Command{Submit: &work.Submit{
+		Call: work.Call{Host: "h", Path: path + id}, ID: id, Spec: work.Spec{Payload: "p", Steps: steps}, AtMS: time.Now().UnixMilli(),
+	}})
+	b.is.Equal(v, work.OK)
+}
+
+func (b *bed) state(id string) work.State {
+	var s work.State
+	b.m.View(func(v *work.View) { s = v.Job(id, "").State })
+	return s
+}
+
+// within fails the test unless the condition holds in time.
+func (b *bed) within(d time.Duration, what string, cond func() bool) {
+	b.t.Helper()
+	for end := time.Now().Add(d); !cond(); {
+		if time.Now().After(end) {
+			b.t.Fatalf("not within %v: %s", d, what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func units(n int, accelerators int64) work.Step {
+	return work.Step{Count: n, Need: work.Resources{CPU: 1000, MemoryMB: 100, Accelerators: accelerators}}
+}
+
+// Guards against a job that is shown as completed before all of its units are,
+// and a step that starts before the step it depends on has ended.
+func TestStepsRunInOrder(t *testing.T) {
+	b := newBed(t, newFakeWorkers(t, 50*time.Millisecond, "w1", "w2"))
+	second := units(3, 1)
+	second.DependsOn = []int{0}
+	b.submit("/b/", "j1", units(4, 1), second)
+	b.within(5*time.Second, "completed", func() bool { return b.state("j1") == work.Completed })
+	b.is.Equal(len(b.workers.starts), 7)
+}
+
+// Guards against runs of a worker that never answers again staying recorded for
+// ever: each call without an answer must not move the end of its lease.
+func TestRunsOfSilentWorkerStartElsewhere(t *testing.T) {
+	f := newFakeWorkers(t, time.Second, "w1")
+	b := newBed(t, f)
+	b.submit("/b/", "j1", units(1, 8))
+	ref := work.UnitRef{Job: "j1"}
+	b.within(5*time.Second, "started", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.starts[ref]) == 1
+	})
+	f.mu.Lock()
+	f.by["w1"].silent = true
+	f.by["w2"] = newFakeWorker(1)
+	f.mu.Unlock()
+	b.announce("w2", 1)
+	b.within(5*time.Second, "completed on the other worker", func() bool { return b.state("j1") == work.Completed })
+	b.is.Equal(fmt.Sprint(f.starts[ref]), "[w1 w2]")
+}
+
+// Guards against a second run of a unit whose start was carried out although its
+// answer was lost.
+func TestLostAnswerOfStart(t *testing.T) {
+	f := newFakeWorkers(t, 100*time.Millisecond, "w1", "w2")
+	f.by["w1"].lose = 2
+	f.by["w2"].lose = 2
+	b := newBed(t, f)
+	b.submit("/b/", "j1", units(2, 8))
+	b.within(5*time.Second, "completed", func() bool { return b.state("j1") == work.Completed })
+	for ref, on := range f.starts {
+		if len(on) != 1 {
+			t.Errorf("unit %v began on %v", ref, on)
+		}
+	}
+}
+
+// Guards against a new leader that starts again what its predecessor's workers
+// still run.
+func TestNextOfficeTakesRunsOver(t *testing.T) {
+	f := newFakeWorkers(t, 300*time.Millisecond, "w1", "w2")
+	b := newBed(t, f)
+	b.submit("/b/", "j1", units(4, 2))
+	b.within(5*time.Second, "started", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.starts) == 4
+	})
+	b.office.Close()
+	b.open()
+	b.within(5*time.Second, "completed", func() bool { return b.state("j1") == work.Completed })
+	for ref, on := range f.starts {
+		if len(on) != 1 {
+			t.Errorf("unit %v began on %v", ref, on)
+		}
+	}
+}
+
+// Guards against a unit of an earlier life that stays recorded after its worker
+// has started again under the same id.
+func TestRebornWorker(t *testing.T) {
+	f := newFakeWorkers(t, 200*time.Millisecond, "w1")
+	b := newBed(t, f)
+	b.submit("/b/", "j1", units(1, 8))
+	ref := work.UnitRef{Job: "j1"}
+	b.within(5*time.Second, "started", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.starts[ref]) == 1
+	})
+	f.mu.Lock()
+	f.by["w1"] = newFakeWorker(2)
+	f.mu.Unlock()
+	b.announce("w1", 2)
+	b.within(5*time.Second, "completed", func() bool { return b.state("j1") == work.Completed })
+	b.is.Equal(len(f.starts[ref]), 2)
+}
+
+// Guards against an urgent job that waits behind less urgent ones when its room
+// could be made, and against a stop that is taken for a failed attempt.
+func TestUrgentJobTakesRoom(t *testing.T) {
+	f := newFakeWorkers(t, 400*time.Millisecond, "w1")
+	b := newBed(t, f)
+	b.submit("/b/", "slow", units(8, 1))
+	b.within(5*time.Second, "started", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.starts) == 8
+	})
+	gang := units(2, 2)
+	gang.Gang = true
+	b.submit("/u/", "quick", gang)
+	b.within(300*time.Millisecond, "urgent job began", func() bool { return b.state("quick") == work.Running })
+	b.within(5*time.Second, "both completed", func() bool {
+		return b.state("quick") == work.Completed && b.state("slow") == work.Completed
+	})
+}
+
+// Guards against a job without an end: its units fail wherever they run.
+func TestHopelessJobFails(t *testing.T) {
+	f := newFakeWorkers(t, 50*time.Millisecond, "w1", "w2")
+	f.by["w1"].fail = true
+	f.by["w2"].fail = true
+	b := newBed(t, f)
+	b.submit("/b/", "j1", units(1, 1))
+	b.within(5*time.Second, "failed", func() bool { return b.state("j1") == work.Failed })
+	b.is.Equal(len(f.starts[work.UnitRef{Job: "j1"}]), 2)
+}
+
+// Guards against units that run on after their job was cancelled.
+func TestCancelledJobStops(t *testing.T) {
+	f := newFakeWorkers(t, 5*time.Second, "w1")
+	b := newBed(t, f)
+	b.submit("/b/", "j1", units(3, 1))
+	b.within(5*time.Second, "started", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.by["w1"].running) == 3
+	})
+	v := b.apply(&work.Command{Cancel: &work.Cancel{Call: work.Call{Host: "h", Path: "/b/j1"}, ID: "j1", AtMS: 1}})
+	b.is.Equal(v, work.OK)
+	b.within(time.Second, "stopped", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.by["w1"].running) == 0
+	})
+}
