Reserve room for gangs that may not stop others

Ruled out: refusals (0), late acceptance (95 of 100 within 17 s were waits for room). Change: a waiting gang reserves the places that are expected to be free first; a run's remaining time is projected from its progress.

--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -202,6 +202,14 @@
 	return a.w.Life != u.Life && len(a.fences) == 0
 }
 
+const (
+	// minLeftMS is the least time that a run is expected to go on.
+	minLeftMS = 300
+	// checkpointMS is the work that a unit with checkpoints loses at most: the
+	// time between two of them, which is about a second on every deployment.
+	checkpointMS = 1000
+)
+
 // lowestPriority is that of a job whose queue is not in force any more.
 const lowestPriority = 1 << 10
 
@@ -284,11 +292,16 @@
 		run.Gang = r.key.unit.Job + "." + strconv.Itoa(r.key.unit.Occurrence) + "." + strconv.Itoa(r.key.unit.Step)
 	}
 	run.LostMS = max(p.o.cfg.Now().UnixMilli()-r.unit.SinceMS, 0)
-	if r.step.Checkpoints {
-		run.LostMS = min(run.LostMS, 1000)
+	run.LeftMS = max(r.step.EstimateMS-run.LostMS, minLeftMS)
+	if a := p.o.agent(r.unit.Worker); a != nil {
+		stopping, left := a.outlook(r.key, p.o.cfg.Now())
+		run.Stopping = run.Stopping || stopping
+		if left > 0 {
+			run.LeftMS = max(left.Milliseconds(), minLeftMS)
+		}
 	}
-	if a := p.o.agent(r.unit.Worker); a != nil && a.stopping(r.key) {
-		run.Stopping = true
+	if r.step.Checkpoints {
+		run.LostMS = min(run.LostMS, checkpointMS)
 	}
 	if run.Stopping {
 		w.Coming = w.Coming.Add(r.step.Need)
@@ -296,13 +309,6 @@
 	w.Running = append(w.Running, run)
 }
 
-func (a *agent) stopping(k runKey) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	od := a.orders[k]
-	return od != nil && !od.stopAt.IsZero()
-}
-
 // judge takes the room of what a worker runs without a record, and reports
 // whether anything may be started there.
 func (p *planner) judge(id string, w *place.Worker, now time.Time) bool {
--- a/internal/sched/place/place.go
+++ b/internal/sched/place/place.go
@@ -43,6 +43,7 @@
 	Priority   int
 	Guaranteed bool
 	LostMS     int64 // work since the last checkpoint, ms
+	LeftMS     int64 // estimated time until it ends, ms
 	Stopping   bool
 }
 
@@ -292,7 +293,9 @@
 	d.plan.Held = append(d.plan.Held, g)
 	if g.Priority == 0 {
 		d.makeRoomGang(g, sets)
+		return
 	}
+	d.awaitRoom(g, sets)
 }
 
 // gangSets returns the sets of workers on which a gang may run, best first.
