--- /dev/null
+++ b/internal/sched/place/place_test.go
@@ -0,0 +1,216 @@
+package place
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"teaselpaddle.example/teaselpaddle/internal/work"
+)
+
+var whole = work.Resources{CPU: 64000, MemoryMB: 256000, Accelerators: 8}
+
+func worker(id, rack string) *Worker {
+	return &Worker{ID: id, Rack: rack, Service: "s", Capacity: whole, Free: whole}
+}
+
+// run puts a run on a worker.
+func run(w *Worker, job string, need work.Resources, prio int, leftMS int64) *Running {
+	r := &Running{Ref: work.UnitRef{Job: job}, Run: 1, Need: need, Priority: prio, LeftMS: leftMS, LostMS: 1000}
+	w.Free = w.Free.Sub(need)
+	w.Running = append(w.Running, r)
+	return r
+}
+
+func group(job string, prio, n int, need work.Resources, seq uint64) *Group {
+	g := &Group{Job: job, Step: &work.Step{Count: n, Need: need}, Service: "s", Priority: prio, Total: n, Seq: seq}
+	for i := range n {
+		g.Waiting = append(g.Waiting, i)
+	}
+	return g
+}
+
+func gang(g *Group) *Group {
+	g.Step.Gang = true
+	return g
+}
+
+func startsOf(p Plan, job string) []string {
+	var out []string
+	for _, s := range p.Starts {
+		if s.Group.Job == job {
+			out = append(out, s.Worker)
+		}
+	}
+	return out
+}
+
+var (
+	large = work.Resources{CPU: 26000, MemoryMB: 140000, Accelerators: 8}
+	small = work.Resources{CPU: 5600, MemoryMB: 16000, Accelerators: 1}
+)
+
+// Pattern: a burst of gangs of whole-worker units among many small units. Guards
+// against small units that take each worker as soon as a part of it is free, so
+// that the gang never starts.
+func TestSmallUnitsDoNotStarveGangs(t *testing.T) {
+	is := is.New(t)
+	a, b := worker("a", "r1"), worker("b", "r1")
+	run(a, "old", small, 2, 1000)
+	waiting := group("small", 2, 16, small, 1)
+	p := Decide(&Snapshot{Workers: []*Worker{a, b}, Groups: []*Group{waiting, gang(group("gang", 1, 2, large, 2))}})
+	is.Equal(len(startsOf(p, "gang")), 0)  // one of its workers is not free yet
+	is.Equal(len(startsOf(p, "small")), 0) // both workers are kept for it
+	is.Equal(len(p.Stops), 0)              // but nothing is stopped for it
+}
+
+// Guards against a gang that waits for workers which become free last.
+func TestGangWaitsForSoonestRoom(t *testing.T) {
+	is := is.New(t)
+	a, b, c := worker("a", "r1"), worker("b", "r1"), worker("c", "r1")
+	run(a, "x", large, 1, 9000)
+	run(b, "y", large, 1, 500)
+	run(c, "z", large, 1, 8000)
+	p := Decide(&Snapshot{Workers: []*Worker{a, b, c}, Groups: []*Group{gang(group("gang", 1, 1, large, 1)), group("small", 2, 3, small, 2)}})
+	is.Equal(len(p.Starts), 0)
+	is.Equal(b.Free.Accelerators, int64(-8)) // kept
+}
+
+// Guards against a gang of which only a part starts.
+func TestGangStartsWholeOrNotAtAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var workers []*Worker
+		for i := range rapid.IntRange(1, 6).Draw(t, "workers") {
+			w := worker(fmt.Sprint("w", i), fmt.Sprint("r", i%2))
+			for range rapid.IntRange(0, 8).Draw(t, "running") {
+				run(w, "old", small, rapid.IntRange(0, 2).Draw(t, "prio"), 100)
+			}
+			workers = append(workers, w)
+		}
+		var groups []*Group
+		for i := range rapid.IntRange(1, 5).Draw(t, "groups") {
+			need := rapid.SampledFrom([]work.Resources{large, small}).Draw(t, "need")
+			g := group(fmt.Sprint("j", i), rapid.IntRange(0, 2).Draw(t, "prio"), rapid.IntRange(1, 6).Draw(t, "count"), need, uint64(i))
+			g.Step.Gang = rapid.Bool().Draw(t, "gang")
+			g.Step.SameRack = rapid.Bool().Draw(t, "rack")
+			g.Guaranteed = g.Priority == 0 && rapid.Bool().Draw(t, "sure")
+			groups = append(groups, g)
+		}
+		p := Decide(&Snapshot{Workers: workers, Groups: groups, NowMS: rapid.Int64Range(0, 20000).Draw(t, "now")})
+		used := map[string]work.Resources{}
+		for _, w := range workers {
+			for _, r := range w.Running {
+				used[w.ID] = used[w.ID].Add(r.Need)
+			}
+		}
+		for _, g := range groups {
+			n := len(startsOf(p, g.Job))
+			if g.Step.Gang && n != 0 && n != g.Total {
+				t.Fatalf("%d of %d units of a gang start", n, g.Total)
+			}
+		}
+		for _, s := range p.Starts {
+			used[s.Worker] = used[s.Worker].Add(s.Group.Step.Need)
+		}
+		for id, u := range used {
+			if !whole.Fits(u) {
+				t.Fatalf("worker %s holds %+v of %+v", id, u, whole)
+			}
+		}
+		for _, r := range p.Stops {
+			if r.Priority == 0 && !slices.ContainsFunc(groups, func(g *Group) bool { return g.Guaranteed }) {
+				t.Fatal("an urgent run is stopped although no guarantee is claimed")
+			}
+		}
+	})
+}
+
+// Pattern: urgent gangs arrive while less urgent work fills every worker. Guards
+// against a reclaim that throws away more work than it must, and against a stop
+// for room that is being given back already.
+func TestReclaimStopsCheapestRuns(t *testing.T) {
+	is := is.New(t)
+	a, b := worker("a", "r1"), worker("b", "r2")
+	dear := run(a, "dear", large, 1, 5000)
+	dear.LostMS = 8000
+	var cheap []*Running
+	for i := range 8 {
+		r := run(b, fmt.Sprint("cheap", i), small, 2, 5000)
+		cheap = append(cheap, r)
+	}
+	urgent := gang(group("urgent", 0, 2, work.Resources{CPU: 7500, MemoryMB: 22000, Accelerators: 2}, 1))
+	urgent.Guaranteed = true
+	urgent.Step.SameRack = true
+	p := Decide(&Snapshot{Workers: []*Worker{a, b}, Groups: []*Group{urgent}})
+	is.Equal(len(p.Starts), 0)
+	is.Equal(len(p.Stops), 4)
+	for _, r := range p.Stops {
+		is.True(slices.Contains(cheap, r))
+	}
+	for _, r := range cheap {
+		if slices.Contains(p.Stops, r) {
+			r.Stopping = true
+		}
+	}
+	again := &Snapshot{Workers: []*Worker{worker("a", "r1"), worker("b", "r2")}, Groups: []*Group{urgent}}
+	again.Workers[0].Free = again.Workers[0].Free.Sub(large)
+	for _, r := range cheap {
+		again.Workers[1].Free = again.Workers[1].Free.Sub(r.Need)
+		again.Workers[1].Running = append(again.Workers[1].Running, r)
+		if r.Stopping {
+			again.Workers[1].Coming = again.Workers[1].Coming.Add(r.Need)
+		}
+	}
+	again.Workers[0].Running = []*Running{dear}
+	is.Equal(len(Decide(again).Stops), 0)
+}
+
+// Guards against a unit that starts where it failed before, while other workers
+// are free, and against one that never starts because it failed everywhere.
+func TestFailedUnitAvoidsItsWorker(t *testing.T) {
+	is := is.New(t)
+	g := group("j", 1, 1, small, 1)
+	g.Avoid = map[string]bool{"a": true}
+	p := Decide(&Snapshot{Workers: []*Worker{worker("a", "r1"), worker("b", "r1")}, Groups: []*Group{g}})
+	is.Equal(startsOf(p, "j"), []string{"b"})
+	g = group("j", 1, 1, small, 1)
+	g.Avoid = map[string]bool{"a": true}
+	p = Decide(&Snapshot{Workers: []*Worker{worker("a", "r1")}, Groups: []*Group{g}})
+	is.Equal(startsOf(p, "j"), []string{"a"})
+}
+
+// Guards against units that run far from their data while its rack has room, and
+// against ones that wait for a full rack for ever.
+func TestDataRack(t *testing.T) {
+	is := is.New(t)
+	near := func() *Group {
+		g := group("j", 1, 1, small, 1)
+		g.Step.DataRack = "r2"
+		return g
+	}
+	p := Decide(&Snapshot{Workers: []*Worker{worker("a", "r1"), worker("b", "r2")}, Groups: []*Group{near()}})
+	is.Equal(startsOf(p, "j"), []string{"b"})
+	full := worker("b", "r2")
+	run(full, "x", large, 1, 9000)
+	p = Decide(&Snapshot{Workers: []*Worker{worker("a", "r1"), full}, Groups: []*Group{near()}, NowMS: 100})
+	is.Equal(len(p.Starts), 0)
+	full = worker("b", "r2")
+	run(full, "x", large, 1, 9000)
+	p = Decide(&Snapshot{Workers: []*Worker{worker("a", "r1"), full}, Groups: []*Group{near()}, NowMS: busyPatienceMS + 1})
+	is.Equal(startsOf(p, "j"), []string{"a"})
+}
+
+// Guards against more units of a step on one worker than the step allows.
+func TestMaxPerWorker(t *testing.T) {
+	is := is.New(t)
+	g := group("j", 1, 4, small, 1)
+	g.Step.MaxPerWorker = 2
+	g.On = map[string]int{"a": 1}
+	p := Decide(&Snapshot{Workers: []*Worker{worker("a", "r1"), worker("b", "r1")}, Groups: []*Group{g}})
+	got := startsOf(p, "j")
+	slices.Sort(got)
+	is.Equal(got, []string{"a", "b", "b"})
+}
--- /dev/null
+++ b/internal/work/machine_test.go
@@ -0,0 +1,204 @@
+package work
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"teaselpaddle.example/teaselpaddle/internal/codec"
+)
+
+func apply(t interface{ Fatal(...any) }, m *Machine, c *Command) any {
+	entry, err := codec.Marshal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m.Apply(1, entry)
+}
+
+func testConfig(version uint64, doc string) *Config {
+	return &Config{
+		Version: version, Document: []byte(doc), Services: []Service{{Name: "s"}},
+		Queues: []Queue{
+			{Name: "q", Host: "h", Prefix: "/q/", MaxAttempts: 2, Service: "s"},
+			{Name: "deep", Host: "h", Prefix: "/q/deep/", MaxAttempts: 2, Service: "s", Public: true},
+		},
+		Customers: []Customer{{Name: "c1", Keys: []string{"k1"}}, {Name: "c2", Keys: []string{"k2"}}},
+	}
+}
+
+func newTestMachine(t interface{ Fatal(...any) }) *Machine {
+	m := New(nil)
+	apply(t, m, &Command{Publish: testConfig(1, "one")})
+	apply(t, m, &Command{Lead: &Lead{Instance: "a"}})
+	for _, id := range []string{"w1", "w2"} {
+		apply(t, m, &Command{Worker: &WorkerChange{Worker: Worker{ID: id, Life: 1, Service: "s"}}})
+	}
+	return m
+}
+
+func submit(id, key string, steps ...Step) *Command {
+	return &Command{Submit: &Submit{Call: Call{Host: "h", Path: "/q/" + id, Key: key}, ID: id, Spec: Spec{Steps: steps}, AtMS: 1}}
+}
+
+// Guards against a configuration that goes back, and against other content that
+// takes effect under the version in force.
+func TestConfigNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	m := newTestMachine(t)
+	is.Equal(apply(t, m, &Command{Publish: testConfig(5, "five")}), OK)
+	is.Equal(apply(t, m, &Command{Publish: testConfig(3, "three")}), OK)
+	is.Equal(apply(t, m, &Command{Publish: testConfig(5, "other")}), Conflict)
+	m.View(func(v *View) {
+		is.Equal(v.Config().Version, uint64(5))
+		is.Equal(string(v.Config().Document), "five")
+	})
+}
+
+// Guards against a key that is judged by an older configuration than the one in
+// force at the commit, and against a queue chosen by a shorter prefix.
+func TestAdmission(t *testing.T) {
+	is := is.New(t)
+	m := newTestMachine(t)
+	step := Step{Count: 1}
+	is.Equal(apply(t, m, submit("j1", "k1", step)), OK)
+	is.Equal(apply(t, m, submit("j2", "nobody", step)), BadKey)
+	is.Equal(apply(t, m, &Command{Submit: &Submit{Call: Call{Host: "other", Path: "/q/j3", Key: "k1"}, ID: "j3"}}), NoQueue)
+	is.Equal(apply(t, m, &Command{Submit: &Submit{Call: Call{Host: "h", Path: "/q/deep/j4"}, ID: "j4", Spec: Spec{Steps: []Step{step}}}}), OK)
+	c := testConfig(2, "two")
+	c.Customers[0].Keys = nil
+	apply(t, m, &Command{Publish: c})
+	is.Equal(apply(t, m, submit("j5", "k1", step)), BadKey)
+	is.Equal(apply(t, m, submit("j1", "k2", step)), Conflict) // another customer's id
+}
+
+// Guards against a job that is made twice by a resend, and against one that
+// comes to life again after its cancellation.
+func TestResendIsOneJob(t *testing.T) {
+	is := is.New(t)
+	m := newTestMachine(t)
+	is.Equal(apply(t, m, submit("j1", "k1", Step{Count: 2})), OK)
+	is.Equal(apply(t, m, submit("j1", "k1", Step{Count: 2})), OK)
+	m.View(func(v *View) { is.Equal(len(v.Live()), 1) })
+	cancel := &Command{Cancel: &Cancel{Call: Call{Host: "h", Path: "/q/j1", Key: "k1"}, ID: "j1", AtMS: 2}}
+	is.Equal(apply(t, m, cancel), OK)
+	is.Equal(apply(t, m, cancel), OK)
+	is.Equal(apply(t, m, submit("j1", "k1", Step{Count: 2})), OK)
+	m.View(func(v *View) { is.Equal(v.Job("j1", "c1").State, Cancelled) })
+}
+
+// Guards against orders of a leader that has been replaced.
+func TestStaleEpochHasNoEffect(t *testing.T) {
+	is := is.New(t)
+	m := newTestMachine(t)
+	apply(t, m, submit("j1", "k1", Step{Count: 1}))
+	apply(t, m, &Command{Lead: &Lead{Instance: "b"}})
+	got := apply(t, m, &Command{Epoch: 1, Starts: &Starts{Starts: []Start{{Unit: UnitRef{Job: "j1"}, Run: 1, Worker: "w1", Life: 1}}}})
+	_, stale := got.(*StaleEpochError)
+	is.True(stale)
+	m.View(func(v *View) { is.Equal(v.Job("j1", "c1").Active, 0) })
+}
+
+// Guards against a failed run of a gang that counts once for each of its units,
+// and against a job that fails before its attempts are used up.
+func TestGangFailsOnceForEachRun(t *testing.T) {
+	is := is.New(t)
+	m := newTestMachine(t)
+	apply(t, m, submit("j1", "k1", Step{Count: 2, Gang: true}))
+	start := func(run int) {
+		got := apply(t, m, &Command{Starts: &Starts{Starts: []Start{
+			{Unit: UnitRef{Job: "j1", Index: 0}, Run: run, Worker: "w1", Life: 1},
+			{Unit: UnitRef{Job: "j1", Index: 1}, Run: run, Worker: "w2", Life: 1},
+		}}})
+		is.Equal(got, []bool{true, true})
+	}
+	end := func(run int) {
+		apply(t, m, &Command{Ends: &Ends{Ends: []End{
+			{Unit: UnitRef{Job: "j1", Index: 0}, Run: run, How: EndFailed},
+			{Unit: UnitRef{Job: "j1", Index: 1}, Run: run, How: EndFailed},
+		}}})
+	}
+	start(1)
+	end(1)
+	m.View(func(v *View) { is.Equal(v.Job("j1", "c1").State, Running) })
+	start(2)
+	end(2)
+	m.View(func(v *View) { is.Equal(v.Job("j1", "c1").State, Failed) })
+}
+
+// Guards against states that differ between the replicas, counters that drift
+// from the units, and a job that is final too early, under any order of commands.
+func TestRandomCommands(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newTestMachine(t)
+		for range rapid.IntRange(1, 60).Draw(t, "commands") {
+			id := rapid.SampledFrom([]string{"j1", "j2"}).Draw(t, "job")
+			ref := UnitRef{Job: id, Step: rapid.IntRange(0, 1).Draw(t, "step"), Index: rapid.IntRange(0, 2).Draw(t, "index")}
+			run := rapid.IntRange(1, 4).Draw(t, "run")
+			switch rapid.IntRange(0, 5).Draw(t, "kind") {
+			case 0:
+				apply(t, m, submit(id, "k1", Step{Count: 2, Gang: id == "j2"}, Step{Count: 3, DependsOn: []int{0}}))
+			case 1:
+				c := &Starts{Starts: []Start{{Unit: ref, Run: run, Worker: "w1", Life: 1}}}
+				if id == "j2" && ref.Step == 0 {
+					ref.Index = 0
+					c.Starts[0].Unit = ref
+					ref.Index = 1
+					c.Starts = append(c.Starts, Start{Unit: ref, Run: run, Worker: "w2", Life: 1})
+				}
+				apply(t, m, &Command{Starts: c})
+			case 2, 3:
+				how := Ending(rapid.IntRange(0, 6).Draw(t, "how"))
+				apply(t, m, &Command{Ends: &Ends{Ends: []End{{Unit: ref, Run: run, How: how, Saved: "s"}}}})
+			case 4:
+				apply(t, m, &Command{Cancel: &Cancel{Call: Call{Host: "h", Path: "/q/" + id, Key: "k1"}, ID: id}})
+			case 5:
+				data, err := m.Snapshot()
+				if err != nil {
+					t.Fatal(err)
+				}
+				other := New(nil)
+				if err := other.Restore(data); err != nil {
+					t.Fatal(err)
+				}
+				m = other
+			}
+			checkInvariants(t, m)
+		}
+	})
+}
+
+func checkInvariants(t *rapid.T, m *Machine) {
+	for id, j := range m.s.Jobs {
+		active, left := 0, 0
+		for gi := range j.Groups {
+			g := &j.Groups[gi]
+			open := 0
+			for i := range g.Units {
+				if g.Units[i].State == Active {
+					active++
+				}
+				if g.Units[i].State != Done {
+					open++
+				}
+			}
+			if open != g.Left {
+				t.Fatalf("job %s: step has %d open units, counts %d", id, open, g.Left)
+			}
+			if g.Step == 1 && j.Groups[0].Left > 0 && g.Left < len(g.Units) {
+				t.Fatalf("job %s: a unit is done before the step it depends on", id)
+			}
+			left += g.Left
+		}
+		if active != j.Active {
+			t.Fatalf("job %s: %d active units, counts %d", id, active, j.Active)
+		}
+		if (j.State == Completed) != (left == 0) && j.State != Cancelled && j.State != Failed {
+			t.Fatalf("job %s is %v with %d units left", id, j.State, left)
+		}
+		if _, live := m.live[id]; live != (!j.State.Final() || active > 0) {
+			t.Fatalf("job %s: state %v, %d active, live %v", id, j.State, active, live)
+		}
+	}
+}
