Leave out workers that fail different jobs and runs that stand still

Cause: a worker that fails or hangs all it starts looks free and draws the next units; its runs were found only by their leases. Ruled out: status reports (they stay good). Change: failures of two different jobs in a row take a worker out for 2 to 10 s, one failure makes it the last choice; a run without progress for 2 to 4 s is stopped and goes on elsewhere. Active units are indexed by worker, so that a hold costs no scan of all jobs. Tests: TestWorkerThatFailsEverythingIsLeftOut, TestRunThatStandsStillMoves.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -16,8 +16,8 @@
 // Times of the calls to a worker.
 const (
 	// holdWait is the longest wait for an end that a hold asks for. Longer waits
-	// cost fewer calls; a lease outlasts several of them.
-	holdWait = 2 * time.Second
+	// cost fewer calls, but show late that a run stands still.
+	holdWait = time.Second
 	// renewals is the least number of holds within one lease, so that a lost one
 	// does not end it.
 	renewals = 4
@@ -79,6 +79,7 @@
 	reported   map[runKey]workerapi.UnitRun
 	reportAt   time.Time // when the request of the last report was sent
 	pace       map[runKey]*progress
+	past       record
 	fences     []runKey // runs that may still begin although their worker's life ended
 }
 
@@ -219,32 +220,15 @@
 	w := a.rec()
 	out := map[runKey]bool{}
 	a.o.cfg.Machine.View(func(v *work.View) {
-		for id, j := range v.Live() {
-			if j.Active == 0 {
-				continue
+		v.EachActive(w.ID, func(ref work.UnitRef, u *work.Unit) {
+			if u.Life == w.Life {
+				out[runKey{ref, u.Run}] = true
 			}
-			forActive(id, j, func(ref work.UnitRef, u *work.Unit) {
-				if u.Worker == w.ID && u.Life == w.Life {
-					out[runKey{ref, u.Run}] = true
-				}
-			})
-		}
+		})
 	})
 	return out
 }
 
-// forActive calls f for each active unit of a job.
-func forActive(id string, j *work.Job, f func(work.UnitRef, *work.Unit)) {
-	for gi := range j.Groups {
-		g := &j.Groups[gi]
-		for i := range g.Units {
-			if u := &g.Units[i]; u.State == work.Active {
-				f(work.UnitRef{Job: id, Occurrence: g.Occurrence, Step: g.Step, Index: i}, u)
-			}
-		}
-	}
-}
-
 // nowMS returns a lower bound of the worker's clock. The caller holds mu.
 func (a *agent) nowMS(now time.Time) int64 {
 	return a.clockMS + int64(clockRate*float64(now.Sub(a.clockAt).Milliseconds()))
@@ -370,6 +354,7 @@
 		ends = append(ends, work.End{Unit: k.unit, Run: k.run, How: work.EndLost, Saved: a.reported[k].Saved})
 	}
 	a.observe(reported, now)
+	a.judgeEnds(ends, now)
 	a.mu.Unlock()
 
 	if !a.o.commitEnds(ends) {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -419,3 +419,48 @@
 		return len(f.by["w1"].running) == 0
 	})
 }
+
+// Guards against a job that uses up its attempts on a worker which fails all it
+// starts, and against that worker drawing every new unit because it is free.
+func TestWorkerThatFailsEverythingIsLeftOut(t *testing.T) {
+	f := newFakeWorkers(t, 100*time.Millisecond, "bad", "good")
+	f.by["bad"].fail = true
+	b := newBed(t, f)
+	for i := range 12 {
+		b.submit("/b/", fmt.Sprint("j", i), units(1, 4))
+	}
+	b.within(10*time.Second, "all completed", func() bool {
+		for i := range 12 {
+			if b.state(fmt.Sprint("j", i)) != work.Completed {
+				return false
+			}
+		}
+		return true
+	})
+	bad := 0
+	for _, on := range f.starts {
+		for _, w := range on {
+			if w == "bad" {
+				bad++
+			}
+		}
+	}
+	if bad > 6 {
+		t.Errorf("%d runs began on the bad worker", bad)
+	}
+}
+
+// Guards against a job that waits for a run which stands still although its
+// worker answers.
+func TestRunThatStandsStillMoves(t *testing.T) {
+	f := newFakeWorkers(t, 100*time.Millisecond, "w1")
+	f.by["w1"].hang = true
+	b := newBed(t, f)
+	b.submit("/b/", "j1", units(1, 8))
+	b.within(time.Second, "started", func() bool { return b.state("j1") == work.Running })
+	f.mu.Lock()
+	f.by["w2"] = newFakeWorker(1)
+	f.mu.Unlock()
+	b.announce("w2", 1)
+	b.within(minStand+2*time.Second, "completed elsewhere", func() bool { return b.state("j1") == work.Completed })
+}
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -3,11 +3,86 @@
 import (
 	"time"
 
+	"teaselpaddle.example/teaselpaddle/internal/telemetry"
+	"teaselpaddle.example/teaselpaddle/internal/work"
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
 
-// sickPause is how long a worker that says it is unhealthy gets no new runs.
-const sickPause = 2 * time.Second
+// Limits by which bad workers are told from bad jobs. A few in a hundred runs
+// fail on sound workers, so one failure alone makes a worker the last choice,
+// and failures of two different jobs in a row take it out of use.
+const (
+	// sickPause is how long a worker gets no new runs at first; it doubles up to
+	// maxSickPause each time the worker fails again at once.
+	sickPause    = 2 * time.Second
+	maxSickPause = 10 * time.Second
+	// suspectPause is how long a worker is the last choice.
+	suspectPause = 4 * time.Second
+	sickJobs     = 2
+)
+
+// Limits by which a run that stands still is told from a slow one. A worker
+// several times too slow, away from the data, still moves on by a percent within
+// standPercents of the estimated time.
+const (
+	standPercents = 24
+	minStand      = 2 * time.Second
+	maxStand      = 4 * time.Second
+)
+
+// record is how the last runs on a worker ended.
+type record struct {
+	failed       map[string]bool // jobs that failed since the last success
+	strikes      int
+	suspectUntil time.Time
+}
+
+// judgeEnds notes how runs on the worker ended. The caller holds mu.
+func (a *agent) judgeEnds(ends []work.End, now time.Time) {
+	for i := range ends {
+		switch ends[i].How {
+		case work.EndDone:
+			a.past = record{}
+		case work.EndFailed:
+			a.noteFailed(ends[i].Unit.Job, now)
+		}
+	}
+}
+
+func (a *agent) noteFailed(job string, now time.Time) {
+	if a.past.failed == nil {
+		a.past.failed = map[string]bool{}
+	}
+	a.past.failed[job] = true
+	a.past.suspectUntil = now.Add(suspectPause)
+	if len(a.past.failed) < sickJobs {
+		return
+	}
+	pause := min(sickPause<<a.past.strikes, maxSickPause)
+	a.past.strikes = min(a.past.strikes+1, 3)
+	a.past.failed = nil
+	a.sickUntil = now.Add(pause)
+	telemetry.Count("teaselpaddle_workers_sick_total")
+	a.log.Info("worker fails different jobs; it gets no runs for a while", "pause", pause.String(), "strikes", a.past.strikes)
+}
+
+// standsStill reports whether a run has made no progress for long, by a report
+// that is new enough to tell.
+func (a *agent) standsStill(k runKey, estimateMS int64, now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p := a.pace[k]
+	if p == nil || p.percent >= 100 {
+		return false
+	}
+	limit := time.Duration(estimateMS) * time.Millisecond * standPercents / 100
+	limit = min(max(limit, minStand), maxStand)
+	if a.reportAt.Sub(p.movedAt) < limit {
+		return false
+	}
+	a.past.suspectUntil = now.Add(suspectPause)
+	return true
+}
 
 // progress is how far a run was when it last moved.
 type progress struct {
--- a/internal/dispatch/office.go
+++ b/internal/dispatch/office.go
@@ -108,6 +108,8 @@
 const (
 	planInterval = 10 * time.Millisecond
 	idleInterval = 200 * time.Millisecond
+	// planShare bounds the share of time spent on plans to about a fifth.
+	planShare = 4
 )
 
 func (o *Office) run() {
@@ -123,7 +125,7 @@
 		}
 		o.syncAgents()
 		o.planner.pass()
-		if !sleep(o.ctx, planInterval) {
+		if !sleep(o.ctx, max(planInterval, planShare*o.planner.took)) {
 			return
 		}
 	}
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -30,7 +30,8 @@
 // planner makes a snapshot, decides, and applies the plan. It is used by the
 // office's goroutine alone.
 type planner struct {
-	o *Office
+	o    *Office
+	took time.Duration // by the last pass
 }
 
 // runInfo is an active run with what belongs to it.
@@ -64,6 +65,7 @@
 		}
 	}
 	p.apply(plan.Starts)
+	p.took = time.Since(began)
 }
 
 func (p *planner) workerOf(runs []runInfo, r *place.Running) string {
@@ -91,6 +93,19 @@
 	if a.refusedRun(r.key) {
 		a.stop(r.key)
 	}
+	if a.standsStill(r.key, r.step.EstimateMS, p.o.cfg.Now()) {
+		a.stopStanding(r.key)
+	}
+}
+
+// stopStanding stops a run that stands still, so that it goes on elsewhere.
+func (a *agent) stopStanding(k runKey) {
+	if stopping, _ := a.outlook(k, a.o.cfg.Now()); stopping {
+		return
+	}
+	a.log.Info("run stands still; stopped", "job", k.unit.Job, "unit", k.unit, "run", k.run)
+	telemetry.Count("teaselpaddle_runs_stood_still_total")
+	a.stop(k)
 }
 
 // checkpointOf returns the checkpoint with which a unit starts. All units of a
@@ -335,6 +350,7 @@
 		go p.o.forget(a.w)
 		return false
 	}
+	w.Slow = now.Before(a.past.suspectUntil)
 	return a.looked && !a.gone && !a.w.Draining && a.failures == 0 && now.After(a.sickUntil) &&
 		now.Sub(heard) < silentLimit && len(a.fences) == 0
 }
--- a/internal/work/machine.go
+++ b/internal/work/machine.go
@@ -35,7 +35,8 @@
 type Machine struct {
 	mu    sync.RWMutex // guards all below
 	s     image
-	live  map[string]*Job // not final, or with active units
+	live  map[string]*Job                 // not final, or with active units
+	on    map[string]map[UnitRef]struct{} // active units by worker
 	index queueIndex
 	// notify is called after each change, with mu held by nobody.
 	notify func()
@@ -73,14 +74,39 @@
 
 func (m *Machine) rebuild() {
 	m.live = map[string]*Job{}
+	m.on = map[string]map[UnitRef]struct{}{}
 	for id, j := range m.s.Jobs {
 		if !j.State.Final() || j.Active > 0 {
 			m.live[id] = j
 		}
+		for gi := range j.Groups {
+			g := &j.Groups[gi]
+			for i := range g.Units {
+				if u := &g.Units[i]; u.State == Active {
+					m.noteActive(g.ref(id, i), u.Worker)
+				}
+			}
+		}
 	}
 	m.index = newQueueIndex(m.s.Config)
 }
 
+func (m *Machine) noteActive(ref UnitRef, worker string) {
+	if m.on[worker] == nil {
+		m.on[worker] = map[UnitRef]struct{}{}
+	}
+	m.on[worker][ref] = struct{}{}
+}
+
+// noteInactive counts a unit as not active and drops it from its worker.
+func (m *Machine) noteInactive(j *Job, ref UnitRef, worker string) {
+	j.Active--
+	delete(m.on[worker], ref)
+	if len(m.on[worker]) == 0 {
+		delete(m.on, worker)
+	}
+}
+
 func (m *Machine) changed() {
 	if m.notify != nil {
 		m.notify()
@@ -278,6 +304,7 @@
 	u.Life = s.Life
 	u.SinceMS = atMS
 	j.Active++
+	m.noteActive(s.Unit, s.Worker)
 	if j.State == Queued {
 		j.State = Running
 	}
@@ -295,7 +322,7 @@
 		return
 	}
 	u.State = Waiting
-	j.Active--
+	m.noteInactive(j, e.Unit, u.Worker)
 	if e.Saved != "" {
 		u.Saved = e.Saved
 		if j.Step(g).Gang {
@@ -316,8 +343,8 @@
 func (m *Machine) unitDone(j *Job, g *Group, u *Unit, atMS int64) {
 	if j.Step(g).Gang {
 		for i := range g.Units {
-			if g.Units[i].State == Active {
-				j.Active--
+			if u := &g.Units[i]; u.State == Active {
+				m.noteInactive(j, g.ref(j.ID, i), u.Worker)
 			}
 			g.Units[i].State = Done
 		}
@@ -402,6 +429,15 @@
 // Live returns the jobs that are not final or have active units.
 func (v *View) Live() map[string]*Job { return v.m.live }
 
+// EachActive calls f for each unit whose recorded run is on a worker.
+func (v *View) EachActive(worker string, f func(UnitRef, *Unit)) {
+	for ref := range v.m.on[worker] {
+		if _, _, u := v.m.unit(ref); u != nil {
+			f(ref, u)
+		}
+	}
+}
+
 // Workers returns the workers by id.
 func (v *View) Workers() map[string]*Worker { return v.m.s.Workers }
 
--- a/internal/work/machine_test.go
+++ b/internal/work/machine_test.go
@@ -191,7 +191,15 @@
 			}
 			left += g.Left
 		}
-		if active != j.Active {
+		onWorkers := 0
+		for _, refs := range m.on {
+			for ref := range refs {
+				if ref.Job == id {
+					onWorkers++
+				}
+			}
+		}
+		if active != j.Active || active != onWorkers {
 			t.Fatalf("job %s: %d active units, counts %d", id, active, j.Active)
 		}
 		if (j.State == Completed) != (left == 0) && j.State != Cancelled && j.State != Failed {
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -112,6 +112,11 @@
 	Saved      string `cbor:"7,keyasint,omitempty"` // last checkpoint of a gang
 }
 
+// ref names a unit of the group.
+func (g *Group) ref(job string, index int) UnitRef {
+	return UnitRef{Job: job, Occurrence: g.Occurrence, Step: g.Step, Index: index}
+}
+
 // Job is an accepted job.
 type Job struct {
 	ID         string  `cbor:"1,keyasint"`
