Fill full racks first

Cause: units of their own went to the fullest worker of any rack, so every rack was used in part and urgent gangs had to stop others to run within one rack. Ruled out: too little room (the racks had it in sum). Change: workers of the fullest rack come first.

--- a/internal/sched/place/await.go
+++ b/internal/sched/place/await.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"math"
 	"slices"
-
 )
 
 // A gang that may not stop others waits for workers that become free. Without a
@@ -77,4 +76,3 @@
 	}
 	return r.LeftMS
 }
-
--- a/internal/sched/place/evict.go
+++ b/internal/sched/place/evict.go
@@ -56,7 +56,7 @@
 	chosen := map[*Running]bool{}
 	got := 0
 	set = slices.Clone(set)
-	byFit(set)
+	d.byFit(set)
 	for _, w := range set {
 		n := min(room(g, w, withComing(w)), need-got)
 		units[w] += n
--- a/internal/sched/place/place.go
+++ b/internal/sched/place/place.go
@@ -205,12 +205,19 @@
 	return d.s.NowMS-g.SinceMS < limit
 }
 
-// byFit sorts workers so that slow ones come last and full ones first: small
-// units fill split workers and leave whole workers to large units.
-func byFit(workers []*Worker) {
+// byFit sorts workers so that slow ones come last and full ones first, on full
+// racks first: small units fill split workers and leave whole workers and racks
+// to gangs.
+func (d *decision) byFit(workers []*Worker) {
+	free := map[string]int64{}
+	for _, w := range d.s.Workers {
+		free[w.Rack] += max(w.Free.Accelerators, 0)
+	}
 	slices.SortStableFunc(workers, func(a, b *Worker) int {
 		return cmp.Or(
 			cmp.Compare(btoi(a.Slow), btoi(b.Slow)),
+			cmp.Compare(free[a.Rack], free[b.Rack]),
+			cmp.Compare(a.Rack, b.Rack),
 			cmp.Compare(a.Free.Accelerators, b.Free.Accelerators),
 			cmp.Compare(a.Free.CPU, b.Free.CPU),
 			cmp.Compare(a.ID, b.ID),
@@ -251,7 +258,7 @@
 
 // fill starts units on workers while they fit.
 func (d *decision) fill(g *Group, workers []*Worker, left []int) []int {
-	byFit(workers)
+	d.byFit(workers)
 	for _, w := range workers {
 		n := min(room(g, w, w.Free), len(left))
 		for _, i := range left[:n] {
