Remove voters that stay silent from an open group

Cause: a control instance that was replaced and then stopped for good stayed a voter. Ruled out: stale seeds (the new instance asked the right members), disk contents (all members restarted with their logs). Change: a leader removes a voter that is silent for seven election timeouts if three voters remain; a returning one joins again.

--- a/internal/replica/form.go
+++ b/internal/replica/form.go
@@ -14,6 +14,13 @@
 	// removalElections is the number of election timeouts after which a silent
 	// voter gives way to a waiting learner. A restart takes less.
 	removalElections = 3
+	// surplusElections is the same for a voter that nobody replaces. A group that
+	// keeps a voter which is gone for good needs a larger majority for nothing and
+	// stops at the next loss.
+	surplusElections = 7
+	// keepVoters is the size below which no voter is removed without a
+	// replacement: fewer would bear no loss.
+	keepVoters = 3
 	// answerTicks is how long an answer to a question counts.
 	answerTicks = 2 * formTicks
 )
@@ -135,7 +142,7 @@
 		if st.Membership.Instance(l.Member.ID.Instance) != nil {
 			kind = raft.ChangeReplace
 		}
-		if kind == raft.ChangeAdd && r.cfg.Open && r.removeSilent() {
+		if kind == raft.ChangeAdd && r.cfg.Open && r.removeSilent(removalElections, 1) {
 			return
 		}
 		err := r.node.ProposeMembership(raft.Change{Kind: kind, Member: l.Member.ID})
@@ -147,17 +154,21 @@
 	}
 }
 
-// removeSilent removes a voter that has not answered for a long time, so that
-// the learner which takes its place does not enlarge the quorum. It reports
-// whether a removal has begun.
-func (r *Replica) removeSilent() bool {
-	for _, v := range r.node.Status().Membership.Voters {
-		if r.node.SilentElections(v.ID) < removalElections {
+// removeSilent removes a voter that has not answered for a number of election
+// timeouts, if at least keep voters remain. It reports whether a removal has
+// begun. A voter that was removed while it was only cut off joins again.
+func (r *Replica) removeSilent(after, keep int) bool {
+	voters := r.node.Status().Membership.Voters
+	if len(voters) <= keep {
+		return false
+	}
+	for _, v := range voters {
+		if r.node.SilentElections(v.ID) < after {
 			continue
 		}
 		err := r.node.ProposeMembership(raft.Change{Kind: raft.ChangeRemove, Member: v.ID})
 		if err == nil {
-			r.log.Info("silent voter removed in favour of a learner", "member", v.ID.String())
+			r.log.Info("silent voter removed", "member", v.ID.String(), "remaining", len(voters)-1)
 			return true
 		}
 		r.log.V(1).Info("silent voter cannot be removed yet", "member", v.ID.String(), "reason", err.Error())
--- a/internal/replica/run.go
+++ b/internal/replica/run.go
@@ -215,6 +215,9 @@
 	r.tickForm()
 	r.node.Tick()
 	r.tickJoin()
+	if r.cfg.Open && r.ticks%joinTicks == 0 {
+		r.removeSilent(surplusElections, keepVoters)
+	}
 	r.tickReads()
 }
 
