Log each decision and tell a job's story from the logs

Cause: the logs named starts and ends only; a failed request could not be traced to its inputs. Ruled out: one line for each hold or status report, whose volume is unbounded.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -39,6 +39,7 @@
 	Workers       *workersCmd       `arg:"subcommand:workers" help:"list the workers of all availability zones"`
 	Customers     *customersCmd     `arg:"subcommand:customers" help:"list the customers' guarantees and use"`
 	Fragmentation *fragmentationCmd `arg:"subcommand:fragmentation" help:"show the free accelerators of each rack"`
+	Explain       *explainCmd       `arg:"subcommand:explain" help:"tell the story of a job from the instances' logs"`
 	Replay        *ReplayOptions    `arg:"subcommand:replay" help:"replay a recorded trace through the decision code"`
 	Version       *versionCmd       `arg:"subcommand:version" help:"print the version"`
 }
@@ -73,6 +74,7 @@
 	"workers":        "teaselpaddle workers",
 	"customers":      "teaselpaddle --json customers",
 	"fragmentation":  "teaselpaddle fragmentation",
+	"explain":        "teaselpaddle explain 5c0e7a21d94b36f8 control-1.log control-2.log entry-*.log",
 	"replay":         "teaselpaddle replay monday.trace --policy policy.jsonc",
 	"version":        "teaselpaddle version",
 }
--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 
@@ -38,6 +39,8 @@
 	handover = 3 * time.Second
 )
 
+var startTime = metrics.GetOrCreateHistogram("teaselpaddle_start_call_seconds")
+
 // runKey names a run.
 type runKey struct {
 	unit work.UnitRef
@@ -310,12 +313,21 @@
 	default:
 		a.failures++
 		if a.failures == 1 {
-			a.log.Info("worker does not answer", "error", err.Error(), "lastAnswer", now.Sub(a.lastAnswer).String())
+			a.log.Info("worker does not answer", "error", err.Error(), "answered", !a.lastAnswer.IsZero(),
+				"lastAnswerMS", now.Sub(a.lastHeard()).Milliseconds())
 			telemetry.Count("teaselpaddle_workers_lost_total")
 		}
 	}
 }
 
+// lastHeard is the time of the last answer to this office, or its beginning.
+func (a *agent) lastHeard() time.Time {
+	if a.lastAnswer.IsZero() {
+		return a.o.began
+	}
+	return a.lastAnswer
+}
+
 func (a *agent) noteAnswer(now time.Time) {
 	if a.failures > 0 {
 		a.log.Info("worker answers again", "failures", a.failures)
@@ -357,7 +369,7 @@
 	a.judgeEnds(ends, now)
 	a.mu.Unlock()
 
-	if !a.o.commitEnds(ends) {
+	if !a.o.commitEnds(a.rec().ID, ends) {
 		return false
 	}
 	a.mu.Lock()
@@ -451,7 +463,7 @@
 		return
 	}
 	a.log.Info("runs of the worker are over", "runs", len(ends), "how", how.String())
-	if a.o.commitEnds(ends) {
+	if a.o.commitEnds(a.rec().ID, ends) {
 		a.mu.Lock()
 		a.looked = false // it is asked before anything starts there
 		a.mu.Unlock()
@@ -501,8 +513,10 @@
 		t := a.target()
 		a.mu.Unlock()
 		ctx, cancel := context.WithTimeout(a.ctx, callTimeout)
+		began := time.Now()
 		err := a.o.cfg.Client.Start(ctx, t, s)
 		cancel()
+		startTime.UpdateDuration(began)
 		if !a.noteStart(k, od, err) {
 			return
 		}
--- a/internal/dispatch/office.go
+++ b/internal/dispatch/office.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 
@@ -55,6 +56,8 @@
 // milliseconds; a leader without a majority steps down within about 2 s.
 const proposeTimeout = 3 * time.Second
 
+var commitTime = metrics.GetOrCreateHistogram("teaselpaddle_commit_seconds")
+
 // Office is a leader's time under one epoch.
 type Office struct {
 	cfg     Config
@@ -188,22 +191,26 @@
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, proposeTimeout)
 	defer cancel()
+	began := time.Now()
 	result, err := o.cfg.Group.Propose(ctx, entry)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	commitTime.UpdateDuration(began)
 	if failed, ok := result.(error); ok {
 		return nil, failed
 	}
 	return result, nil
 }
 
-// commitEnds records ends of runs. It reports whether they are committed.
-func (o *Office) commitEnds(ends []work.End) bool {
+// commitEnds records ends of runs on a worker. It reports whether they are
+// committed.
+func (o *Office) commitEnds(worker string, ends []work.End) bool {
 	if len(ends) == 0 {
 		return true
 	}
-	_, err := o.propose(&work.Command{Ends: &work.Ends{Ends: ends, AtMS: o.cfg.Now().UnixMilli()}})
+	atMS := o.cfg.Now().UnixMilli()
+	_, err := o.propose(&work.Command{Ends: &work.Ends{Ends: ends, AtMS: atMS}})
 	if err != nil {
 		if o.ctx.Err() == nil {
 			o.log.Error(err, "ends could not be committed; they are reported again", "ends", len(ends))
@@ -213,7 +220,36 @@
 	for i := range ends {
 		e := &ends[i]
 		telemetry.Count("teaselpaddle_runs_ended_total{how=\"" + e.How.String() + "\"}")
-		o.log.Info("run ended", "job", e.Unit.Job, "unit", e.Unit, "run", e.Run, "how", e.How.String())
+		o.log.Info("run ended", "job", e.Unit.Job, "unit", e.Unit, "run", e.Run, "how", e.How.String(), "worker", worker)
 	}
+	o.noteConcluded(ends, atMS)
 	return true
 }
+
+// noteConcluded logs the jobs that the ends committed at a time have concluded.
+func (o *Office) noteConcluded(ends []work.End, atMS int64) {
+	seen := map[string]bool{}
+	o.cfg.Machine.View(func(v *work.View) {
+		for i := range ends {
+			id := ends[i].Unit.Job
+			j := v.Job(id, "")
+			if j == nil || seen[id] || !j.State.Final() || j.EndedMS != atMS {
+				continue
+			}
+			seen[id] = true
+			telemetry.Count("teaselpaddle_jobs_concluded_total{state=\"" + j.State.String() + "\"}")
+			o.log.Info("job concluded", "job", id, "state", j.State.String(), "queue", j.Queue, "customer", j.Customer,
+				"afterMS", atMS-j.AcceptedMS, "failedRuns", failedRuns(j))
+		}
+	})
+}
+
+func failedRuns(j *work.Job) int {
+	n := 0
+	for gi := range j.Groups {
+		for i := range j.Groups[gi].Units {
+			n += j.Groups[gi].Units[i].Failed
+		}
+	}
+	return n
+}
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -32,6 +32,44 @@
 type planner struct {
 	o    *Office
 	took time.Duration // by the last pass
+	held map[heldKey]bool
+}
+
+// heldKey names a step that waits for room.
+type heldKey struct {
+	job              string
+	occurrence, step int
+}
+
+var (
+	heldGauge   = metrics.GetOrCreateGauge("teaselpaddle_steps_waiting", nil)
+	usableGauge = metrics.GetOrCreateGauge("teaselpaddle_workers_usable", nil)
+	freeGauge   = metrics.GetOrCreateGauge("teaselpaddle_accelerators_free", nil)
+	queueWait   = metrics.GetOrCreateHistogram("teaselpaddle_queue_wait_seconds")
+	reclaimTime = metrics.GetOrCreateHistogram("teaselpaddle_guaranteed_start_seconds")
+)
+
+// noteHeld logs each step once when it begins to wait, with what it waits for.
+func (p *planner) noteHeld(held []*place.Group, s *place.Snapshot) {
+	var free int64
+	for _, w := range s.Workers {
+		free += max(w.Free.Accelerators, 0)
+	}
+	heldGauge.Set(float64(len(held)))
+	usableGauge.Set(float64(len(s.Workers)))
+	freeGauge.Set(float64(free))
+	now := map[heldKey]bool{}
+	for _, g := range held {
+		k := heldKey{g.Job, g.Occurrence, g.StepIndex}
+		now[k] = true
+		if p.held[k] {
+			continue
+		}
+		p.o.log.Info("step waits for room", "job", g.Job, "occurrence", g.Occurrence, "step", g.StepIndex, "units", len(g.Waiting),
+			"need", g.Step.Need, "gang", g.Step.Gang, "sameRack", g.Step.SameRack, "dataRack", g.Step.DataRack,
+			"priority", g.Priority, "guaranteed", g.Guaranteed, "workersUsable", len(s.Workers), "acceleratorsLeft", free)
+	}
+	p.held = now
 }
 
 // runInfo is an active run with what belongs to it.
@@ -49,8 +87,8 @@
 func (p *planner) pass() {
 	began := time.Now()
 	snap, runs, lost := p.snapshot()
-	if len(lost) > 0 {
-		p.o.commitEnds(lost)
+	for worker, ends := range lost {
+		p.o.commitEnds(worker, ends)
 	}
 	for i := range runs {
 		p.tend(&runs[i])
@@ -59,12 +97,14 @@
 	decideTime.UpdateDuration(began)
 	for _, r := range plan.Stops {
 		if a := p.o.agent(p.workerOf(runs, r)); a != nil {
-			p.o.log.Info("run stopped to make room", "job", r.Ref.Job, "unit", r.Ref, "run", r.Run, "priority", r.Priority, "lostMS", r.LostMS)
+			p.o.log.Info("run stopped to make room", "job", r.Ref.Job, "unit", r.Ref, "run", r.Run, "priority", r.Priority,
+				"for", r.For, "lostMS", r.LostMS)
 			telemetry.Count("teaselpaddle_preemptions_total")
 			a.stop(runKey{r.Ref, r.Run})
 		}
 	}
 	p.apply(plan.Starts)
+	p.noteHeld(plan.Held, snap)
 	p.took = time.Since(began)
 }
 
@@ -141,13 +181,13 @@
 }
 
 // snapshot reads the committed state and the agents. Runs whose worker is gone
-// or lives another life are returned as lost.
-func (p *planner) snapshot() (*place.Snapshot, []runInfo, []work.End) {
+// or lives another life are returned as lost, by worker.
+func (p *planner) snapshot() (*place.Snapshot, []runInfo, map[string][]work.End) {
 	now := p.o.cfg.Now()
 	s := &place.Snapshot{NowMS: now.UnixMilli()}
 	workers := map[string]*place.Worker{}
 	var runs []runInfo
-	var lost []work.End
+	lost := map[string][]work.End{}
 	p.o.cfg.Machine.View(func(v *work.View) {
 		for id, w := range v.Workers() {
 			workers[id] = &place.Worker{
@@ -176,7 +216,7 @@
 					w := v.Workers()[u.Worker]
 					if w == nil || w.Life != u.Life {
 						if p.mayEnd(u, w != nil) {
-							lost = append(lost, work.End{Unit: ref, Run: u.Run, How: work.EndLost})
+							lost[u.Worker] = append(lost[u.Worker], work.End{Unit: ref, Run: u.Run, How: work.EndLost})
 						}
 						continue
 					}
@@ -225,6 +265,13 @@
 	checkpointMS = 1000
 )
 
+// heardAge is the age of the worker's last answer.
+func (a *agent) heardAge() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.o.cfg.Now().Sub(a.lastAnswer)
+}
+
 // lowestPriority is that of a job whose queue is not in force any more.
 const lowestPriority = 1 << 10
 
@@ -395,6 +442,7 @@
 	}
 	cmd := &work.Starts{AtMS: p.o.cfg.Now().UnixMilli()}
 	nextRun := map[*place.Group]int{}
+	var placed []*place.Group
 	p.o.cfg.Machine.View(func(v *work.View) {
 		for _, s := range starts {
 			j := v.Job(s.Group.Job, "")
@@ -413,6 +461,7 @@
 				run = nextRun[s.Group]
 			}
 			ref := work.UnitRef{Job: j.ID, Occurrence: g.Occurrence, Step: g.Step, Index: s.Unit}
+			placed = append(placed, s.Group)
 			cmd.Starts = append(cmd.Starts, work.Start{Unit: ref, Run: run, Worker: s.Worker, Life: w.Life})
 		}
 	})
@@ -427,7 +476,7 @@
 	held, _ := result.([]bool)
 	for i, s := range cmd.Starts {
 		if i < len(held) && held[i] {
-			p.send(&s)
+			p.send(&s, placed[i], cmd.AtMS)
 		} else {
 			p.o.log.Info("start refused at the commit", "job", s.Unit.Job, "unit", s.Unit, "run", s.Run, "worker", s.Worker)
 		}
@@ -435,7 +484,7 @@
 }
 
 // send tells a worker to start a recorded run.
-func (p *planner) send(s *work.Start) {
+func (p *planner) send(s *work.Start, g *place.Group, atMS int64) {
 	var payload, checkpoint string
 	ok := false
 	p.o.cfg.Machine.View(func(v *work.View) {
@@ -451,7 +500,13 @@
 	if a == nil || !ok {
 		return // the next pass ends or stops it
 	}
-	p.o.log.Info("run started", "job", s.Unit.Job, "unit", s.Unit, "run", s.Run, "worker", s.Worker, "life", s.Life)
+	waited := atMS - g.SinceMS
+	queueWait.Update(float64(waited) / 1000)
+	if g.Guaranteed {
+		reclaimTime.Update(float64(waited) / 1000)
+	}
+	p.o.log.Info("run started", "job", s.Unit.Job, "unit", s.Unit, "run", s.Run, "worker", s.Worker, "life", s.Life,
+		"priority", g.Priority, "guaranteed", g.Guaranteed, "waitedMS", waited, "workerHeardMS", a.heardAge().Milliseconds())
 	a.start(runKey{s.Unit, s.Run}, payload, checkpoint)
 	a.poke()
 }
--- a/internal/region/control.go
+++ b/internal/region/control.go
@@ -5,8 +5,10 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 
@@ -55,10 +57,14 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
+	version atomic.Uint64 // of the configuration logged last
+
 	mu     sync.Mutex // guards office
 	office *dispatch.Office
 }
 
+var configGauge = metrics.GetOrCreateGauge("teaselpaddle_config_version", nil)
+
 // OpenControl starts a member. router is the instance's own.
 func OpenControl(cfg ControlConfig, router *Router) (*Control, error) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -167,11 +173,25 @@
 }
 
 func (c *Control) wake() {
+	c.noteConfig()
 	if o := c.current(); o != nil {
 		o.Wake()
 	}
 }
 
+// noteConfig logs each configuration that comes into force on this instance.
+func (c *Control) noteConfig() {
+	c.machine.View(func(v *work.View) {
+		cfg := v.Config()
+		if cfg == nil || c.version.Swap(cfg.Version) == cfg.Version {
+			return
+		}
+		configGauge.Set(float64(cfg.Version))
+		c.log.Info("configuration in force", "version", cfg.Version, "queues", len(cfg.Queues), "services", len(cfg.Services),
+			"customers", len(cfg.Customers))
+	})
+}
+
 func (c *Control) propose(ctx context.Context, cmd *work.Command) (any, error) {
 	entry, err := codec.Marshal(cmd)
 	if err != nil {
@@ -207,10 +227,14 @@
 	switch {
 	case req.Submit != nil:
 		c.commit(ctx, rep, &work.Command{Submit: req.Submit})
+		c.noteJudged("submission judged", req.Submit.ID, &req.Submit.Call, rep, st.Term)
 	case req.Cancel != nil:
 		c.commit(ctx, rep, &work.Command{Cancel: req.Cancel})
+		c.noteJudged("cancellation judged", req.Cancel.ID, &req.Cancel.Call, rep, st.Term)
 	case req.Publish != nil:
 		c.commit(ctx, rep, &work.Command{Publish: req.Publish})
+		c.log.Info("configuration judged", "version", req.Publish.Version, "verdict", rep.Verdict.String(),
+			"notLeader", rep.NotLeader, "unsure", rep.Unsure, "term", st.Term)
 	case req.Announce != nil:
 		c.announce(ctx, rep, req.Announce)
 	case req.Ping != nil:
@@ -220,6 +244,19 @@
 	return rep
 }
 
+// noteJudged logs what became of a caller's request.
+func (c *Control) noteJudged(msg, job string, call *work.Call, rep *Reply, term uint64) {
+	var version, epoch uint64
+	c.machine.View(func(v *work.View) {
+		epoch, _ = v.Epoch()
+		if cfg := v.Config(); cfg != nil {
+			version = cfg.Version
+		}
+	})
+	c.log.Info(msg, "job", job, "host", call.Host, "path", call.Path, "verdict", rep.Verdict.String(), "notLeader", rep.NotLeader,
+		"unsure", rep.Unsure, "config", version, "epoch", epoch, "term", term)
+}
+
 func memberNames(st replica.Status) []string {
 	out := make([]string, 0, len(st.Members))
 	for _, m := range st.Members {
--- a/internal/sched/place/evict.go
+++ b/internal/sched/place/evict.go
@@ -161,12 +161,12 @@
 		d.reserve(g, w, n)
 	}
 	for _, r := range stops {
-		d.stop(r)
+		d.stop(r, g.Job)
 	}
 }
 
 // stop orders the stop of a run, and of the whole gang that it belongs to.
-func (d *decision) stop(r *Running) {
+func (d *decision) stop(r *Running, job string) {
 	all := []*Running{r}
 	if r.Gang != "" {
 		all = d.gangs[r.Gang]
@@ -176,6 +176,7 @@
 			continue
 		}
 		d.stopped[m] = true
+		m.For = job
 		w := d.at[m]
 		w.Coming = w.Coming.Add(m.Need)
 		d.plan.Stops = append(d.plan.Stops, m)
--- a/internal/sched/place/place.go
+++ b/internal/sched/place/place.go
@@ -45,6 +45,7 @@
 	LostMS     int64 // work since the last checkpoint, ms
 	LeftMS     int64 // estimated time until it ends, ms
 	Stopping   bool
+	For        string // job that it is stopped for; set by Decide
 }
 
 // Group is a step with units that wait.
--- a/internal/work/command.go
+++ b/internal/work/command.go
@@ -106,3 +106,7 @@
 	NoJob
 	Conflict // the id names another job
 )
+
+var verdictNames = [...]string{"ok", "no_configuration", "no_such_queue", "unknown_key", "no_such_job", "id_in_use"}
+
+func (v Verdict) String() string { return verdictNames[v] }
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -3,6 +3,8 @@
 // group replicates; every change is a Command.
 package work
 
+import "fmt"
+
 // Resources are what a unit needs or a worker has.
 type Resources struct {
 	CPU          int64 `cbor:"1,keyasint,omitempty"` // thousandths of a core
@@ -183,6 +185,9 @@
 	Index      int    `cbor:"4,keyasint,omitempty"`
 }
 
+// String returns occurrence, step and index; the job is logged beside it.
+func (r UnitRef) String() string { return fmt.Sprintf("%d.%d.%d", r.Occurrence, r.Step, r.Index) }
+
 // Queue is where callers hand jobs in; a host and a path prefix select it.
 type Queue struct {
 	Name        string  `cbor:"1,keyasint"`
