Soak the region's programs under faults; keep a gang's room until each run has ended

One end "done" stands for a whole gang, so the room of its other units counted as free before the workers had ended them. Ruled out: late starts, a second leader (no fault ran at that moment). Change: a started run takes its room until its end is listed or it can no longer be there.

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
-.PHONY: build check test demo up fmt prove measure bench
+.PHONY: build check test demo up fmt prove measure bench soak
 export CGO_ENABLED = 1
 
 build:
 	mkdir -p bin
-	go build -o bin/ ./cmd/...
+	go build -o bin/ ./cmd/... ./platform/cmd/...
 
 fmt:
 	go tool gofumpt -w $$(git ls-files -co --exclude-standard '*.go')
@@ -31,6 +31,11 @@
 	go test -tags prove -c -o bin/prove.test ./prove
 	cd prove && ../bin/prove.test -test.run TestProve -test.timeout 40m -proof '$(NAME)' -seed '$(SEED)'
 
+# Fault soak of the region's programs: make soak SEEDS=1-50.
+SEEDS ?= 1-50
+soak: build
+	go test ./platform/soak -run TestSoak -v -timeout 60m -seeds '$(SEEDS)'
+
 # Measurements, lines "BENCH <name> <value> <unit> naive <value>".
 bench:
 	go run ./internal/replay/bench
--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -56,6 +56,8 @@
 	missedAt  time.Time // last start message without an answer
 	busy      bool      // a goroutine is sending
 	refused   bool      // the worker will never carry out the start
+	over      bool      // the run has ended there, or never will begin
+	need      work.Resources
 }
 
 // agent drives one life of a worker.
@@ -207,7 +209,13 @@
 	if !a.looked {
 		return 0, true
 	}
-	if active == 0 && len(a.reported) == 0 {
+	open := 0
+	for _, od := range a.orders {
+		if !od.startAt.IsZero() && !od.over {
+			open++
+		}
+	}
+	if active == 0 && len(a.reported) == 0 && open == 0 {
 		return 0, false
 	}
 	for _, od := range a.orders {
@@ -377,6 +385,14 @@
 	a.reported = reported
 	a.reportAt = sent
 	a.looked = true
+	for _, e := range rep.Ends {
+		if od := a.orders[runKey{e.Unit, e.Run}]; od != nil {
+			od.over = true
+		}
+	}
+	for k, od := range a.orders {
+		od.over = od.over || !listed[k] && a.missing(k, sent)
+	}
 	for k := range a.orders {
 		if !active[k] && !listed[k] && a.orders[k].settled(now) {
 			delete(a.orders, k)
@@ -426,7 +442,7 @@
 
 // settled reports whether nothing of an order can still happen.
 func (od *order) settled(now time.Time) bool {
-	return !od.busy && (od.missedAt.IsZero() || now.Sub(od.missedAt) > maxLate || !od.stoppedAt.IsZero())
+	return !od.busy && (od.startAt.IsZero() || od.over) && (od.missedAt.IsZero() || now.Sub(od.missedAt) > maxLate || !od.stoppedAt.IsZero())
 }
 
 // stopStrays stops what the worker runs without a record.
@@ -472,7 +488,7 @@
 }
 
 // start sends a start until it is answered, the run is over, or a stop is sent.
-func (a *agent) start(k runKey, payload, checkpoint string) {
+func (a *agent) start(k runKey, need work.Resources, payload, checkpoint string) {
 	a.mu.Lock()
 	od := a.orders[k]
 	if od == nil {
@@ -484,6 +500,7 @@
 		return
 	}
 	od.busy = true
+	od.need = need
 	if od.startAt.IsZero() {
 		od.startAt = a.o.cfg.Now()
 	}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -58,6 +58,8 @@
 	by       map[string]*fakeWorker
 	duration time.Duration
 	starts   map[work.UnitRef][]string // workers on which a unit began
+	slow     string                    // a worker on which units take three times as long
+	alone    bool                      // each unit needs a whole worker
 }
 
 func newFakeWorkers(t *testing.T, duration time.Duration, ids ...string) *fakeWorkers {
@@ -124,7 +126,13 @@
 		return &workerapi.OrderRefusedError{Reason: workerapi.RefusedLate}
 	}
 	f.noteStart(t.ID, k)
+	if f.alone && len(w.running) > 0 {
+		f.t.Errorf("%v starts on %s, which is full", k, t.ID)
+	}
 	w.running[k] = time.Now().Add(f.duration)
+	if t.ID == f.slow {
+		w.running[k] = time.Now().Add(3 * f.duration)
+	}
 	if w.lose > 0 {
 		w.lose--
 		return &workerapi.NoAnswerError{Cause: context.DeadlineExceeded}
@@ -464,3 +472,18 @@
 	b.announce("w2", 1)
 	b.within(minStand+2*time.Second, "completed elsewhere", func() bool { return b.state("j1") == work.Completed })
 }
+
+// Guards against a worker that is filled beyond its capacity: one end stands for
+// a whole gang, and the run of another unit may be there a little longer.
+func TestRoomOfGangUntilEachRunHasEnded(t *testing.T) {
+	f := newFakeWorkers(t, 100*time.Millisecond, "w1", "w2")
+	f.alone, f.slow = true, "w2"
+	b := newBed(t, f)
+	gang := units(2, 8)
+	gang.Gang = true
+	b.submit("/b/", "gang", gang)
+	b.submit("/b/", "next", units(6, 8))
+	b.within(10*time.Second, "both completed", func() bool {
+		return b.state("gang") == work.Completed && b.state("next") == work.Completed
+	})
+}
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -128,7 +128,7 @@
 		return
 	}
 	if a.needsStart(r.key) {
-		a.start(r.key, r.payload, r.checkpoint)
+		a.start(r.key, r.step.Need, r.payload, r.checkpoint)
 	}
 	if a.refusedRun(r.key) {
 		a.stop(r.key)
@@ -382,8 +382,15 @@
 	heard := p.o.cfg.Beats.Last(id, life)
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	// Runs without a record may be there all the same: those of a gang that is
+	// done, until their own ends are listed, and those of an earlier leader.
+	for k, od := range a.orders {
+		if !od.startAt.IsZero() && !od.over && !p.recorded(w, k) {
+			w.Free = w.Free.Sub(od.need)
+		}
+	}
 	for k := range a.reported {
-		if p.recorded(w, k) {
+		if p.recorded(w, k) || a.orders[k] != nil && !a.orders[k].startAt.IsZero() {
 			continue
 		}
 		if st, ok := p.stepOf(k); ok {
@@ -507,6 +514,6 @@
 	}
 	p.o.log.Info("run started", "job", s.Unit.Job, "unit", s.Unit, "run", s.Run, "worker", s.Worker, "life", s.Life,
 		"priority", g.Priority, "guaranteed", g.Guaranteed, "waitedMS", waited, "workerHeardMS", a.heardAge().Milliseconds())
-	a.start(runKey{s.Unit, s.Run}, payload, checkpoint)
+	a.start(runKey{s.Unit, s.Run}, g.Step.Need, payload, checkpoint)
 	a.poke()
 }
--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -55,8 +55,11 @@
 
 // New listens on a loopback port that the system chooses and forwards to the
 // target, an IP:port.
-func New(target string) (*Proxy, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+func New(target string) (*Proxy, error) { return NewAt("127.0.0.1:0", target) }
+
+// NewAt is New on an address of the caller's choice.
+func NewAt(address, target string) (*Proxy, error) {
+	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/internal/link/freeze_test.go
+++ b/internal/link/freeze_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -9,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -39,6 +41,28 @@
 	_, _ = io.Copy(io.Discard, os.Stdin)
 }
 
+// waitStopped waits until every thread of a process has stopped. The signal is
+// delivered some time after it was sent, and a request could still be answered
+// until then.
+func waitStopped(t *testing.T, pid int) {
+	t.Helper()
+	for end := time.Now().Add(testTimeout); ; time.Sleep(time.Millisecond) {
+		stats, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+		if err != nil || time.Now().After(end) {
+			t.Fatalf("process %d has not stopped: %v", pid, err)
+		}
+		stopped := len(stats) > 0
+		for _, s := range stats {
+			data, err := os.ReadFile(s)
+			rest := string(data[bytes.LastIndexByte(data, ')')+1:])
+			stopped = stopped && err == nil && strings.HasPrefix(rest, " T")
+		}
+		if stopped {
+			return
+		}
+	}
+}
+
 // Guards against a request that is carried out twice because it is still in the
 // old connection's buffer when a frozen process (SIGSTOP) continues.
 func TestFrozenPeer(t *testing.T) {
@@ -67,6 +91,7 @@
 	}
 	is.Equal(call(), "1")
 	is.NoErr(cmd.Process.Signal(syscall.SIGSTOP))
+	waitStopped(t, cmd.Process.Pid)
 	time.AfterFunc(3*time.Second, func() { _ = cmd.Process.Signal(syscall.SIGCONT) })
 	begin := time.Now()
 	is.Equal(call(), "2") // sent before the silence is noticed, answered after it
