Make the gang room test fail without its change

Cause: with units of 100 ms the report before the end already listed the run, so the test passed without the change it guards. Change: units of 30 ms. Before: passes on the old code; after: fails on it, passes on the new.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -476,7 +476,7 @@
 // Guards against a worker that is filled beyond its capacity: one end stands for
 // a whole gang, and the run of another unit may be there a little longer.
 func TestRoomOfGangUntilEachRunHasEnded(t *testing.T) {
-	f := newFakeWorkers(t, 100*time.Millisecond, "w1", "w2")
+	f := newFakeWorkers(t, 30*time.Millisecond, "w1", "w2")
 	f.alone, f.slow = true, "w2"
 	b := newBed(t, f)
 	gang := units(2, 8)
