Do not call a run lost while the worker's next life may hold it

Cause: a start that was sent again reached the worker's next life, which carries the same id. Change: such a run is lost only once the next life has refused it and a later report does not list it; an end that the next life lists counts for the recorded run. An entry instance asks a silent leader last, and follows no hint to it for a second.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -228,16 +228,26 @@
 
 // activeRuns returns the runs that the group records for this life.
 func (a *agent) activeRuns() map[runKey]bool {
+	active, _ := a.recordedRuns()
+	return active
+}
+
+// recordedRuns returns the runs that the group records for this life, and for
+// any life under this id. A start that was sent to an earlier life may have been
+// carried out by this one.
+func (a *agent) recordedRuns() (active, anyLife map[runKey]bool) {
 	w := a.rec()
-	out := map[runKey]bool{}
+	active, anyLife = map[runKey]bool{}, map[runKey]bool{}
 	a.o.cfg.Machine.View(func(v *work.View) {
 		v.EachActive(w.ID, func(ref work.UnitRef, u *work.Unit) {
+			k := runKey{ref, u.Run}
+			anyLife[k] = true
 			if u.Life == w.Life {
-				out[runKey{ref, u.Run}] = true
+				active[k] = true
 			}
 		})
 	})
-	return out
+	return active, anyLife
 }
 
 // nowMS returns a lower bound of the worker's clock. The caller holds mu.
@@ -346,7 +356,7 @@
 
 // take commits what a report says and notes the rest.
 func (a *agent) take(rep *workerapi.UnitReport, sent time.Time) bool {
-	active := a.activeRuns()
+	active, anyLife := a.recordedRuns()
 	now := a.o.cfg.Now()
 	a.mu.Lock()
 	if rep.Life != 0 && rep.Life != a.w.Life {
@@ -366,7 +376,7 @@
 		reported[runKey{r.Unit, r.Run}] = r
 		listed[runKey{r.Unit, r.Run}] = true
 	}
-	ends, noted := endsOf(rep, active, listed)
+	ends, noted := endsOf(rep, anyLife, listed)
 	for k := range active {
 		if listed[k] || !a.missing(k, sent) {
 			continue
@@ -421,13 +431,13 @@
 }
 
 // endsOf returns the ends of recorded runs and the highest number listed.
-func endsOf(rep *workerapi.UnitReport, active, listed map[runKey]bool) ([]work.End, int64) {
+func endsOf(rep *workerapi.UnitReport, recorded, listed map[runKey]bool) ([]work.End, int64) {
 	var ends []work.End
 	noted := int64(0)
 	for _, e := range rep.Ends {
 		noted = max(noted, e.Number)
 		k := runKey{e.Unit, e.Run}
-		if active[k] && !listed[k] {
+		if recorded[k] && !listed[k] {
 			ends = append(ends, work.End{Unit: e.Unit, Run: e.Run, How: e.How, Saved: e.Saved})
 		}
 		listed[k] = true
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -49,6 +49,8 @@
 	lose    int  // answers to starts that are lost
 	hang    bool // what it runs stands still
 	fail    bool // all that it starts fails
+	stops   map[runKey]time.Time
+	mute    bool // swallows holds
 }
 
 // fakeWorkers implements workerapi.UnitClient.
@@ -60,6 +62,7 @@
 	starts   map[work.UnitRef][]string // workers on which a unit began
 	slow     string                    // a worker on which units take three times as long
 	alone    bool                      // each unit needs a whole worker
+	stopping time.Duration             // that a stop takes
 }
 
 func newFakeWorkers(t *testing.T, duration time.Duration, ids ...string) *fakeWorkers {
@@ -71,7 +74,7 @@
 }
 
 func newFakeWorker(life int64) *fakeWorker {
-	return &fakeWorker{life: life, began: time.Now(), running: map[runKey]time.Time{}, fenced: map[work.UnitRef]int{}}
+	return &fakeWorker{life: life, began: time.Now(), running: map[runKey]time.Time{}, fenced: map[work.UnitRef]int{}, stops: map[runKey]time.Time{}}
 }
 
 func (w *fakeWorker) clock() int64 { return time.Since(w.began).Milliseconds() }
@@ -85,7 +88,10 @@
 
 func (w *fakeWorker) advance() {
 	for k, at := range w.running {
+		stop, stopped := w.stops[k]
 		switch {
+		case stopped && !time.Now().Before(stop):
+			w.end(k, work.EndStopped)
 		case w.clock() > w.until:
 			w.end(k, work.EndLapsed)
 		case w.fail:
@@ -161,8 +167,9 @@
 		return err
 	}
 	if _, there := w.running[runKey{o.Unit, o.Run}]; there {
-		w.end(runKey{o.Unit, o.Run}, work.EndStopped)
+		w.stops[runKey{o.Unit, o.Run}] = time.Now().Add(f.stopping)
 	}
+	w.advance()
 	w.fenced[o.Unit] = max(w.fenced[o.Unit], o.Run)
 	return nil
 }
@@ -172,6 +179,9 @@
 	for first := true; ; first = false {
 		f.mu.Lock()
 		w, err := f.worker(t.ID)
+		if err == nil && w.mute {
+			err = &workerapi.NoAnswerError{Cause: context.DeadlineExceeded}
+		}
 		if err != nil {
 			f.mu.Unlock()
 			return nil, err
@@ -517,3 +527,48 @@
 	f.mu.Unlock()
 	b.within(5*time.Second, "completed", func() bool { return b.state("j1") == work.Completed })
 }
+
+// Guards against two runs of a unit at the same time: a start that was sent to a
+// worker's earlier life is carried out by the next one, which still stops it when
+// the run is called lost. Soak seed 47.
+func TestStartReachesNextLife(t *testing.T) {
+	f := newFakeWorkers(t, 500*time.Millisecond, "w1", "w2")
+	f.stopping = 150 * time.Millisecond
+	b := newBed(t, f)
+	b.within(time.Second, "looked at", func() bool {
+		for _, id := range []string{"w1", "w2"} {
+			a := b.office.agent(id)
+			if a == nil {
+				return false
+			}
+			a.mu.Lock()
+			looked := a.looked
+			a.mu.Unlock()
+			if !looked {
+				return false
+			}
+		}
+		return true
+	})
+	f.mu.Lock()
+	f.by["w1"].silent, f.by["w2"].silent = true, true
+	f.mu.Unlock()
+	b.submit("/b/", "j1", units(2, 8))
+	b.within(time.Second, "recorded", func() bool { return b.state("j1") == work.Running })
+	f.mu.Lock()
+	f.by["w1"], f.by["w2"].silent = newFakeWorker(2), false
+	f.by["w1"].mute = true // or the leader hears of the next life first
+	f.by["w3"] = newFakeWorker(1)
+	f.mu.Unlock()
+	b.announce("w3", 1)
+	b.within(time.Second, "the start reached the next life", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.by["w1"].running) > 0
+	})
+	f.mu.Lock()
+	f.by["w1"].mute = false
+	f.mu.Unlock()
+	b.announce("w1", 2)
+	b.within(10*time.Second, "completed", func() bool { return b.state("j1") == work.Completed })
+}
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -206,7 +206,7 @@
 					ref := work.UnitRef{Job: id, Occurrence: g.Occurrence, Step: g.Step, Index: i}
 					w := v.Workers()[u.Worker]
 					if w == nil || w.Life != u.Life {
-						if p.mayEnd(u, w != nil) {
+						if p.mayEnd(runKey{ref, u.Run}, u, w != nil) {
 							lost[u.Worker] = append(lost[u.Worker], work.End{Unit: ref, Run: u.Run, How: work.EndLost})
 						}
 						continue
@@ -233,9 +233,10 @@
 	return s, runs, lost
 }
 
-// mayEnd reports whether a run on an ended life may be called lost: starts that
-// may still arrive must be refused by the worker's next life first.
-func (p *planner) mayEnd(u *work.Unit, reborn bool) bool {
+// mayEnd reports whether a run on an ended life may be called lost. A start that
+// was sent to that life may have reached the next one: it must have refused the
+// run, or have ended it, and a later report must not list it.
+func (p *planner) mayEnd(k runKey, u *work.Unit, reborn bool) bool {
 	if !reborn {
 		return true
 	}
@@ -245,7 +246,8 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.w.Life != u.Life && len(a.fences) == 0
+	_, there := a.reported[k]
+	return a.w.Life != u.Life && len(a.fences) == 0 && a.looked && !there
 }
 
 const (
--- a/internal/region/router.go
+++ b/internal/region/router.go
@@ -21,6 +21,10 @@
 	// tryTimeout bounds the wait for one instance. A commit takes two syncs of a
 	// disk, some 20 ms; a slow disk takes up to about half a second.
 	tryTimeout = 800 * time.Millisecond
+	// failedPause is the time for which an instance that did not answer is asked
+	// after the others. Other instances may name it as the leader until they have
+	// elected another one.
+	failedPause = time.Second
 	// roundPause is the time between two rounds over the known instances.
 	roundPause = 60 * time.Millisecond
 )
@@ -50,11 +54,12 @@
 	// Local answers requests on an instance of the group; nil on the others.
 	Local func(ctx context.Context, req []byte) *Reply
 
-	mu      sync.Mutex // guards all below
-	seeds   []string
-	members []string
-	leader  string
-	heardAt time.Time // last answer of a leader
+	mu       sync.Mutex // guards all below
+	seeds    []string
+	members  []string
+	leader   string
+	heardAt  time.Time            // last answer of a leader
+	failedAt map[string]time.Time // last call without an answer, by instance
 }
 
 // SetSeeds replaces the instances that are asked first.
@@ -80,6 +85,15 @@
 	return r.heardAt
 }
 
+// LeaderAge returns the time since a leader last answered; negative if none has.
+func (r *Router) LeaderAge() time.Duration {
+	at := r.HeardLeader()
+	if at.IsZero() {
+		return -time.Millisecond
+	}
+	return time.Since(at)
+}
+
 // Leader returns the leader that answered last, or "".
 func (r *Router) Leader() string {
 	r.mu.Lock()
@@ -139,16 +153,18 @@
 	fail := &UnavailableError{}
 	for round := 0; ; round++ {
 		asked := map[string]bool{}
-		next := r.Leader()
-		for _, c := range append([]string{next}, r.Contacts()...) {
-			for c != "" && !asked[c] && ctx.Err() == nil {
+		for _, c := range r.inOrder() {
+			for hinted := false; c != "" && !asked[c] && ctx.Err() == nil; hinted = true {
+				if hinted && r.failedLately(c) {
+					break
+				}
 				asked[c] = true
 				rep, err := r.ask(ctx, c, body)
 				if err == nil && !rep.NotLeader && !rep.Unsure {
 					r.found(c)
 					return rep, nil
 				}
-				c = r.note(fail, rep, err)
+				c = r.note(fail, c, rep, err)
 			}
 		}
 		select {
@@ -163,11 +179,48 @@
 	}
 }
 
-// note records a try that brought no answer and returns whom to ask next.
-func (r *Router) note(fail *UnavailableError, rep *Reply, err error) string {
+// inOrder returns the instances to ask: the known leader first, those that did
+// not answer lately last.
+func (r *Router) inOrder() []string {
+	first, rest := []string{r.Leader()}, []string(nil)
+	for _, c := range r.Contacts() {
+		if r.failedLately(c) {
+			rest = append(rest, c)
+		} else {
+			first = append(first, c)
+		}
+	}
+	return append(first, rest...)
+}
+
+func (r *Router) failedLately(c string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(r.failedAt[c]) < failedPause
+}
+
+// failed notes that an instance did not answer. It is no longer taken for the
+// leader.
+func (r *Router) failed(c string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.failedAt == nil {
+		r.failedAt = map[string]time.Time{}
+	}
+	r.failedAt[c] = time.Now()
+	if r.leader == c {
+		r.Log.Info("leader does not answer; others are asked", "leader", c)
+		r.leader = ""
+	}
+}
+
+// note records a try of an instance that brought no answer and returns whom to
+// ask next.
+func (r *Router) note(fail *UnavailableError, c string, rep *Reply, err error) string {
 	var unsent *link.NotSentError
 	switch {
 	case err != nil:
+		r.failed(c)
 		fail.Cause = err
 		fail.MayHaveRun = fail.MayHaveRun || !errors.As(err, &unsent)
 	case rep.Unsure:
@@ -208,6 +261,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.heardAt = time.Now()
+	delete(r.failedAt, leader)
 	if r.leader != leader {
 		r.Log.Info("leader answers", "leader", leader, "before", r.leader)
 	}
--- a/internal/telemetry/async.go
+++ b/internal/telemetry/async.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -71,13 +72,34 @@
 	return lines, a.closed
 }
 
+// maxLogWrite is the size up to which a write to a pipe is not mixed with those of
+// other processes (PIPE_BUF).
+const maxLogWrite = 4096
+
+// chunk returns the length of the next write: as many whole lines as fit into
+// one, or one longer line.
+func chunk(lines []byte) int {
+	if len(lines) <= maxLogWrite {
+		return len(lines)
+	}
+	if i := bytes.LastIndexByte(lines[:maxLogWrite], '\n'); i >= 0 {
+		return i + 1
+	}
+	if i := bytes.IndexByte(lines, '\n'); i >= 0 {
+		return i + 1
+	}
+	return len(lines)
+}
+
 func (a *AsyncWriter) run() {
 	defer close(a.done)
 	for range a.wake {
 		lines, closed := a.take()
-		if len(lines) > 0 {
+		for len(lines) > 0 {
+			n := chunk(lines)
 			// A reader that has gone cannot be told; the lines are lost.
-			_, _ = a.w.Write(lines)
+			_, _ = a.w.Write(lines[:n])
+			lines = lines[n:]
 		}
 		if closed {
 			return
