Never keep a unit out by the headroom; name the package of region jobs batch

Ruled out: the split of agent.go, which moves code only. Change: units that fit beside no headroom, or whose data is in the rack, and jobs without an aim take it. internal/work is internal/batch; agent.go is split into agent, order and report.

--- a/internal/work/command.go
+++ b/internal/batch/command.go
@@ -1,4 +1,4 @@
-package work
+package batch
 
 // Command is one entry of the group's log; exactly one field is set besides
 // Epoch. Epoch is the leader's, for commands that only the leader in office may
--- a/internal/work/machine_test.go
+++ b/internal/batch/machine_test.go
@@ -1,4 +1,4 @@
-package work
+package batch
 
 import (
 	"testing"
--- a/internal/work/work.go
+++ b/internal/batch/work.go
@@ -1,7 +1,7 @@
-// Package work holds the jobs of a region's group: jobs made of steps, their
+// Package batch holds the jobs of a region's group: jobs made of steps, their
 // units, and the runs of each unit on a worker. It is the state machine that the
 // group replicates; every change is a Command.
-package work
+package batch
 
 import "fmt"
 
--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -5,12 +5,11 @@
 	"sync"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 
+	"teaselpaddle.example/teaselpaddle/internal/batch"
 	"teaselpaddle.example/teaselpaddle/internal/telemetry"
-	"teaselpaddle.example/teaselpaddle/internal/work"
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
 
@@ -39,27 +38,6 @@
 	handover = 3 * time.Second
 )
 
-var startTime = metrics.GetOrCreateHistogram("teaselpaddle_start_call_seconds")
-
-// runKey names a run.
-type runKey struct {
-	unit work.UnitRef
-	run  int
-}
-
-// order is a run that this office has told the worker to start or to stop.
-type order struct {
-	startAt   time.Time // first start message; zero if none was sent
-	startedAt time.Time // answer to a start; zero if there was none
-	stopAt    time.Time // first stop message; zero if none was sent
-	stoppedAt time.Time // answer to a stop; zero if there was none
-	missedAt  time.Time // last start message without an answer
-	busy      bool      // a goroutine is sending
-	refused   bool      // the worker will never carry out the start
-	over      bool      // the run has ended there, or never will begin
-	need      work.Resources
-}
-
 // agent drives one life of a worker.
 type agent struct {
 	o      *Office
@@ -69,7 +47,7 @@
 	wake   chan struct{}
 
 	mu         sync.Mutex // guards all below
-	w          work.Worker
+	w          batch.Worker
 	looked     bool // the worker has answered this office
 	gone       bool // another life runs at its address
 	replaced   bool // so does another worker: nothing sent to this one arrives any more
@@ -88,7 +66,7 @@
 	fences     []runKey // runs that may still begin although their worker's life ended
 }
 
-func (o *Office) newAgent(w work.Worker, fences []runKey) *agent {
+func (o *Office) newAgent(w batch.Worker, fences []runKey) *agent {
 	ctx, cancel := context.WithCancel(o.ctx)
 	a := &agent{
 		o: o, log: o.log.WithValues("worker", w.ID, "life", w.Life), ctx: ctx, cancel: cancel,
@@ -101,13 +79,13 @@
 	return a
 }
 
-func (a *agent) rec() work.Worker {
+func (a *agent) rec() batch.Worker {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.w
 }
 
-func (a *agent) update(w work.Worker) {
+func (a *agent) update(w batch.Worker) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.w = w
@@ -145,7 +123,7 @@
 	}
 	for a.ctx.Err() == nil {
 		if a.isReplaced() {
-			a.endAll(work.EndLost)
+			a.endAll(batch.EndLost)
 		}
 		wait, needed := a.next()
 		if !needed {
@@ -238,8 +216,8 @@
 func (a *agent) recordedRuns() (active, anyLife map[runKey]bool) {
 	w := a.rec()
 	active, anyLife = map[runKey]bool{}, map[runKey]bool{}
-	a.o.cfg.Machine.View(func(v *work.View) {
-		v.EachActive(w.ID, func(ref work.UnitRef, u *work.Unit) {
+	a.o.cfg.Machine.View(func(v *batch.View) {
+		v.EachActive(w.ID, func(ref batch.UnitRef, u *batch.Unit) {
 			k := runKey{ref, u.Run}
 			anyLife[k] = true
 			if u.Life == w.Life {
@@ -354,128 +332,6 @@
 	a.lastAnswer = now
 }
 
-// take commits what a report says and notes the rest.
-func (a *agent) take(rep *workerapi.UnitReport, sent time.Time) bool {
-	active, anyLife := a.recordedRuns()
-	now := a.o.cfg.Now()
-	a.mu.Lock()
-	if rep.Life != 0 && rep.Life != a.w.Life {
-		a.gone = true
-		a.mu.Unlock()
-		a.log.Info("worker lives another life", "reported", rep.Life)
-		a.o.Wake()
-		return false
-	}
-	a.noteAnswer(now)
-	a.clockMS = rep.ClockMS
-	a.clockAt = now
-	first := !a.looked
-	listed := map[runKey]bool{}
-	reported := map[runKey]workerapi.UnitRun{}
-	for _, r := range rep.Runs {
-		reported[runKey{r.Unit, r.Run}] = r
-		listed[runKey{r.Unit, r.Run}] = true
-	}
-	ends, noted := endsOf(rep, anyLife, listed)
-	for k := range active {
-		if listed[k] || !a.missing(k, sent) {
-			continue
-		}
-		ends = append(ends, work.End{Unit: k.unit, Run: k.run, How: work.EndLost, Saved: a.reported[k].Saved})
-	}
-	a.observe(reported, now)
-	a.judgeEnds(ends, now)
-	a.mu.Unlock()
-
-	if !a.o.commitEnds(a.rec().ID, ends) {
-		return false
-	}
-	a.mu.Lock()
-	a.noted = max(a.noted, noted)
-	a.reported = reported
-	a.reportAt = sent
-	a.looked = true
-	freed := false
-	for _, e := range rep.Ends {
-		if od := a.orders[runKey{e.Unit, e.Run}]; od != nil && !od.over {
-			od.over, freed = true, true
-		}
-	}
-	for k, od := range a.orders {
-		if !od.over && !listed[k] && a.missing(k, sent) {
-			od.over, freed = true, true
-		}
-	}
-	var fence []runKey
-	for k, od := range a.orders {
-		switch {
-		case active[k] || listed[k]:
-		case od.settled(now):
-			delete(a.orders, k)
-		case !od.startAt.IsZero() && !od.over && !od.busy:
-			fence = append(fence, k) // its start may still arrive
-		}
-	}
-	for _, e := range ends {
-		delete(a.pace, runKey{e.Unit, e.Run})
-	}
-	a.mu.Unlock()
-	for _, k := range fence {
-		a.stop(k)
-	}
-	a.stopStrays(reported, active)
-	if first || freed || len(ends) > 0 {
-		a.o.Wake()
-	}
-	return true
-}
-
-// endsOf returns the ends of recorded runs and the highest number listed.
-func endsOf(rep *workerapi.UnitReport, recorded, listed map[runKey]bool) ([]work.End, int64) {
-	var ends []work.End
-	noted := int64(0)
-	for _, e := range rep.Ends {
-		noted = max(noted, e.Number)
-		k := runKey{e.Unit, e.Run}
-		if recorded[k] && !listed[k] {
-			ends = append(ends, work.End{Unit: e.Unit, Run: e.Run, How: e.How, Saved: e.Saved})
-		}
-		listed[k] = true
-	}
-	return ends, noted
-}
-
-// missing reports whether a recorded run that a report does not list is
-// certainly not there and never will be. sent is when the report was asked for.
-func (a *agent) missing(k runKey, sent time.Time) bool {
-	od := a.orders[k]
-	if od == nil {
-		return false // not told yet; redeliver sends it
-	}
-	if !od.stoppedAt.IsZero() && od.stoppedAt.Before(sent) {
-		return true // fenced by the stop
-	}
-	if !od.startedAt.IsZero() && od.startedAt.Before(sent) {
-		return true // it was there, and no late start can bring it back
-	}
-	return od.refused && od.missedAt.IsZero()
-}
-
-// settled reports whether nothing of an order can still happen.
-func (od *order) settled(now time.Time) bool {
-	return !od.busy && (od.startAt.IsZero() || od.over) && (od.missedAt.IsZero() || now.Sub(od.missedAt) > maxLate || !od.stoppedAt.IsZero())
-}
-
-// stopStrays stops what the worker runs without a record.
-func (a *agent) stopStrays(reported map[runKey]workerapi.UnitRun, active map[runKey]bool) {
-	fresh := a.activeRuns()
-	for k := range reported {
-		if !active[k] && !fresh[k] {
-			a.stop(k)
-		}
-	}
-}
-
 // endLapsed ends the recorded runs of a worker whose lease is over.
 func (a *agent) endLapsed() {
 	now := a.o.cfg.Now()
@@ -483,18 +339,18 @@
 	over := a.lapsed(now)
 	a.mu.Unlock()
 	if over {
-		a.endAll(work.EndLapsed)
+		a.endAll(batch.EndLapsed)
 	}
 }
 
 // endAll ends the recorded runs of this life.
-func (a *agent) endAll(how work.Ending) {
-	var ends []work.End
+func (a *agent) endAll(how batch.Ending) {
+	var ends []batch.End
 	for k := range a.activeRuns() {
 		a.mu.Lock()
 		saved := a.reported[k].Saved
 		a.mu.Unlock()
-		ends = append(ends, work.End{Unit: k.unit, Run: k.run, How: how, Saved: saved})
+		ends = append(ends, batch.End{Unit: k.unit, Run: k.run, How: how, Saved: saved})
 	}
 	if len(ends) == 0 {
 		return
@@ -507,143 +363,3 @@
 		a.o.Wake()
 	}
 }
-
-// start sends a start until it is answered, the run is over, or a stop is sent.
-func (a *agent) start(k runKey, need work.Resources, payload, checkpoint string) {
-	a.mu.Lock()
-	od := a.orders[k]
-	if od == nil {
-		od = &order{}
-		a.orders[k] = od
-	}
-	if od.busy || !od.stopAt.IsZero() || od.refused || !od.startedAt.IsZero() {
-		a.mu.Unlock()
-		return
-	}
-	od.busy = true
-	od.need = need
-	if od.startAt.IsZero() {
-		od.startAt = a.o.cfg.Now()
-	}
-	a.mu.Unlock()
-	a.o.wg.Add(1)
-	go func() {
-		defer a.o.wg.Done()
-		a.sendStart(k, od, payload, checkpoint)
-		a.mu.Lock()
-		od.busy = false
-		a.mu.Unlock()
-		a.poke()
-	}()
-}
-
-func (a *agent) sendStart(k runKey, od *order, payload, checkpoint string) {
-	for tries := 0; a.ctx.Err() == nil; tries++ {
-		a.mu.Lock()
-		if !od.stopAt.IsZero() || a.gone || tries > 0 && a.lapsed(a.o.cfg.Now()) {
-			a.mu.Unlock()
-			return
-		}
-		s := workerapi.UnitStart{
-			Unit: k.unit, Run: k.run, Payload: payload, UntilMS: a.lease(a.o.cfg.Now()),
-			Epoch: a.o.cfg.Epoch, Checkpoint: checkpoint,
-		}
-		t := a.target()
-		a.mu.Unlock()
-		ctx, cancel := context.WithTimeout(a.ctx, callTimeout)
-		began := time.Now()
-		err := a.o.cfg.Client.Start(ctx, t, s)
-		cancel()
-		startTime.UpdateDuration(began)
-		if !a.noteStart(k, od, err) {
-			return
-		}
-		telemetry.Count("teaselpaddle_start_retries_total")
-		if !sleep(a.ctx, retryPause) {
-			return
-		}
-	}
-}
-
-// noteStart records the answer to a start. It returns true if it is sent again.
-func (a *agent) noteStart(k runKey, od *order, err error) bool {
-	now := a.o.cfg.Now()
-	if err == nil {
-		a.mu.Lock()
-		od.startedAt = now
-		a.noteAnswer(now)
-		a.mu.Unlock()
-		return false
-	}
-	a.noteError(err)
-	a.log.Info("start not taken", "job", k.unit.Job, "unit", k.unit, "run", k.run, "error", err.Error())
-	var refused *workerapi.OrderRefusedError
-	var sick *workerapi.UnhealthyError
-	var none *workerapi.NoAnswerError
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	switch {
-	case errors.As(err, &refused):
-		// A refusal of one message says nothing of an earlier one without an
-		// answer, so such a run is stopped before it counts as not begun.
-		od.refused = true
-		telemetry.Count("teaselpaddle_starts_refused_total{reason=\"" + string(refused.Reason) + "\"}")
-		return false
-	case errors.As(err, &sick):
-		od.refused = true
-		return false
-	case errors.As(err, &none):
-		od.missedAt = now
-		return true
-	}
-	return false
-}
-
-// stop sends a stop until it is answered. Several calls send one.
-func (a *agent) stop(k runKey) {
-	a.mu.Lock()
-	od := a.orders[k]
-	if od == nil {
-		od = &order{}
-		a.orders[k] = od
-	}
-	if !od.stopAt.IsZero() || a.gone {
-		a.mu.Unlock()
-		return
-	}
-	od.stopAt = a.o.cfg.Now()
-	a.mu.Unlock()
-	a.o.wg.Add(1)
-	go func() {
-		defer a.o.wg.Done()
-		a.sendStop(k, od)
-		a.poke()
-	}()
-}
-
-func (a *agent) sendStop(k runKey, od *order) {
-	for a.ctx.Err() == nil {
-		a.mu.Lock()
-		t := a.target()
-		over := a.gone
-		a.mu.Unlock()
-		if over {
-			return
-		}
-		ctx, cancel := context.WithTimeout(a.ctx, callTimeout)
-		err := a.o.cfg.Client.Stop(ctx, t, workerapi.UnitStop{Unit: k.unit, Run: k.run, Epoch: a.o.cfg.Epoch})
-		cancel()
-		var refused *workerapi.OrderRefusedError
-		if err == nil || errors.As(err, &refused) {
-			a.mu.Lock()
-			od.stoppedAt = a.o.cfg.Now()
-			a.mu.Unlock()
-			return
-		}
-		a.noteError(err)
-		telemetry.Count("teaselpaddle_stop_retries_total")
-		if !sleep(a.ctx, retryPause) {
-			return
-		}
-	}
-}
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"teaselpaddle.example/teaselpaddle/internal/batch"
 	"teaselpaddle.example/teaselpaddle/internal/telemetry"
-	"teaselpaddle.example/teaselpaddle/internal/work"
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
 
@@ -38,12 +38,12 @@
 }
 
 // judgeEnds notes how runs on the worker ended. The caller holds mu.
-func (a *agent) judgeEnds(ends []work.End, now time.Time) {
+func (a *agent) judgeEnds(ends []batch.End, now time.Time) {
 	for i := range ends {
 		switch ends[i].How {
-		case work.EndDone:
+		case batch.EndDone:
 			a.past = record{}
-		case work.EndFailed:
+		case batch.EndFailed:
 			a.noteFailed(ends[i].Unit.Job, now)
 		}
 	}
--- a/internal/dispatch/office.go
+++ b/internal/dispatch/office.go
@@ -17,10 +17,10 @@
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 
+	"teaselpaddle.example/teaselpaddle/internal/batch"
 	"teaselpaddle.example/teaselpaddle/internal/codec"
 	"teaselpaddle.example/teaselpaddle/internal/replica"
 	"teaselpaddle.example/teaselpaddle/internal/telemetry"
-	"teaselpaddle.example/teaselpaddle/internal/work"
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
 
@@ -40,7 +40,7 @@
 
 // Config sets up an Office.
 type Config struct {
-	Machine *work.Machine
+	Machine *batch.Machine
 	Group   replica.Group
 	Client  workerapi.UnitClient
 	Bounds  Bounds
@@ -149,8 +149,8 @@
 // syncAgents starts an agent for each recorded worker and ends the agents of
 // workers that are gone or live another life.
 func (o *Office) syncAgents() {
-	now := map[string]work.Worker{}
-	o.cfg.Machine.View(func(v *work.View) {
+	now := map[string]batch.Worker{}
+	o.cfg.Machine.View(func(v *batch.View) {
 		for id, w := range v.Workers() {
 			now[id] = *w
 		}
@@ -183,7 +183,7 @@
 }
 
 // propose commits a command of this office.
-func (o *Office) propose(c *work.Command) (any, error) {
+func (o *Office) propose(c *batch.Command) (any, error) {
 	c.Epoch = o.cfg.Epoch
 	entry, err := codec.Marshal(c)
 	if err != nil {
@@ -205,12 +205,12 @@
 
 // commitEnds records ends of runs on a worker. It reports whether they are
 // committed.
-func (o *Office) commitEnds(worker string, ends []work.End) bool {
+func (o *Office) commitEnds(worker string, ends []batch.End) bool {
 	if len(ends) == 0 {
 		return true
 	}
 	atMS := o.cfg.Now().UnixMilli()
-	_, err := o.propose(&work.Command{Ends: &work.Ends{Ends: ends, AtMS: atMS}})
+	_, err := o.propose(&batch.Command{Ends: &batch.Ends{Ends: ends, AtMS: atMS}})
 	if err != nil {
 		if o.ctx.Err() == nil {
 			o.log.Error(err, "ends could not be committed; they are reported again", "ends", len(ends))
@@ -227,9 +227,9 @@
 }
 
 // noteConcluded logs the jobs that the ends committed at a time have concluded.
-func (o *Office) noteConcluded(ends []work.End, atMS int64) {
+func (o *Office) noteConcluded(ends []batch.End, atMS int64) {
 	seen := map[string]bool{}
-	o.cfg.Machine.View(func(v *work.View) {
+	o.cfg.Machine.View(func(v *batch.View) {
 		for i := range ends {
 			id := ends[i].Unit.Job
 			j := v.Job(id, "")
@@ -244,7 +244,7 @@
 	})
 }
 
-func failedRuns(j *work.Job) int {
+func failedRuns(j *batch.Job) int {
 	n := 0
 	for gi := range j.Groups {
 		for i := range j.Groups[gi].Units {
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -10,9 +10,9 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
 
+	"teaselpaddle.example/teaselpaddle/internal/batch"
 	"teaselpaddle.example/teaselpaddle/internal/sched/place"
 	"teaselpaddle.example/teaselpaddle/internal/telemetry"
-	"teaselpaddle.example/teaselpaddle/internal/work"
 )
 
 // Limits of what a plan relies on.
@@ -75,8 +75,8 @@
 // runInfo is an active run with what belongs to it.
 type runInfo struct {
 	key        runKey
-	step       work.Step
-	unit       work.Unit
+	step       batch.Step
+	unit       batch.Unit
 	payload    string
 	checkpoint string
 	prio       int
@@ -141,7 +141,7 @@
 
 // checkpointOf returns the checkpoint with which a unit starts. All units of a
 // gang carry the same.
-func checkpointOf(g *work.Group, st *work.Step, u *work.Unit) string {
+func checkpointOf(g *batch.Group, st *batch.Step, u *batch.Unit) string {
 	if st.Gang {
 		return g.Saved
 	}
@@ -173,13 +173,13 @@
 
 // snapshot reads the committed state and the agents. Runs whose worker is gone
 // or lives another life are returned as lost, by worker.
-func (p *planner) snapshot() (*place.Snapshot, []runInfo, map[string][]work.End) {
+func (p *planner) snapshot() (*place.Snapshot, []runInfo, map[string][]batch.End) {
 	now := p.o.cfg.Now()
 	s := &place.Snapshot{NowMS: now.UnixMilli()}
 	workers := map[string]*place.Worker{}
 	var runs []runInfo
-	lost := map[string][]work.End{}
-	p.o.cfg.Machine.View(func(v *work.View) {
+	lost := map[string][]batch.End{}
+	p.o.cfg.Machine.View(func(v *batch.View) {
 		for id, w := range v.Workers() {
 			workers[id] = &place.Worker{
 				ID: id, Rack: w.Rack, Service: w.Service, Labels: w.Labels, Capacity: w.Capacity, Free: w.Capacity,
@@ -200,14 +200,14 @@
 				pg := p.group(j, g, q, s.NowMS)
 				for i := range g.Units {
 					u := &g.Units[i]
-					if u.State != work.Active {
+					if u.State != batch.Active {
 						continue
 					}
-					ref := work.UnitRef{Job: id, Occurrence: g.Occurrence, Step: g.Step, Index: i}
+					ref := batch.UnitRef{Job: id, Occurrence: g.Occurrence, Step: g.Step, Index: i}
 					w := v.Workers()[u.Worker]
 					if w == nil || w.Life != u.Life {
 						if p.mayEnd(runKey{ref, u.Run}, u, w != nil) {
-							lost[u.Worker] = append(lost[u.Worker], work.End{Unit: ref, Run: u.Run, How: work.EndLost})
+							lost[u.Worker] = append(lost[u.Worker], batch.End{Unit: ref, Run: u.Run, How: batch.EndLost})
 						}
 						continue
 					}
@@ -236,7 +236,7 @@
 // mayEnd reports whether a run on an ended life may be called lost. A start that
 // was sent to that life may have reached the next one: it must have refused the
 // run, or have ended it, and a later report must not list it.
-func (p *planner) mayEnd(k runKey, u *work.Unit, reborn bool) bool {
+func (p *planner) mayEnd(k runKey, u *batch.Unit, reborn bool) bool {
 	if !reborn {
 		return true
 	}
@@ -270,7 +270,7 @@
 
 // guaranteedJobs returns the jobs of priority 0 within their customers'
 // guaranteed accelerators, the oldest first.
-func guaranteedJobs(v *work.View) map[string]bool {
+func guaranteedJobs(v *batch.View) map[string]bool {
 	out := map[string]bool{}
 	c := v.Config()
 	if c == nil {
@@ -297,12 +297,12 @@
 	return out
 }
 
-func bySeq(jobs map[string]*work.Job) []*work.Job {
-	return slices.SortedFunc(maps.Values(jobs), func(a, b *work.Job) int { return cmp.Compare(a.Seq, b.Seq) })
+func bySeq(jobs map[string]*batch.Job) []*batch.Job {
+	return slices.SortedFunc(maps.Values(jobs), func(a, b *batch.Job) int { return cmp.Compare(a.Seq, b.Seq) })
 }
 
 // group returns a step with units whose turn has come, or nil.
-func (p *planner) group(j *work.Job, g *work.Group, q *work.Queue, nowMS int64) *place.Group {
+func (p *planner) group(j *batch.Job, g *batch.Group, q *batch.Queue, nowMS int64) *place.Group {
 	due := j.DueMS(g)
 	if j.State.Final() || q == nil || due > nowMS || !j.Open(g) {
 		return nil
@@ -316,7 +316,7 @@
 	for i := range g.Units {
 		u := &g.Units[i]
 		switch u.State {
-		case work.Waiting:
+		case batch.Waiting:
 			pg.Waiting = append(pg.Waiting, i)
 			if u.Failed > 0 {
 				if pg.Avoid == nil {
@@ -324,7 +324,7 @@
 				}
 				pg.Avoid[u.Worker] = true
 			}
-		case work.Active:
+		case batch.Active:
 			if pg.On == nil {
 				pg.On = map[string]int{}
 			}
@@ -412,8 +412,8 @@
 }
 
 // stepOf returns the step of a run, if its job is still known.
-func (p *planner) stepOf(k runKey) (st work.Step, ok bool) {
-	p.o.cfg.Machine.View(func(v *work.View) {
+func (p *planner) stepOf(k runKey) (st batch.Step, ok bool) {
+	p.o.cfg.Machine.View(func(v *batch.View) {
 		j := v.Job(k.unit.Job, "")
 		if j == nil {
 			return
@@ -426,8 +426,8 @@
 }
 
 // forget drops a worker that has been silent for long.
-func (o *Office) forget(w work.Worker) {
-	if _, err := o.propose(&work.Command{Worker: &work.WorkerChange{Worker: w, Gone: true}}); err != nil {
+func (o *Office) forget(w batch.Worker) {
+	if _, err := o.propose(&batch.Command{Worker: &batch.WorkerChange{Worker: w, Gone: true}}); err != nil {
 		o.log.Error(err, "silent worker could not be dropped", "worker", w.ID)
 		return
 	}
@@ -440,10 +440,10 @@
 	if len(starts) == 0 {
 		return
 	}
-	cmd := &work.Starts{AtMS: p.o.cfg.Now().UnixMilli()}
+	cmd := &batch.Starts{AtMS: p.o.cfg.Now().UnixMilli()}
 	nextRun := map[*place.Group]int{}
 	var placed []*place.Group
-	p.o.cfg.Machine.View(func(v *work.View) {
+	p.o.cfg.Machine.View(func(v *batch.View) {
 		for _, s := range starts {
 			j := v.Job(s.Group.Job, "")
 			w := v.Workers()[s.Worker]
@@ -460,14 +460,14 @@
 				}
 				run = nextRun[s.Group]
 			}
-			ref := work.UnitRef{Job: j.ID, Occurrence: g.Occurrence, Step: g.Step, Index: s.Unit}
+			ref := batch.UnitRef{Job: j.ID, Occurrence: g.Occurrence, Step: g.Step, Index: s.Unit}
 			placed = append(placed, s.Group)
-			cmd.Starts = append(cmd.Starts, work.Start{Unit: ref, Run: run, Worker: s.Worker, Life: w.Life})
+			cmd.Starts = append(cmd.Starts, batch.Start{Unit: ref, Run: run, Worker: s.Worker, Life: w.Life})
 		}
 	})
-	result, err := p.o.propose(&work.Command{Starts: cmd})
+	result, err := p.o.propose(&batch.Command{Starts: cmd})
 	if err != nil {
-		var stale *work.StaleEpochError
+		var stale *batch.StaleEpochError
 		if !errors.As(err, &stale) && p.o.ctx.Err() == nil {
 			p.o.log.Error(err, "starts could not be committed", "starts", len(cmd.Starts))
 		}
@@ -484,10 +484,10 @@
 }
 
 // send tells a worker to start a recorded run.
-func (p *planner) send(s *work.Start, g *place.Group, atMS int64) {
+func (p *planner) send(s *batch.Start, g *place.Group, atMS int64) {
 	var payload, checkpoint string
 	ok := false
-	p.o.cfg.Machine.View(func(v *work.View) {
+	p.o.cfg.Machine.View(func(v *batch.View) {
 		j := v.Live()[s.Unit.Job]
 		if j == nil || j.State.Final() {
 			return
--- a/internal/region/control.go
+++ b/internal/region/control.go
@@ -12,11 +12,11 @@
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 
+	"teaselpaddle.example/teaselpaddle/internal/batch"
 	"teaselpaddle.example/teaselpaddle/internal/codec"
 	"teaselpaddle.example/teaselpaddle/internal/dispatch"
 	"teaselpaddle.example/teaselpaddle/internal/link"
 	"teaselpaddle.example/teaselpaddle/internal/replica"
-	"teaselpaddle.example/teaselpaddle/internal/work"
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
 
@@ -48,7 +48,7 @@
 type Control struct {
 	cfg     ControlConfig
 	log     logr.Logger
-	machine *work.Machine
+	machine *batch.Machine
 	group   *replica.Replica
 	router  *Router
 	beats   dispatch.Beats
@@ -69,7 +69,7 @@
 func OpenControl(cfg ControlConfig, router *Router) (*Control, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Control{cfg: cfg, log: cfg.Log.WithName("control"), router: router, ctx: ctx, cancel: cancel}
-	c.machine = work.New(c.wake)
+	c.machine = batch.New(c.wake)
 	var specs []replica.InstanceSpec
 	if cfg.Form && slices.Contains(cfg.Seeds, cfg.Self) {
 		for _, s := range cfg.Seeds {
@@ -142,7 +142,7 @@
 func (c *Control) openOffice() {
 	ctx, cancel := context.WithTimeout(c.ctx, tryTimeout)
 	defer cancel()
-	result, err := c.propose(ctx, &work.Command{Lead: &work.Lead{Instance: c.cfg.Self}})
+	result, err := c.propose(ctx, &batch.Command{Lead: &batch.Lead{Instance: c.cfg.Self}})
 	if err != nil {
 		c.log.Info("office could not be opened", "error", err.Error())
 		return
@@ -181,7 +181,7 @@
 
 // noteConfig logs each configuration that comes into force on this instance.
 func (c *Control) noteConfig() {
-	c.machine.View(func(v *work.View) {
+	c.machine.View(func(v *batch.View) {
 		cfg := v.Config()
 		if cfg == nil || c.version.Swap(cfg.Version) == cfg.Version {
 			return
@@ -192,7 +192,7 @@
 	})
 }
 
-func (c *Control) propose(ctx context.Context, cmd *work.Command) (any, error) {
+func (c *Control) propose(ctx context.Context, cmd *batch.Command) (any, error) {
 	entry, err := codec.Marshal(cmd)
 	if err != nil {
 		return nil, err
@@ -226,13 +226,13 @@
 	}
 	switch {
 	case req.Submit != nil:
-		c.commit(ctx, rep, &work.Command{Submit: req.Submit})
+		c.commit(ctx, rep, &batch.Command{Submit: req.Submit})
 		c.noteJudged("submission judged", req.Submit.ID, &req.Submit.Call, rep, st.Term)
 	case req.Cancel != nil:
-		c.commit(ctx, rep, &work.Command{Cancel: req.Cancel})
+		c.commit(ctx, rep, &batch.Command{Cancel: req.Cancel})
 		c.noteJudged("cancellation judged", req.Cancel.ID, &req.Cancel.Call, rep, st.Term)
 	case req.Publish != nil:
-		c.commit(ctx, rep, &work.Command{Publish: req.Publish})
+		c.commit(ctx, rep, &batch.Command{Publish: req.Publish})
 		c.log.Info("configuration judged", "version", req.Publish.Version, "verdict", rep.Verdict.String(),
 			"notLeader", rep.NotLeader, "unsure", rep.Unsure, "term", st.Term)
 	case req.Announce != nil:
@@ -245,9 +245,9 @@
 }
 
 // noteJudged logs what became of a caller's request.
-func (c *Control) noteJudged(msg, job string, call *work.Call, rep *Reply, term uint64) {
+func (c *Control) noteJudged(msg, job string, call *batch.Call, rep *Reply, term uint64) {
 	var version, epoch uint64
-	c.machine.View(func(v *work.View) {
+	c.machine.View(func(v *batch.View) {
 		epoch, _ = v.Epoch()
 		if cfg := v.Config(); cfg != nil {
 			version = cfg.Version
@@ -266,13 +266,13 @@
 }
 
 // commit proposes a command whose result is a verdict.
-func (c *Control) commit(ctx context.Context, rep *Reply, cmd *work.Command) {
+func (c *Control) commit(ctx context.Context, rep *Reply, cmd *batch.Command) {
 	result, err := c.propose(ctx, cmd)
 	var nl *replica.NotLeaderError
 	var not *replica.NotProposedError
 	switch {
 	case err == nil:
-		rep.Verdict, _ = result.(work.Verdict)
+		rep.Verdict, _ = result.(batch.Verdict)
 	case errors.As(err, &nl):
 		rep.NotLeader, rep.Leader = true, nl.Leader
 	case errors.As(err, &not):
@@ -290,19 +290,19 @@
 		rep.NotLeader = true
 		return
 	}
-	c.machine.View(func(v *work.View) {
+	c.machine.View(func(v *batch.View) {
 		switch {
 		case req.Config != nil:
 			if cfg := v.Config(); cfg != nil {
 				rep.Document = cfg.Document
 			}
 		case req.Pending != nil:
-			var q *work.Queue
+			var q *batch.Queue
 			if q, _, rep.Verdict = v.Admit(*req.Pending); q == nil {
 				return
 			}
 			if q.Prefix != req.Pending.Path {
-				rep.Verdict = work.NoQueue
+				rep.Verdict = batch.NoQueue
 				return
 			}
 			rep.Pending = v.Pending(q)
@@ -314,7 +314,7 @@
 			}
 			j := v.Job(req.Job.ID, customer)
 			if j == nil {
-				rep.Verdict = work.NoJob
+				rep.Verdict = batch.NoJob
 				return
 			}
 			rep.State = j.State
@@ -327,7 +327,7 @@
 	w := a.Worker
 	known := false
 	gone := true
-	c.machine.View(func(v *work.View) {
+	c.machine.View(func(v *batch.View) {
 		cur := v.Workers()[w.ID]
 		if cur == nil {
 			return
@@ -338,7 +338,7 @@
 	})
 	if a.Leaving {
 		if !gone {
-			c.commit(ctx, rep, &work.Command{Worker: &work.WorkerChange{Worker: w, Gone: true}})
+			c.commit(ctx, rep, &batch.Command{Worker: &batch.WorkerChange{Worker: w, Gone: true}})
 		}
 		return
 	}
@@ -346,7 +346,7 @@
 	if known {
 		return
 	}
-	c.commit(ctx, rep, &work.Command{Worker: &work.WorkerChange{Worker: w}})
+	c.commit(ctx, rep, &batch.Command{Worker: &batch.WorkerChange{Worker: w}})
 	if !rep.NotLeader && !rep.Unsure {
 		c.log.Info("worker recorded", "worker", w.ID, "life", w.Life, "address", w.Address, "draining", w.Draining)
 	}
--- a/internal/region/message.go
+++ b/internal/region/message.go
@@ -4,17 +4,17 @@
 package region
 
 import (
-	"teaselpaddle.example/teaselpaddle/internal/work"
+	"teaselpaddle.example/teaselpaddle/internal/batch"
 )
 
 // request is a request for the group's leader; exactly one field is set. Every
 // request may be sent again: it has the effect of one.
 type request struct {
-	Submit   *work.Submit  `cbor:"1,keyasint,omitempty"`
-	Cancel   *work.Cancel  `cbor:"2,keyasint,omitempty"`
+	Submit   *batch.Submit `cbor:"1,keyasint,omitempty"`
+	Cancel   *batch.Cancel `cbor:"2,keyasint,omitempty"`
 	Job      *JobQuery     `cbor:"3,keyasint,omitempty"`
-	Pending  *work.Call    `cbor:"4,keyasint,omitempty"`
-	Publish  *work.Config  `cbor:"5,keyasint,omitempty"`
+	Pending  *batch.Call   `cbor:"4,keyasint,omitempty"`
+	Publish  *batch.Config `cbor:"5,keyasint,omitempty"`
 	Config   *struct{}     `cbor:"6,keyasint,omitempty"`
 	Announce *Announcement `cbor:"7,keyasint,omitempty"`
 	Ping     *struct{}     `cbor:"8,keyasint,omitempty"`
@@ -22,14 +22,14 @@
 
 // JobQuery asks for a job's state.
 type JobQuery struct {
-	Call work.Call `cbor:"1,keyasint"`
-	ID   string    `cbor:"2,keyasint"`
+	Call batch.Call `cbor:"1,keyasint"`
+	ID   string     `cbor:"2,keyasint"`
 }
 
 // Announcement is what a worker says of itself.
 type Announcement struct {
-	Worker  work.Worker `cbor:"1,keyasint"`
-	Leaving bool        `cbor:"2,keyasint,omitempty"` // it ends now
+	Worker  batch.Worker `cbor:"1,keyasint"`
+	Leaving bool         `cbor:"2,keyasint,omitempty"` // it ends now
 }
 
 // Reply answers a request.
@@ -42,10 +42,10 @@
 	Members []string `cbor:"3,keyasint,omitempty"`
 	// Unsure is set if the leader could not confirm its answer in time. The
 	// request may have been carried out.
-	Unsure  bool         `cbor:"4,keyasint,omitempty"`
-	Verdict work.Verdict `cbor:"5,keyasint,omitempty"`
-	State   work.State   `cbor:"6,keyasint,omitempty"`
-	Pending int          `cbor:"7,keyasint,omitempty"`
+	Unsure  bool          `cbor:"4,keyasint,omitempty"`
+	Verdict batch.Verdict `cbor:"5,keyasint,omitempty"`
+	State   batch.State   `cbor:"6,keyasint,omitempty"`
+	Pending int           `cbor:"7,keyasint,omitempty"`
 	// Document is the configuration as its operator published it; nil if there is
 	// none yet.
 	Document []byte `cbor:"8,keyasint,omitempty"`
--- a/internal/region/router.go
+++ b/internal/region/router.go
@@ -10,10 +10,10 @@
 	"github.com/go-logr/logr"
 	"github.com/juju/errors"
 
+	"teaselpaddle.example/teaselpaddle/internal/batch"
 	"teaselpaddle.example/teaselpaddle/internal/codec"
 	"teaselpaddle.example/teaselpaddle/internal/link"
 	"teaselpaddle.example/teaselpaddle/internal/telemetry"
-	"teaselpaddle.example/teaselpaddle/internal/work"
 )
 
 // Times of a forwarded request.
@@ -103,12 +103,12 @@
 
 // Submit hands a job in. Its errors, like those of the other methods, are
 // *UnavailableError.
-func (r *Router) Submit(ctx context.Context, s *work.Submit) (*Reply, error) {
+func (r *Router) Submit(ctx context.Context, s *batch.Submit) (*Reply, error) {
 	return r.do(ctx, &request{Submit: s})
 }
 
 // Cancel cancels a job.
-func (r *Router) Cancel(ctx context.Context, c *work.Cancel) (*Reply, error) {
+func (r *Router) Cancel(ctx context.Context, c *batch.Cancel) (*Reply, error) {
 	return r.do(ctx, &request{Cancel: c})
 }
 
@@ -118,12 +118,12 @@
 }
 
 // Pending counts the jobs of a queue of which nothing has started.
-func (r *Router) Pending(ctx context.Context, c *work.Call) (*Reply, error) {
+func (r *Router) Pending(ctx context.Context, c *batch.Call) (*Reply, error) {
 	return r.do(ctx, &request{Pending: c})
 }
 
 // Publish puts a configuration in force.
-func (r *Router) Publish(ctx context.Context, c *work.Config) (*Reply, error) {
+func (r *Router) Publish(ctx context.Context, c *batch.Config) (*Reply, error) {
 	return r.do(ctx, &request{Publish: c})
 }
 
--- a/internal/sched/place/evict.go
+++ b/internal/sched/place/evict.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"teaselpaddle.example/teaselpaddle/internal/work"
+	"teaselpaddle.example/teaselpaddle/internal/batch"
 )
 
 // acceleratorCores is the number of cores that an accelerator counts as when
@@ -12,7 +12,7 @@
 const acceleratorCores = 8
 
 // withComing is a worker's room once what is being stopped there has ended.
-func withComing(w *Worker) work.Resources { return w.Free.Add(w.Coming) }
+func withComing(w *Worker) batch.Resources { return w.Free.Add(w.Coming) }
 
 // mayStop reports whether a run gives way to a group.
 func mayStop(r *Running, g *Group) bool {
@@ -59,13 +59,13 @@
 // offer is the room that a worker has, or can be given, for units of a group.
 type offer struct {
 	w     *Worker
-	units int            // taken so far
-	free  work.Resources // with what the stops chosen so far give back
-	next  int            // runs of byCost before it are chosen, or may not be stopped
+	units int             // taken so far
+	free  batch.Resources // with what the stops chosen so far give back
+	next  int             // runs of byCost before it are chosen, or may not be stopped
 	// What one more unit takes.
 	can   bool
 	cost  int64
-	after work.Resources
+	after batch.Resources
 	upTo  int
 }
 
--- a/internal/sched/place/place.go
+++ b/internal/sched/place/place.go
@@ -7,7 +7,7 @@
 	"cmp"
 	"slices"
 
-	"teaselpaddle.example/teaselpaddle/internal/work"
+	"teaselpaddle.example/teaselpaddle/internal/batch"
 )
 
 // Snapshot is what a decision is made from. Decide changes the Free of its
@@ -24,11 +24,11 @@
 	Rack     string
 	Service  string
 	Labels   []string
-	Capacity work.Resources
+	Capacity batch.Resources
 	// Free is the capacity less everything that runs or may still run there.
-	Free work.Resources
+	Free batch.Resources
 	// Coming is the part of the capacity in use that is being given back.
-	Coming work.Resources
+	Coming batch.Resources
 	// Slow is set if the worker was seen to work slowly; it is used last.
 	Slow    bool
 	Running []*Running
@@ -50,11 +50,11 @@
 
 // Running is a run that may be stopped in favour of a group.
 type Running struct {
-	Ref        work.UnitRef
+	Ref        batch.UnitRef
 	Run        int
 	Worker     string
 	Gang       string // names the gang; "" for a unit of its own
-	Need       work.Resources
+	Need       batch.Resources
 	Priority   int
 	Guaranteed bool
 	LostMS     int64 // work since the last checkpoint, ms
@@ -72,7 +72,7 @@
 	Job        string
 	Occurrence int
 	StepIndex  int
-	Step       *work.Step
+	Step       *batch.Step
 	Service    string
 	Priority   int
 	Guaranteed bool  // within its customer's guaranteed accelerators
@@ -133,7 +133,7 @@
 
 // needKey is what decides whether a unit fits on a worker at all.
 type needKey struct {
-	need           work.Resources
+	need           batch.Resources
 	service, label string
 }
 
@@ -151,7 +151,7 @@
 }
 
 func (d *decision) prepare() {
-	var all, free work.Resources
+	var all, free batch.Resources
 	slices.SortFunc(d.s.Workers, func(a, b *Worker) int { return cmp.Compare(a.ID, b.ID) })
 	for i, w := range d.s.Workers {
 		w.order = i
@@ -253,7 +253,7 @@
 }
 
 // room returns how many units of a group fit into a worker's resources.
-func room(g *Group, w *Worker, free work.Resources) int {
+func room(g *Group, w *Worker, free batch.Resources) int {
 	limit := g.Total
 	if m := g.Step.MaxPerWorker; m > 0 {
 		limit = m - g.On[w.ID]
@@ -325,10 +325,19 @@
 	return out
 }
 
-// pressed reports whether a group has used a part of its time that leaves it
-// little for waiting.
-func (d *decision) pressed(g *Group) bool {
-	return g.AimMS > g.SinceMS && float64(d.s.NowMS-g.SinceMS) > pressedShare*float64(g.AimMS-g.SinceMS)
+// headroom is the number of accelerators that the least urgent units leave.
+func (r *rack) headroom() int64 { return int64(headroomShare * float64(r.total)) }
+
+// leavesHeadroom reports whether units of a group leave the headroom of a rack
+// alone. Units that fit beside no headroom, or whose data is in the rack, do
+// not, nor does a group that has used a part of its time that leaves it little
+// for waiting.
+func (d *decision) leavesHeadroom(g *Group, r *rack) bool {
+	need := g.Step.Need.Accelerators
+	if g.Priority < leastUrgent || g.Step.Gang || need == 0 || g.Step.DataRack == r.name || r.total-r.headroom() < need {
+		return false
+	}
+	return float64(d.s.NowMS-g.SinceMS) <= pressedShare*float64(g.AimMS-g.SinceMS)
 }
 
 // fill starts units on workers while they fit. Units of the least urgent steps
@@ -337,9 +346,8 @@
 	byFit(workers)
 	for _, w := range workers {
 		n := min(room(g, w, w.Free), len(left))
-		if g.Priority >= leastUrgent && !g.Step.Gang && g.Step.Need.Accelerators > 0 && !d.pressed(g) {
-			spare := w.rack.free - int64(headroomShare*float64(w.rack.total))
-			n = min(n, int(max(spare, 0)/g.Step.Need.Accelerators))
+		if n > 0 && d.leavesHeadroom(g, w.rack) {
+			n = min(n, int(max(w.rack.free-w.rack.headroom(), 0)/g.Step.Need.Accelerators))
 		}
 		for _, i := range left[:n] {
 			d.startAt(g, i, w)
@@ -374,7 +382,7 @@
 	}
 	sets := d.gangSets(g, workers)
 	for _, set := range sets {
-		if d.fits(g, set, func(w *Worker) work.Resources { return w.Free }) {
+		if d.fits(g, set, func(w *Worker) batch.Resources { return w.Free }) {
 			d.fill(g, set, g.Waiting)
 			return
 		}
@@ -409,7 +417,7 @@
 		)
 	})
 	var sets [][]*Worker
-	whole := func(w *Worker) work.Resources { return w.Capacity }
+	whole := func(w *Worker) batch.Resources { return w.Capacity }
 	patient := d.patient(g)
 	for _, r := range racks {
 		if d.fits(g, on[r], whole) && (r.name == g.Step.DataRack || g.Step.DataRack == "" || !patient) {
@@ -423,7 +431,7 @@
 }
 
 // fits reports whether all units of a gang fit into a set of workers.
-func (d *decision) fits(g *Group, set []*Worker, free func(*Worker) work.Resources) bool {
+func (d *decision) fits(g *Group, set []*Worker, free func(*Worker) batch.Resources) bool {
 	n := 0
 	for _, w := range set {
 		n += room(g, w, free(w))
--- a/internal/workerapi/unit.go
+++ b/internal/workerapi/unit.go
@@ -4,7 +4,7 @@
 	"context"
 	"fmt"
 
-	"teaselpaddle.example/teaselpaddle/internal/work"
+	"teaselpaddle.example/teaselpaddle/internal/batch"
 )
 
 // UnitWorker addresses one life of a worker that runs units.
@@ -15,7 +15,7 @@
 
 // UnitStart is the order to begin a run.
 type UnitStart struct {
-	Unit       work.UnitRef
+	Unit       batch.UnitRef
 	Run        int
 	Payload    string
 	UntilMS    int64  // end of the lease on the worker's clock, ms
@@ -25,7 +25,7 @@
 
 // UnitStop is the order to end a run, and to refuse it if it comes later.
 type UnitStop struct {
-	Unit  work.UnitRef
+	Unit  batch.UnitRef
 	Run   int
 	Epoch uint64
 }
@@ -40,7 +40,7 @@
 
 // UnitRun is a run in progress.
 type UnitRun struct {
-	Unit    work.UnitRef
+	Unit    batch.UnitRef
 	Run     int
 	Saved   string // last checkpoint; "" for none
 	Percent int    // progress
@@ -49,9 +49,9 @@
 // UnitEnd is an end that the worker has not been told to forget.
 type UnitEnd struct {
 	Number int64 // counts the ends of this life from 1
-	Unit   work.UnitRef
+	Unit   batch.UnitRef
 	Run    int
-	How    work.Ending
+	How    batch.Ending
 	Saved  string
 }
 
