Refuse what is not built instead of doing half of it

Cause: a queue with an adviser, and units that are paced beside others, would have been started without a ticket or a pace; a lasting unit counted as done at its first end. Ruled out: refusing the whole configuration, which is valid. Change: such queues and jobs get 503 not_supported at once; lasting units start again. Tests: TestLastingUnitsAndClosedQueues, TestAnswersToCallers.

--- a/internal/batch/work.go
+++ b/internal/batch/batch.go
@@ -199,6 +199,8 @@
 	TargetMS    int64   `cbor:"7,keyasint,omitempty"` // added to the aim
 	Service     string  `cbor:"8,keyasint"`
 	Public      bool    `cbor:"9,keyasint,omitempty"` // needs no key
+	// Closed queues take no jobs, because they ask for what is not built.
+	Closed bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Customer has keys and a guaranteed number of accelerators for its jobs of
--- a/internal/batch/command.go
+++ b/internal/batch/command.go
@@ -105,8 +105,9 @@
 	BadKey
 	NoJob
 	Conflict // the id names another job
+	Closed   // the queue takes no jobs
 )
 
-var verdictNames = [...]string{"ok", "no_configuration", "no_such_queue", "unknown_key", "no_such_job", "id_in_use"}
+var verdictNames = [...]string{"ok", "no_configuration", "no_such_queue", "unknown_key", "no_such_job", "id_in_use", "not_supported"}
 
 func (v Verdict) String() string { return verdictNames[v] }
--- a/internal/batch/machine.go
+++ b/internal/batch/machine.go
@@ -177,6 +177,9 @@
 	if v == OK && s.Call.Path != q.Prefix+s.ID {
 		v = NoQueue
 	}
+	if v == OK && q.Closed {
+		v = Closed
+	}
 	if v != OK {
 		return v
 	}
@@ -341,6 +344,9 @@
 // unitDone marks a unit as done. One such end stands for all units of a gang:
 // they end together, and the ends of the others follow.
 func (m *Machine) unitDone(j *Job, g *Group, u *Unit, atMS int64) {
+	if j.Step(g).Lasting {
+		return // it runs again
+	}
 	if j.Step(g).Gang {
 		for i := range g.Units {
 			if u := &g.Units[i]; u.State == Active {
--- a/internal/batch/machine_test.go
+++ b/internal/batch/machine_test.go
@@ -210,3 +210,21 @@
 		}
 	}
 }
+
+// Guards against a lasting unit that counts as done when its run ends, and
+// against a queue that takes jobs whose terms it cannot keep.
+func TestLastingUnitsAndClosedQueues(t *testing.T) {
+	is := is.New(t)
+	m := newTestMachine(t)
+	apply(t, m, submit("j1", "k1", Step{Count: 1, Lasting: true}))
+	for run := range 3 {
+		got := apply(t, m, &Command{Starts: &Starts{Starts: []Start{{Unit: UnitRef{Job: "j1"}, Run: run + 1, Worker: "w1", Life: 1}}}})
+		is.Equal(got, []bool{true})
+		apply(t, m, &Command{Ends: &Ends{Ends: []End{{Unit: UnitRef{Job: "j1"}, Run: run + 1, How: Ending(run % 2)}}}})
+	}
+	m.View(func(v *View) { is.Equal(v.Job("j1", "c1").State, Running) })
+	c := testConfig(2, "two")
+	c.Queues[0].Closed = true
+	apply(t, m, &Command{Publish: c})
+	is.Equal(apply(t, m, submit("j2", "k1", Step{Count: 1})), Closed)
+}
