Rest after decisions, not after commits

Cause: the planner rested four times as long as its last pass, waits for commits included; with a slow disk each start made the next plan wait for up to 12 s. Ruled out: the decision itself (1 ms with 48 workers). Change: only the time of the decision counts. Settings and bounds that nothing used are gone. Test: TestSlowCommitsDoNotSlowPlans fails without the change.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -201,7 +201,7 @@
 			return 0, true
 		}
 	}
-	return min(holdWait, a.o.cfg.Bounds.MaxLease/renewals), true
+	return min(holdWait, a.o.cfg.MaxLease/renewals), true
 }
 
 // activeRuns returns the runs that the group records for this life.
@@ -244,7 +244,7 @@
 	if a.failures > 0 {
 		return a.untilMS
 	}
-	until := a.nowMS(now) + a.o.cfg.Bounds.MaxLease.Milliseconds()
+	until := a.nowMS(now) + a.o.cfg.MaxLease.Milliseconds()
 	a.untilMS = max(a.untilMS, until)
 	return until
 }
@@ -255,7 +255,7 @@
 	if a.clockAt.IsZero() {
 		// Leases of earlier offices are not known. They are no longer than the
 		// longest one after the last moment at which a deposed leader gave one.
-		limit := a.o.cfg.Bounds.MaxLease.Seconds() / clockRate
+		limit := a.o.cfg.MaxLease.Seconds() / clockRate
 		return now.Sub(a.o.began).Seconds() > limit+handover.Seconds()
 	}
 	return a.nowMS(now) > a.untilMS+leaseSlack.Milliseconds()
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,9 +22,11 @@
 	mu    sync.Mutex
 	m     *batch.Machine
 	index uint64
+	delay atomic.Int64 // of each commit, ns
 }
 
 func (g *localGroup) Propose(_ context.Context, entry []byte) (any, error) {
+	time.Sleep(time.Duration(g.delay.Load()))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.index++
@@ -248,7 +251,7 @@
 	epoch := b.apply(&batch.Command{Lead: &batch.Lead{Instance: "test"}}).(uint64)
 	b.office = Open(Config{
 		Machine: b.m, Group: b.group, Client: b.workers, Epoch: epoch, Beats: b.beats, Log: logr.Discard(),
-		Bounds: Bounds{MaxLease: testLease},
+		MaxLease: testLease,
 	})
 	b.t.Cleanup(b.office.Close)
 }
@@ -572,3 +575,22 @@
 	b.announce("w1", 2)
 	b.within(10*time.Second, "completed", func() bool { return b.state("j1") == batch.Completed })
 }
+
+// Pattern: the disks of the group turn slow. Guards against a planner that rests
+// in proportion to the time of a commit instead of that of a decision.
+func TestSlowCommitsDoNotSlowPlans(t *testing.T) {
+	f := newFakeWorkers(t, 50*time.Millisecond, "w1", "w2")
+	b := newBed(t, f)
+	b.group.delay.Store(int64(200 * time.Millisecond))
+	began := time.Now()
+	for i := range 3 {
+		id := fmt.Sprint("j", i)
+		b.submit("/b/", id, units(1, 8))
+		b.within(3*time.Second, "completed", func() bool { return b.state(id) == batch.Completed })
+	}
+	// Each job takes three commits of 200 ms and its own 50 ms, 1.95 s in all, and
+	// 0.15 s are left to each for plans and calls.
+	if took := time.Since(began); took > 2400*time.Millisecond {
+		t.Errorf("three jobs took %v", took)
+	}
+}
--- a/internal/dispatch/office.go
+++ b/internal/dispatch/office.go
@@ -24,28 +24,15 @@
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
 
-// Bounds are the figures of a deployment that the workers and the operator
-// state.
-type Bounds struct {
-	// MaxLease is the longest lease that a worker grants.
-	MaxLease time.Duration
-	// Stop is the longest time that a run takes to stop.
-	Stop time.Duration
-	// Gang is how long a unit of a gang waits for the others.
-	Gang time.Duration
-	// DataFactor is how many times longer a unit takes away from its data, or a
-	// gang on more than one rack.
-	DataFactor float64
-}
-
 // Config sets up an Office.
 type Config struct {
 	Machine *batch.Machine
 	Group   replica.Group
 	Client  workerapi.UnitClient
-	Bounds  Bounds
-	Log     logr.Logger
-	Epoch   uint64
+	// MaxLease is the longest lease that a worker grants.
+	MaxLease time.Duration
+	Log      logr.Logger
+	Epoch    uint64
 	// Beats are the times at which the workers' announcements were last seen.
 	Beats *Beats
 	// Now returns the time; tests change it.
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -31,7 +31,7 @@
 // office's goroutine alone.
 type planner struct {
 	o    *Office
-	took time.Duration // by the last pass
+	took time.Duration // by the last decision; waits for commits do not count
 	held map[heldKey]bool
 }
 
@@ -87,14 +87,15 @@
 func (p *planner) pass() {
 	began := time.Now()
 	snap, runs, lost := p.snapshot()
+	plan := place.Decide(snap)
+	p.took = time.Since(began)
+	decideTime.UpdateDuration(began)
 	for worker, ends := range lost {
 		p.o.commitEnds(worker, ends)
 	}
 	for i := range runs {
 		p.tend(&runs[i])
 	}
-	plan := place.Decide(snap)
-	decideTime.UpdateDuration(began)
 	for _, r := range plan.Stops {
 		if a := p.o.agent(r.Worker); a != nil {
 			p.o.log.Info("run stopped to make room", "job", r.Ref.Job, "unit", r.Ref, "run", r.Run, "priority", r.Priority,
@@ -105,7 +106,6 @@
 	}
 	p.apply(plan.Starts)
 	p.noteHeld(plan.Held, snap)
-	p.took = time.Since(began)
 }
 
 // tend sends what a recorded run still needs: its start, or its stop.
--- a/internal/region/control.go
+++ b/internal/region/control.go
@@ -39,7 +39,7 @@
 	DataFolder string
 	Peers      link.Peers
 	Client     workerapi.UnitClient
-	Bounds     dispatch.Bounds
+	MaxLease   time.Duration // longest lease that a worker grants
 	Log        logr.Logger
 }
 
@@ -148,7 +148,7 @@
 		return
 	}
 	o := dispatch.Open(dispatch.Config{
-		Machine: c.machine, Group: c.group, Client: c.cfg.Client, Bounds: c.cfg.Bounds,
+		Machine: c.machine, Group: c.group, Client: c.cfg.Client, MaxLease: c.cfg.MaxLease,
 		Log: c.cfg.Log, Epoch: result.(uint64), Beats: &c.beats,
 	})
 	c.mu.Lock()
