Name leadership, suspension and stalls by their usual terms

Cause: "office", "sick" and "stands still" were words of our own. Ruled out: renaming life of a worker, which the pages of the users have as well. Change: names, log lines and metrics; no behaviour.

--- a/internal/batch/command.go
+++ b/internal/batch/command.go
@@ -1,7 +1,7 @@
 package batch
 
 // Command is one entry of the group's log; exactly one field is set besides
-// Epoch. Epoch is the leader's, for commands that only the leader in office may
+// Epoch. Epoch is the leader's, for commands that only the present leader may
 // give; a command of an earlier leader has no effect.
 type Command struct {
 	Epoch   uint64        `cbor:"1,keyasint,omitempty"`
@@ -14,7 +14,7 @@
 	Worker  *WorkerChange `cbor:"8,keyasint,omitempty"`
 }
 
-// Lead begins the office of a new leader. Its result is the new epoch, uint64.
+// Lead begins the leadership of an instance. Its result is the new epoch, uint64.
 type Lead struct {
 	Instance string `cbor:"1,keyasint"`
 }
--- a/internal/batch/machine.go
+++ b/internal/batch/machine.go
@@ -127,7 +127,7 @@
 	return result
 }
 
-// StaleEpochError answers a command of a leader that is no longer in office.
+// StaleEpochError answers a command of a leader that has been replaced.
 type StaleEpochError struct{ Epoch, InForce uint64 }
 
 func (e *StaleEpochError) Error() string {
--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -40,33 +40,33 @@
 
 // agent drives one life of a worker.
 type agent struct {
-	o      *Office
+	o      *Leadership
 	log    logr.Logger
 	ctx    context.Context
 	cancel context.CancelFunc
 	wake   chan struct{}
 
-	mu         sync.Mutex // guards all below
-	w          batch.Worker
-	looked     bool // the worker has answered this office
-	gone       bool // another life runs at its address
-	replaced   bool // so does another worker: nothing sent to this one arrives any more
-	noted      int64
-	clockMS    int64     // the worker's clock
-	clockAt    time.Time // when clockMS arrived
-	untilMS    int64     // latest lease that was sent
-	lastAnswer time.Time
-	failures   int // calls without an answer since the last answer
-	sickUntil  time.Time
-	orders     map[runKey]*order
-	reported   map[runKey]workerapi.UnitRun
-	reportAt   time.Time // when the request of the last report was sent
-	pace       map[runKey]*progress
-	past       record
-	fences     []runKey // runs that may still begin although their worker's life ended
+	mu             sync.Mutex // guards all below
+	w              batch.Worker
+	looked         bool // the worker has answered this leader
+	gone           bool // another life runs at its address
+	replaced       bool // so does another worker: nothing sent to this one arrives any more
+	noted          int64
+	clockMS        int64     // the worker's clock
+	clockAt        time.Time // when clockMS arrived
+	untilMS        int64     // latest lease that was sent
+	lastAnswer     time.Time
+	failures       int // calls without an answer since the last answer
+	suspendedUntil time.Time
+	orders         map[runKey]*order
+	reported       map[runKey]workerapi.UnitRun
+	reportAt       time.Time // when the request of the last report was sent
+	pace           map[runKey]*progress
+	past           record
+	fences         []runKey // runs that may still begin although their worker's life ended
 }
 
-func (o *Office) newAgent(w batch.Worker, fences []runKey) *agent {
+func (o *Leadership) newAgent(w batch.Worker, fences []runKey) *agent {
 	ctx, cancel := context.WithCancel(o.ctx)
 	a := &agent{
 		o: o, log: o.log.WithValues("worker", w.ID, "life", w.Life), ctx: ctx, cancel: cancel,
@@ -108,7 +108,7 @@
 	return workerapi.UnitWorker{ID: a.w.ID, Address: a.w.Address}
 }
 
-func (a *agent) poke() {
+func (a *agent) notify() {
 	select {
 	case a.wake <- struct{}{}:
 	default:
@@ -299,7 +299,7 @@
 		a.gone, a.replaced = true, true
 		a.o.Wake()
 	case errors.As(err, &sick):
-		a.sickUntil = now.Add(sickPause)
+		a.suspendedUntil = now.Add(suspension)
 		a.failures++
 	case errors.As(err, &refused):
 		a.lastAnswer = now
@@ -316,7 +316,7 @@
 	}
 }
 
-// lastHeard is the time of the last answer to this office, or its beginning.
+// lastHeard is the time of the last answer to this leader, or the beginning of its leadership.
 func (a *agent) lastHeard() time.Time {
 	if a.lastAnswer.IsZero() {
 		return a.o.began
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -212,15 +212,15 @@
 	}
 }
 
-// bed is a machine with workers, a queue and an office.
+// bed is a machine with workers, a queue and a leader.
 type bed struct {
-	is      *is.I
-	t       *testing.T
-	m       *batch.Machine
-	group   *localGroup
-	workers *fakeWorkers
-	beats   *Beats
-	office  *Office
+	is         *is.I
+	t          *testing.T
+	m          *batch.Machine
+	group      *localGroup
+	workers    *fakeWorkers
+	beats      *Beats
+	leadership *Leadership
 }
 
 const testLease = 400 * time.Millisecond
@@ -228,8 +228,8 @@
 func newBed(t *testing.T, workers *fakeWorkers) *bed {
 	b := &bed{is: is.New(t), t: t, workers: workers, beats: &Beats{}}
 	b.m = batch.New(func() {
-		if b.office != nil {
-			b.office.Wake()
+		if b.leadership != nil {
+			b.leadership.Wake()
 		}
 	})
 	b.group = &localGroup{m: b.m}
@@ -249,11 +249,11 @@
 
 func (b *bed) open() {
 	epoch := b.apply(&batch.Command{Lead: &batch.Lead{Instance: "test"}}).(uint64)
-	b.office = Open(Config{
+	b.leadership = Open(Config{
 		Machine: b.m, Group: b.group, Client: b.workers, Epoch: epoch, Beats: b.beats, Log: logr.Discard(),
 		MaxLease: testLease,
 	})
-	b.t.Cleanup(b.office.Close)
+	b.t.Cleanup(b.leadership.Close)
 }
 
 func (b *bed) announce(id string, life int64) {
@@ -352,7 +352,7 @@
 
 // Guards against a new leader that starts again what its predecessor's workers
 // still run.
-func TestNextOfficeTakesRunsOver(t *testing.T) {
+func TestNextLeaderTakesRunsOver(t *testing.T) {
 	f := newFakeWorkers(t, 300*time.Millisecond, "w1", "w2")
 	b := newBed(t, f)
 	b.submit("/b/", "j1", units(4, 2))
@@ -361,7 +361,7 @@
 		defer f.mu.Unlock()
 		return len(f.starts) == 4
 	})
-	b.office.Close()
+	b.leadership.Close()
 	b.open()
 	b.within(5*time.Second, "completed", func() bool { return b.state("j1") == batch.Completed })
 	for ref, on := range f.starts {
@@ -483,7 +483,7 @@
 	f.by["w2"] = newFakeWorker(1)
 	f.mu.Unlock()
 	b.announce("w2", 1)
-	b.within(minStand+2*time.Second, "completed elsewhere", func() bool { return b.state("j1") == batch.Completed })
+	b.within(minStall+2*time.Second, "completed elsewhere", func() bool { return b.state("j1") == batch.Completed })
 }
 
 // Guards against a worker that is filled beyond its capacity: one end stands for
@@ -507,7 +507,7 @@
 	f := newFakeWorkers(t, 50*time.Millisecond, "w1")
 	b := newBed(t, f)
 	b.within(time.Second, "looked at", func() bool {
-		a := b.office.agent("w1")
+		a := b.leadership.agent("w1")
 		if a == nil {
 			return false
 		}
@@ -540,7 +540,7 @@
 	b := newBed(t, f)
 	b.within(time.Second, "looked at", func() bool {
 		for _, id := range []string{"w1", "w2"} {
-			a := b.office.agent(id)
+			a := b.leadership.agent(id)
 			if a == nil {
 				return false
 			}
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -12,28 +12,28 @@
 // fail on sound workers, so one failure alone makes a worker the last choice,
 // and failures of two different jobs in a row take it out of use.
 const (
-	// sickPause is how long a worker gets no new runs at first; it doubles up to
-	// maxSickPause each time the worker fails again at once.
-	sickPause    = 2 * time.Second
-	maxSickPause = 10 * time.Second
+	// suspension is how long a worker gets no new runs at first; it doubles up to
+	// maxSuspension each time the worker fails again at once.
+	suspension    = 2 * time.Second
+	maxSuspension = 10 * time.Second
 	// suspectPause is how long a worker is the last choice.
 	suspectPause = 4 * time.Second
-	sickJobs     = 2
+	suspectJobs  = 2
 )
 
 // Limits by which a run that stands still is told from a slow one. A worker
 // several times too slow, away from the data, still moves on by a percent within
-// standPercents of the estimated time.
+// stallPercents of the estimated time.
 const (
-	standPercents = 24
-	minStand      = 2 * time.Second
-	maxStand      = 4 * time.Second
+	stallPercents = 24
+	minStall      = 2 * time.Second
+	maxStall      = 4 * time.Second
 )
 
 // record is how the last runs on a worker ended.
 type record struct {
 	failed       map[string]bool // jobs that failed since the last success
-	strikes      int
+	suspensions  int
 	suspectUntil time.Time
 }
 
@@ -55,28 +55,28 @@
 	}
 	a.past.failed[job] = true
 	a.past.suspectUntil = now.Add(suspectPause)
-	if len(a.past.failed) < sickJobs {
+	if len(a.past.failed) < suspectJobs {
 		return
 	}
-	pause := min(sickPause<<a.past.strikes, maxSickPause)
-	a.past.strikes = min(a.past.strikes+1, 3)
+	pause := min(suspension<<a.past.suspensions, maxSuspension)
+	a.past.suspensions = min(a.past.suspensions+1, 3)
 	a.past.failed = nil
-	a.sickUntil = now.Add(pause)
-	telemetry.Count("teaselpaddle_workers_sick_total")
-	a.log.Info("worker fails different jobs; it gets no runs for a while", "pause", pause.String(), "strikes", a.past.strikes)
+	a.suspendedUntil = now.Add(pause)
+	telemetry.Count("teaselpaddle_workers_suspended_total")
+	a.log.Info("worker fails different jobs; it gets no runs for a while", "pause", pause.String(), "suspensions", a.past.suspensions)
 }
 
-// standsStill reports whether a run has made no progress for long, by a report
+// stalled reports whether a run has made no progress for long, by a report
 // that is new enough to tell.
-func (a *agent) standsStill(k runKey, estimateMS int64, now time.Time) bool {
+func (a *agent) stalled(k runKey, estimateMS int64, now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	p := a.pace[k]
 	if p == nil || p.percent >= 100 {
 		return false
 	}
-	limit := time.Duration(estimateMS) * time.Millisecond * standPercents / 100
-	limit = min(max(limit, minStand), maxStand)
+	limit := time.Duration(estimateMS) * time.Millisecond * stallPercents / 100
+	limit = min(max(limit, minStall), maxStall)
 	if a.reportAt.Sub(p.movedAt) < limit {
 		return false
 	}
--- a/internal/dispatch/office.go
+++ b/internal/dispatch/leadership.go
@@ -2,7 +2,7 @@
 // leader: it holds their leases, starts and stops runs, commits their ends, and
 // carries out the plans of internal/sched/place.
 //
-// An Office is one leader's time under one epoch. Its agents, one a worker, read
+// A Leadership is one leader's time under one epoch. Its agents, one a worker, read
 // the committed state and write what they learn to their own locked state, which
 // the planner reads. Nothing starts before its record is committed, and a worker
 // forgets an end only after the end is committed.
@@ -24,7 +24,7 @@
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
 
-// Config sets up an Office.
+// Config sets up a Leadership.
 type Config struct {
 	Machine *batch.Machine
 	Group   replica.Group
@@ -45,8 +45,8 @@
 
 var commitTime = metrics.GetOrCreateHistogram("teaselpaddle_commit_seconds")
 
-// Office is a leader's time under one epoch.
-type Office struct {
+// Leadership is a leader's time under one epoch.
+type Leadership struct {
 	cfg     Config
 	log     logr.Logger
 	began   time.Time
@@ -61,17 +61,17 @@
 }
 
 // Open begins to drive the workers. Close ends it.
-func Open(cfg Config) *Office {
+func Open(cfg Config) *Leadership {
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	o := &Office{
+	o := &Leadership{
 		cfg: cfg, log: cfg.Log.WithName("dispatch").WithValues("epoch", cfg.Epoch), began: cfg.Now(),
 		ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1), agents: map[string]*agent{},
 	}
 	o.planner.o = o
-	o.log.Info("office begun")
+	o.log.Info("leadership begun")
 	o.Wake()
 	o.wg.Add(1)
 	go o.run()
@@ -79,14 +79,14 @@
 }
 
 // Close stops driving the workers. Runs go on under their leases.
-func (o *Office) Close() {
+func (o *Leadership) Close() {
 	o.cancel()
 	o.wg.Wait()
-	o.log.Info("office ended")
+	o.log.Info("leadership ended")
 }
 
 // Wake asks for a new plan. It does not block.
-func (o *Office) Wake() {
+func (o *Leadership) Wake() {
 	select {
 	case o.wake <- struct{}{}:
 	default:
@@ -102,7 +102,7 @@
 	planShare = 4
 )
 
-func (o *Office) run() {
+func (o *Leadership) run() {
 	defer o.wg.Done()
 	idle := time.NewTicker(idleInterval)
 	defer idle.Stop()
@@ -135,7 +135,7 @@
 
 // syncAgents starts an agent for each recorded worker and ends the agents of
 // workers that are gone or live another life.
-func (o *Office) syncAgents() {
+func (o *Leadership) syncAgents() {
 	now := map[string]batch.Worker{}
 	o.cfg.Machine.View(func(v *batch.View) {
 		for id, w := range v.Workers() {
@@ -163,14 +163,14 @@
 	}
 }
 
-func (o *Office) agent(id string) *agent {
+func (o *Leadership) agent(id string) *agent {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.agents[id]
 }
 
-// propose commits a command of this office.
-func (o *Office) propose(c *batch.Command) (any, error) {
+// propose commits a command of this leader.
+func (o *Leadership) propose(c *batch.Command) (any, error) {
 	c.Epoch = o.cfg.Epoch
 	entry, err := codec.Marshal(c)
 	if err != nil {
@@ -192,7 +192,7 @@
 
 // commitEnds records ends of runs on a worker. It reports whether they are
 // committed.
-func (o *Office) commitEnds(worker string, ends []batch.End) bool {
+func (o *Leadership) commitEnds(worker string, ends []batch.End) bool {
 	if len(ends) == 0 {
 		return true
 	}
@@ -214,7 +214,7 @@
 }
 
 // noteConcluded logs the jobs that the ends committed at a time have concluded.
-func (o *Office) noteConcluded(ends []batch.End, atMS int64) {
+func (o *Leadership) noteConcluded(ends []batch.End, atMS int64) {
 	seen := map[string]bool{}
 	o.cfg.Machine.View(func(v *batch.View) {
 		for i := range ends {
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -20,7 +20,7 @@
 	run  int
 }
 
-// order is a run that this office has told the worker to start or to stop.
+// order is a run that this leader has told the worker to start or to stop.
 type order struct {
 	startAt   time.Time // first start message; zero if none was sent
 	startedAt time.Time // answer to a start; zero if there was none
@@ -58,7 +58,7 @@
 		a.mu.Lock()
 		od.busy = false
 		a.mu.Unlock()
-		a.poke()
+		a.notify()
 	}()
 }
 
@@ -142,7 +142,7 @@
 	go func() {
 		defer a.o.wg.Done()
 		a.sendStop(k, od)
-		a.poke()
+		a.notify()
 	}()
 }
 
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -28,9 +28,9 @@
 var decideTime = metrics.GetOrCreateHistogram("teaselpaddle_decide_seconds")
 
 // planner makes a snapshot, decides, and applies the plan. It is used by the
-// office's goroutine alone.
+// goroutine of the leadership alone.
 type planner struct {
-	o    *Office
+	o    *Leadership
 	took time.Duration // by the last decision; waits for commits do not count
 	held map[heldKey]bool
 }
@@ -124,18 +124,18 @@
 	if a.refusedRun(r.key) {
 		a.stop(r.key)
 	}
-	if a.standsStill(r.key, r.step.EstimateMS, p.o.cfg.Now()) {
-		a.stopStanding(r.key)
+	if a.stalled(r.key, r.step.EstimateMS, p.o.cfg.Now()) {
+		a.stopStalled(r.key)
 	}
 }
 
-// stopStanding stops a run that stands still, so that it goes on elsewhere.
-func (a *agent) stopStanding(k runKey) {
+// stopStalled stops a run that stands still, so that it goes on elsewhere.
+func (a *agent) stopStalled(k runKey) {
 	if stopping, _ := a.outlook(k, a.o.cfg.Now()); stopping {
 		return
 	}
-	a.log.Info("run stands still; stopped", "job", k.unit.Job, "unit", k.unit, "run", k.run)
-	telemetry.Count("teaselpaddle_runs_stood_still_total")
+	a.log.Info("run stalled; stopped", "job", k.unit.Job, "unit", k.unit, "run", k.run)
+	telemetry.Count("teaselpaddle_runs_stalled_total")
 	a.stop(k)
 }
 
@@ -148,7 +148,7 @@
 	return u.Saved
 }
 
-// needsStart reports whether a recorded run has not been started by this office
+// needsStart reports whether a recorded run has not been started by this leader
 // and is not known to be there.
 func (a *agent) needsStart(k runKey) bool {
 	a.mu.Lock()
@@ -398,7 +398,7 @@
 		return false
 	}
 	w.Slow = now.Before(a.past.suspectUntil)
-	return a.looked && !a.gone && !a.w.Draining && a.failures == 0 && now.After(a.sickUntil) &&
+	return a.looked && !a.gone && !a.w.Draining && a.failures == 0 && now.After(a.suspendedUntil) &&
 		now.Sub(heard) < silentLimit && len(a.fences) == 0
 }
 
@@ -426,7 +426,7 @@
 }
 
 // forget drops a worker that has been silent for long.
-func (o *Office) forget(w batch.Worker) {
+func (o *Leadership) forget(w batch.Worker) {
 	if _, err := o.propose(&batch.Command{Worker: &batch.WorkerChange{Worker: w, Gone: true}}); err != nil {
 		o.log.Error(err, "silent worker could not be dropped", "worker", w.ID)
 		return
@@ -508,5 +508,5 @@
 	p.o.log.Info("run started", "job", s.Unit.Job, "unit", s.Unit, "run", s.Run, "worker", s.Worker, "life", s.Life,
 		"priority", g.Priority, "guaranteed", g.Guaranteed, "waitedMS", waited, "workerHeardMS", a.heardAge().Milliseconds())
 	a.start(runKey{s.Unit, s.Run}, g.Step.Need, payload, checkpoint)
-	a.poke()
+	a.notify()
 }
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -76,7 +76,7 @@
 	for _, k := range fence {
 		a.stop(k)
 	}
-	a.stopStrays(reported, active)
+	a.stopUnrecorded(reported, active)
 	if first || freed || len(ends) > 0 {
 		a.o.Wake()
 	}
@@ -119,8 +119,8 @@
 	return !od.busy && (od.startAt.IsZero() || od.over) && (od.missedAt.IsZero() || now.Sub(od.missedAt) > maxLate || !od.stoppedAt.IsZero())
 }
 
-// stopStrays stops what the worker runs without a record.
-func (a *agent) stopStrays(reported map[runKey]workerapi.UnitRun, active map[runKey]bool) {
+// stopUnrecorded stops what the worker runs without a record.
+func (a *agent) stopUnrecorded(reported map[runKey]workerapi.UnitRun, active map[runKey]bool) {
 	fresh := a.activeRuns()
 	for k := range reported {
 		if !active[k] && !fresh[k] {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -42,7 +42,7 @@
 
 // surroundings are the messages that matter to every job of their time.
 var surroundings = []string{
-	"office begun", "office ended", "configuration in force", "leader does not answer", "settings reloaded",
+	"leadership begun", "leadership ended", "configuration in force", "leader does not answer", "settings reloaded",
 }
 
 // aroundTime is how long before the first and after the last line of the job the
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -34,7 +34,7 @@
 		is.True(slices.Contains(messages, want))
 	}
 	is.True(slices.Index(messages, "submission judged") < slices.Index(messages, "run started"))
-	is.True(slices.Contains(messages, "office begun"))
+	is.True(slices.Contains(messages, "leadership begun"))
 	is.Equal(s.Events[slices.Index(messages, "job concluded")].Details(recorded) != "", true)
 }
 
--- a/internal/region/control.go
+++ b/internal/region/control.go
@@ -59,8 +59,8 @@
 
 	version atomic.Uint64 // of the configuration logged last
 
-	mu     sync.Mutex // guards office
-	office *dispatch.Office
+	mu         sync.Mutex // guards leadership
+	leadership *dispatch.Leadership
 }
 
 var configGauge = metrics.GetOrCreateGauge("teaselpaddle_config_version", nil)
@@ -115,7 +115,7 @@
 // leadPoll is the time between two looks at who leads.
 const leadPoll = 20 * time.Millisecond
 
-// run opens an office while this instance leads.
+// run drives the workers while this instance leads.
 func (c *Control) run() {
 	defer c.wg.Done()
 	t := time.NewTicker(leadPoll)
@@ -124,27 +124,27 @@
 	for {
 		select {
 		case <-c.ctx.Done():
-			c.closeOffice()
+			c.endLeadership()
 			return
 		case <-t.C:
 		}
 		st := c.group.Status()
 		if c.current() != nil && (!st.Leads || st.Term != term) {
-			c.closeOffice()
+			c.endLeadership()
 		}
 		if st.Leads && c.current() == nil {
 			term = st.Term
-			c.openOffice()
+			c.beginLeadership()
 		}
 	}
 }
 
-func (c *Control) openOffice() {
+func (c *Control) beginLeadership() {
 	ctx, cancel := context.WithTimeout(c.ctx, tryTimeout)
 	defer cancel()
 	result, err := c.propose(ctx, &batch.Command{Lead: &batch.Lead{Instance: c.cfg.Self}})
 	if err != nil {
-		c.log.Info("office could not be opened", "error", err.Error())
+		c.log.Info("leadership could not begin", "error", err.Error())
 		return
 	}
 	o := dispatch.Open(dispatch.Config{
@@ -152,24 +152,24 @@
 		Log: c.cfg.Log, Epoch: result.(uint64), Beats: &c.beats,
 	})
 	c.mu.Lock()
-	c.office = o
+	c.leadership = o
 	c.mu.Unlock()
 }
 
-func (c *Control) closeOffice() {
+func (c *Control) endLeadership() {
 	c.mu.Lock()
-	o := c.office
-	c.office = nil
+	o := c.leadership
+	c.leadership = nil
 	c.mu.Unlock()
 	if o != nil {
 		o.Close()
 	}
 }
 
-func (c *Control) current() *dispatch.Office {
+func (c *Control) current() *dispatch.Leadership {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.office
+	return c.leadership
 }
 
 func (c *Control) wake() {
