Let a leave without a life take effect

Ruled out: the lease (it ended on time, 10.2 s after the worker), room, the queue. Change: a leave without a life takes effect if the recorded life drains. Test: TestLeaveWithoutLife fails without the change.

--- a/internal/batch/machine.go
+++ b/internal/batch/machine.go
@@ -400,12 +400,14 @@
 }
 
 // worker records a worker. An announcement of an earlier life, or one that takes
-// draining back within a life, changes nothing.
+// draining back within a life, changes nothing. A worker that leaves need not name
+// its life; it has said before that it drains, which a later life under the same
+// id has not.
 func (m *Machine) worker(c *WorkerChange) {
 	w := c.Worker
 	cur := m.s.Workers[w.ID]
 	if c.Gone {
-		if cur != nil && cur.Life == w.Life {
+		if cur != nil && (cur.Life == w.Life || w.Life == 0 && cur.Draining) {
 			delete(m.s.Workers, w.ID)
 		}
 		return
--- a/internal/batch/machine_test.go
+++ b/internal/batch/machine_test.go
@@ -228,3 +228,22 @@
 	apply(t, m, &Command{Publish: c})
 	is.Equal(apply(t, m, submit("j2", "k1", Step{Count: 1})), Closed)
 }
+
+// Guards against a leave that has no effect because it names no life, so that the
+// worker's runs wait for their lease; and against a late leave that takes a later
+// life out of use.
+func TestLeaveWithoutLife(t *testing.T) {
+	is := is.New(t)
+	m := newTestMachine(t)
+	leave := &Command{Worker: &WorkerChange{Worker: Worker{ID: "w1"}, Gone: true}}
+	known := func() bool {
+		found := false
+		m.View(func(v *View) { found = v.Workers()["w1"] != nil })
+		return found
+	}
+	apply(t, m, leave)
+	is.True(known()) // it does not drain: the leave is an earlier life's
+	apply(t, m, &Command{Worker: &WorkerChange{Worker: Worker{ID: "w1", Life: 1, Service: "s", Draining: true}}})
+	apply(t, m, leave)
+	is.True(!known())
+}
--- a/internal/region/control.go
+++ b/internal/region/control.go
@@ -337,6 +337,7 @@
 			cur.Life == w.Life && cur.Address == w.Address && cur.Service == w.Service && (cur.Draining || !w.Draining)
 	})
 	if a.Leaving {
+		c.log.Info("worker leaves", "worker", w.ID, "life", w.Life, "recorded", !gone)
 		if !gone {
 			c.commit(ctx, rep, &batch.Command{Worker: &batch.WorkerChange{Worker: w, Gone: true}})
 		}
