End connections before cancelling their handlers

A daemon that stops cancelled its handlers first, and the reply of a cancelled handler could leave before the connection was closed; its caller then took a request without an end for one that had failed. Change: connections are closed first. Test: TestPeerRestart, unchanged.

--- a/internal/link/links.go
+++ b/internal/link/links.go
@@ -113,13 +113,15 @@
 	}
 	l.isClosed = true
 	close(l.closing)
-	l.cancel()
 	conns := l.conns
 	l.conns = map[*conn]struct{}{}
 	l.mu.Unlock()
+	// The connections end before the handlers are cancelled: a reply that a handler
+	// failed would say that its request was carried out to an end.
 	for c := range conns {
 		c.close(&ClosedError{})
 	}
+	l.cancel()
 	l.bus.close()
 	l.wg.Wait()
 	l.client.CloseIdleConnections()
