Note the ends of workers that have become idle

Cause: a worker forgets an end when a later hold names it as committed. A worker without runs got no further hold, so its last ends stayed listed until its next run. A stand-in worker that left waited 10 s for that, its own limit; the test of the region's interface took 24 s.

Ruled out: a hold at once after each end. It costs a call for each end; a run that starts within a second takes the news along without one.

Change: an idle worker with committed ends gets one hold 1 s after the report that listed them.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -26,6 +26,10 @@
 	callTimeout = 600 * time.Millisecond
 	// retryPause is the time between two tries of a call.
 	retryPause = 150 * time.Millisecond
+	// noteDelay is how long the ends of a worker that has become idle stay listed
+	// there. A new run takes the news along at no cost of its own; workers that leave
+	// wait for it.
+	noteDelay = time.Second
 	// maxLate is the longest time after which an order without an answer may
 	// still be carried out.
 	maxLate = 13 * time.Second
@@ -51,7 +55,8 @@
 	looked         bool // the worker has answered this leader
 	gone           bool // another life runs at its address
 	replaced       bool // so does another worker: nothing sent to this one arrives any more
-	noted          int64
+	noted          int64     // ends up to this number are committed
+	told           int64     // the worker has been told so of ends up to this number
 	clockMS        int64     // the worker's clock
 	clockAt        time.Time // when clockMS arrived
 	untilMS        int64     // latest lease that was sent
@@ -194,7 +199,7 @@
 		}
 	}
 	if active == 0 && len(a.reported) == 0 && open == 0 {
-		return 0, false
+		return 0, a.noted > a.told && a.o.cfg.Now().Sub(a.reportAt) >= noteDelay
 	}
 	for _, od := range a.orders {
 		if !od.stoppedAt.IsZero() && od.stoppedAt.After(a.reportAt) {
@@ -277,7 +282,7 @@
 		a.endLapsed()
 		return false
 	}
-	return a.take(rep, now)
+	return a.take(rep, now, h.Noted)
 }
 
 // noteError records a failed call.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -594,3 +594,18 @@
 		t.Errorf("three jobs took %v", took)
 	}
 }
+
+// Pattern: work ends and the workers become idle. Guards against ends that stay
+// listed on an idle worker until its next run, which a worker that leaves never
+// has.
+func TestEndsOfIdleWorkersAreNoted(t *testing.T) {
+	f := newFakeWorkers(t, 50*time.Millisecond, "w1", "w2")
+	b := newBed(t, f)
+	b.submit("/b/", "j1", units(4, 4))
+	b.within(5*time.Second, "completed", func() bool { return b.state("j1") == batch.Completed })
+	b.within(3*time.Second, "ends forgotten", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.by["w1"].ends)+len(f.by["w2"].ends) == 0
+	})
+}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -7,8 +7,9 @@
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
 
-// take commits what a report says and notes the rest.
-func (a *agent) take(rep *workerapi.UnitReport, sent time.Time) bool {
+// take commits what a report says and notes the rest. sent is when the report was
+// asked for; told is the number of the last end that the worker forgot then.
+func (a *agent) take(rep *workerapi.UnitReport, sent time.Time, told int64) bool {
 	active, anyLife := a.recordedRuns()
 	now := a.o.cfg.Now()
 	a.mu.Lock()
@@ -45,6 +46,7 @@
 	}
 	a.mu.Lock()
 	a.noted = max(a.noted, noted)
+	a.told = max(a.told, told)
 	a.reported = reported
 	a.reportAt = sent
 	a.looked = true
