Serve a region through the product's own interface

Cause: the richer jobs (steps, units, gangs, checkpoints, occurrences, queues, customers' keys) could be reached through platform/ only. The product had no interface, command, settings, stand-in worker or process proof for them.

Ruled out: serving /v1/jobs over the region's group. Its answer carries the outputs of the tasks, which workers of units do not report.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -7,9 +7,9 @@
 
 // Resources are what a unit needs or a worker has.
 type Resources struct {
-	CPU          int64 `cbor:"1,keyasint,omitempty"` // thousandths of a core
-	MemoryMB     int64 `cbor:"2,keyasint,omitempty"`
-	Accelerators int64 `cbor:"3,keyasint,omitempty"`
+	CPU          int64 `cbor:"1,keyasint,omitempty" json:"cpu_millis,omitempty"` // thousandths of a core
+	MemoryMB     int64 `cbor:"2,keyasint,omitempty" json:"memory_mb,omitempty"`
+	Accelerators int64 `cbor:"3,keyasint,omitempty" json:"accelerators,omitempty"`
 }
 
 // Add returns the sum.
@@ -40,27 +40,27 @@
 
 // Step is one step of a job: Count equal units.
 type Step struct {
-	Count         int       `cbor:"1,keyasint"`
-	Need          Resources `cbor:"2,keyasint"`
-	EstimateMS    int64     `cbor:"3,keyasint,omitempty"` // the caller's rough estimate of a unit's duration
-	DependsOn     []int     `cbor:"4,keyasint,omitempty"` // earlier steps whose units must all be done
-	Checkpoints   bool      `cbor:"5,keyasint,omitempty"` // its units save their progress
-	Gang          bool      `cbor:"6,keyasint,omitempty"` // its units work only all together
-	SameRack      bool      `cbor:"7,keyasint,omitempty"` // it is slower on more than one rack
-	RequiredLabel string    `cbor:"8,keyasint,omitempty"`
-	DataRack      string    `cbor:"9,keyasint,omitempty"`  // rack that holds its data
-	MaxPerWorker  int       `cbor:"10,keyasint,omitempty"` // 0 for no limit
-	Lasting       bool      `cbor:"11,keyasint,omitempty"` // its units run until the job is cancelled
+	Count         int       `cbor:"1,keyasint" json:"count"`
+	Need          Resources `cbor:"2,keyasint" json:"need"`
+	EstimateMS    int64     `cbor:"3,keyasint,omitempty" json:"estimate_ms,omitempty"` // the caller's rough estimate of a unit's duration
+	DependsOn     []int     `cbor:"4,keyasint,omitempty" json:"depends_on,omitempty"`  // earlier steps whose units must all be done
+	Checkpoints   bool      `cbor:"5,keyasint,omitempty" json:"checkpoints,omitempty"` // its units save their progress
+	Gang          bool      `cbor:"6,keyasint,omitempty" json:"gang,omitempty"`        // its units work only all together
+	SameRack      bool      `cbor:"7,keyasint,omitempty" json:"same_rack,omitempty"`   // it is slower on more than one rack
+	RequiredLabel string    `cbor:"8,keyasint,omitempty" json:"label,omitempty"`
+	DataRack      string    `cbor:"9,keyasint,omitempty" json:"data_rack,omitempty"`       // rack that holds its data
+	MaxPerWorker  int       `cbor:"10,keyasint,omitempty" json:"max_per_worker,omitempty"` // 0 for no limit
+	Lasting       bool      `cbor:"11,keyasint,omitempty" json:"lasting,omitempty"`        // its units run until the job is cancelled
 }
 
 // Spec is a job as its caller describes it.
 type Spec struct {
-	Payload string `cbor:"1,keyasint,omitempty"` // given to each unit
-	Steps   []Step `cbor:"2,keyasint"`
+	Payload string `cbor:"1,keyasint,omitempty" json:"payload,omitempty"` // given to each unit
+	Steps   []Step `cbor:"2,keyasint" json:"steps"`
 	// Occurrences is how often the steps run; 0 for once, at once.
-	Occurrences int   `cbor:"3,keyasint,omitempty"`
-	StartMS     int64 `cbor:"4,keyasint,omitempty"` // Unix time of occurrence 0, ms
-	IntervalMS  int64 `cbor:"5,keyasint,omitempty"`
+	Occurrences int   `cbor:"3,keyasint,omitempty" json:"occurrences,omitempty"`
+	StartMS     int64 `cbor:"4,keyasint,omitempty" json:"start_ms,omitempty"` // Unix time of occurrence 0, ms
+	IntervalMS  int64 `cbor:"5,keyasint,omitempty" json:"interval_ms,omitempty"`
 }
 
 // State is the state of a job.
@@ -135,6 +135,28 @@
 	Active     int     `cbor:"12,keyasint,omitempty"` // units in state Active
 }
 
+// Progress counts the units of a job.
+type Progress struct {
+	Units      int `cbor:"1,keyasint" json:"units"` // of all occurrences
+	Active     int `cbor:"2,keyasint,omitempty" json:"active"`
+	Done       int `cbor:"3,keyasint,omitempty" json:"done"`
+	FailedRuns int `cbor:"4,keyasint,omitempty" json:"failed_runs"`
+}
+
+// Progress counts the units.
+func (j *Job) Progress() Progress {
+	p := Progress{Active: j.Active}
+	for gi := range j.Groups {
+		g := &j.Groups[gi]
+		p.Units += len(g.Units)
+		p.Done += len(g.Units) - g.Left
+		for i := range g.Units {
+			p.FailedRuns += g.Units[i].Failed
+		}
+	}
+	return p
+}
+
 // belongsTo reports whether a customer may see the job. Without a key, on a
 // public queue, the customer is "" and no owner can be told.
 func (j *Job) belongsTo(customer string) bool {
@@ -179,10 +201,10 @@
 
 // UnitRef names a unit.
 type UnitRef struct {
-	Job        string `cbor:"1,keyasint"`
-	Occurrence int    `cbor:"2,keyasint,omitempty"`
-	Step       int    `cbor:"3,keyasint,omitempty"`
-	Index      int    `cbor:"4,keyasint,omitempty"`
+	Job        string `cbor:"1,keyasint" json:"job"`
+	Occurrence int    `cbor:"2,keyasint,omitempty" json:"occurrence,omitempty"`
+	Step       int    `cbor:"3,keyasint,omitempty" json:"step,omitempty"`
+	Index      int    `cbor:"4,keyasint,omitempty" json:"index,omitempty"`
 }
 
 // String returns occurrence, step and index; the job is logged beside it.
@@ -190,56 +212,56 @@
 
 // Queue is where callers hand jobs in; a host and a path prefix select it.
 type Queue struct {
-	Name        string  `cbor:"1,keyasint"`
-	Host        string  `cbor:"2,keyasint"`
-	Prefix      string  `cbor:"3,keyasint"`
-	Priority    int     `cbor:"4,keyasint,omitempty"` // 0 comes first
-	MaxAttempts int     `cbor:"5,keyasint,omitempty"` // failed runs of a unit after which its job fails
-	Stretch     float64 `cbor:"6,keyasint,omitempty"` // aim: at most this many times the job's own length
-	TargetMS    int64   `cbor:"7,keyasint,omitempty"` // added to the aim
-	Service     string  `cbor:"8,keyasint"`
-	Public      bool    `cbor:"9,keyasint,omitempty"` // needs no key
+	Name        string  `cbor:"1,keyasint" json:"name"`
+	Host        string  `cbor:"2,keyasint" json:"-"`
+	Prefix      string  `cbor:"3,keyasint" json:"-"`
+	Priority    int     `cbor:"4,keyasint,omitempty" json:"priority,omitempty"`     // 0 comes first
+	MaxAttempts int     `cbor:"5,keyasint,omitempty" json:"max_attempts,omitempty"` // failed runs of a unit after which its job fails
+	Stretch     float64 `cbor:"6,keyasint,omitempty" json:"stretch,omitempty"`      // aim: at most this many times the job's own length
+	TargetMS    int64   `cbor:"7,keyasint,omitempty" json:"target_ms,omitempty"`    // added to the aim
+	Service     string  `cbor:"8,keyasint" json:"service"`
+	Public      bool    `cbor:"9,keyasint,omitempty" json:"public,omitempty"` // needs no key
 	// Closed queues take no jobs, because they ask for what is not built.
-	Closed bool `cbor:"10,keyasint,omitempty"`
+	Closed bool `cbor:"10,keyasint,omitempty" json:"-"`
 }
 
 // Customer has keys and a guaranteed number of accelerators for its jobs of
 // priority 0.
 type Customer struct {
-	Name       string   `cbor:"1,keyasint"`
-	Keys       []string `cbor:"2,keyasint"`
-	Guaranteed int64    `cbor:"3,keyasint,omitempty"`
+	Name       string   `cbor:"1,keyasint" json:"name"`
+	Keys       []string `cbor:"2,keyasint" json:"keys"`
+	Guaranteed int64    `cbor:"3,keyasint,omitempty" json:"guaranteed_accelerators,omitempty"`
 }
 
 // Service is a group of workers.
 type Service struct {
-	Name string `cbor:"1,keyasint"`
+	Name string `cbor:"1,keyasint" json:"name"`
 	// EnforcesCapacity is set if its workers refuse what does not fit.
-	EnforcesCapacity bool `cbor:"2,keyasint,omitempty"`
+	EnforcesCapacity bool `cbor:"2,keyasint,omitempty" json:"enforces_capacity,omitempty"`
 }
 
 // Config is a whole configuration. It replaces the one before.
 type Config struct {
-	Version   uint64     `cbor:"1,keyasint"`
-	Queues    []Queue    `cbor:"2,keyasint"`
-	Services  []Service  `cbor:"3,keyasint"`
-	Customers []Customer `cbor:"4,keyasint"`
+	Version   uint64     `cbor:"1,keyasint" json:"version"`
+	Queues    []Queue    `cbor:"2,keyasint" json:"queues"`
+	Services  []Service  `cbor:"3,keyasint" json:"services"`
+	Customers []Customer `cbor:"4,keyasint" json:"customers"`
 	// Document is what the operator published; it is returned unchanged.
-	Document []byte `cbor:"5,keyasint"`
+	Document []byte `cbor:"5,keyasint" json:"-"`
 }
 
 // Worker is what the group records of a worker: enough for a new leader to ask
 // it what it runs.
 type Worker struct {
-	ID       string    `cbor:"1,keyasint"`
-	Life     int64     `cbor:"2,keyasint"` // start of its process, Unix ms; a higher one is a later life
-	Address  string    `cbor:"3,keyasint"`
-	Service  string    `cbor:"4,keyasint"`
-	Zone     string    `cbor:"5,keyasint,omitempty"`
-	Capacity Resources `cbor:"6,keyasint"`
-	Labels   []string  `cbor:"7,keyasint,omitempty"`
-	Rack     string    `cbor:"8,keyasint,omitempty"`
-	Draining bool      `cbor:"9,keyasint,omitempty"`
+	ID       string    `cbor:"1,keyasint" json:"name"`
+	Life     int64     `cbor:"2,keyasint" json:"life"` // start of its process, Unix ms; a higher one is a later life
+	Address  string    `cbor:"3,keyasint" json:"address"`
+	Service  string    `cbor:"4,keyasint" json:"service"`
+	Zone     string    `cbor:"5,keyasint,omitempty" json:"availability_zone,omitempty"`
+	Capacity Resources `cbor:"6,keyasint" json:"capacity"`
+	Labels   []string  `cbor:"7,keyasint,omitempty" json:"labels,omitempty"`
+	Rack     string    `cbor:"8,keyasint,omitempty" json:"rack,omitempty"`
+	Draining bool      `cbor:"9,keyasint,omitempty" json:"draining,omitempty"`
 }
 
 // LengthMS returns the caller's estimate of the longest chain of steps, ms.
--- /dev/null
+++ b/internal/batch/check.go
@@ -0,0 +1,104 @@
+package batch
+
+import "fmt"
+
+// Limits on what callers and operators send. They bound the memory that one
+// message can take.
+const (
+	maxPayloadBytes = 4000
+	maxSteps        = 256
+	maxUnits        = 20000 // of all occurrences of one job
+	maxIntervalMS   = 1 << 40
+	maxResource     = 1 << 40 // of each kind
+)
+
+// InvalidError is a job or a configuration that is not acceptable.
+type InvalidError struct{ Detail string }
+
+func (e *InvalidError) Error() string { return e.Detail }
+
+func invalid(format string, args ...any) error {
+	return &InvalidError{Detail: fmt.Sprintf(format, args...)}
+}
+
+// Check checks a job. Its error is an *InvalidError.
+func (s *Spec) Check() error {
+	switch {
+	case len(s.Payload) > maxPayloadBytes:
+		return invalid("payload is longer than %d bytes", maxPayloadBytes)
+	case len(s.Steps) == 0 || len(s.Steps) > maxSteps:
+		return invalid("job has %d steps", len(s.Steps))
+	case s.Occurrences < 0 || s.Occurrences > maxUnits || s.StartMS < 0 || s.IntervalMS < 0 || s.IntervalMS > maxIntervalMS:
+		return invalid("occurrences are out of range")
+	}
+	units := 0
+	for i := range s.Steps {
+		st := &s.Steps[i]
+		if err := st.check(i); err != nil {
+			return err
+		}
+		if units += st.Count * max(1, s.Occurrences); units > maxUnits {
+			return invalid("job has more than %d units", maxUnits)
+		}
+	}
+	return nil
+}
+
+// check checks the step with number i.
+func (st *Step) check(i int) error {
+	if st.Count < 1 || st.Count > maxUnits {
+		return invalid("step %d has %d units", i, st.Count)
+	}
+	for _, v := range [...]int64{st.Need.CPU, st.Need.MemoryMB, st.Need.Accelerators, st.EstimateMS} {
+		if v < 0 || v > maxResource {
+			return invalid("step %d has a need out of range", i)
+		}
+	}
+	for _, d := range st.DependsOn {
+		if d < 0 || d >= i {
+			return invalid("step %d depends on step %d, which is not an earlier one", i, d)
+		}
+	}
+	if st.MaxPerWorker < 0 {
+		return invalid("step %d allows %d units a worker", i, st.MaxPerWorker)
+	}
+	return nil
+}
+
+// Check checks a configuration. Its error is an *InvalidError.
+func (c *Config) Check() error {
+	if c.Version == 0 {
+		return invalid("configuration has no version")
+	}
+	services := map[string]bool{}
+	for _, s := range c.Services {
+		if s.Name == "" || services[s.Name] {
+			return invalid("service %q has no name or stands twice", s.Name)
+		}
+		services[s.Name] = true
+	}
+	places := map[[2]string]bool{}
+	for i := range c.Queues {
+		q := &c.Queues[i]
+		place := [2]string{q.Host, q.Prefix}
+		switch {
+		case !services[q.Service]:
+			return invalid("queue %q names service %q, which does not exist", q.Name, q.Service)
+		case places[place]:
+			return invalid("queue %q has the host and prefix of another", q.Name)
+		case q.Prefix == "" || q.Prefix[0] != '/':
+			return invalid("queue %q has no prefix", q.Name)
+		}
+		places[place] = true
+	}
+	owner := map[string]string{}
+	for _, cu := range c.Customers {
+		for _, k := range cu.Keys {
+			if o, taken := owner[k]; taken && o != cu.Name {
+				return invalid("customers %q and %q share a key", o, cu.Name)
+			}
+			owner[k] = cu.Name
+		}
+	}
+	return nil
+}
--- a/internal/batch/command.go
+++ b/internal/batch/command.go
@@ -1,5 +1,7 @@
 package batch
 
+import "slices"
+
 // Command is one entry of the group's log; exactly one field is set besides
 // Epoch. Epoch is the leader's, for commands that only the present leader may
 // give; a command of an earlier leader has no effect.
@@ -74,6 +76,12 @@
 
 func (e Ending) String() string { return endingNames[e] }
 
+// ParseEnding returns the ending with the given name.
+func ParseEnding(name string) (Ending, bool) {
+	i := slices.Index(endingNames[:], name)
+	return Ending(max(i, 0)), i >= 0
+}
+
 // End is the end of a run.
 type End struct {
 	Unit  UnitRef `cbor:"1,keyasint"`
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -39,6 +39,7 @@
 	Workers       *workersCmd       `arg:"subcommand:workers" help:"list the workers of all availability zones"`
 	Customers     *customersCmd     `arg:"subcommand:customers" help:"list the customers' guarantees and use"`
 	Fragmentation *fragmentationCmd `arg:"subcommand:fragmentation" help:"show the free accelerators of each rack"`
+	Batch         *batchCmd         `arg:"subcommand:batch" help:"work with a deployment whose extent is region"`
 	Explain       *explainCmd       `arg:"subcommand:explain" help:"tell the story of a job from the instances' logs"`
 	Replay        *ReplayOptions    `arg:"subcommand:replay" help:"replay a recorded trace through the decision code"`
 	Version       *versionCmd       `arg:"subcommand:version" help:"print the version"`
@@ -74,6 +75,14 @@
 	"workers":        "teaselpaddle workers",
 	"customers":      "teaselpaddle --json customers",
 	"fragmentation":  "teaselpaddle fragmentation",
+	"batch":          "teaselpaddle batch workers",
+	"batch publish":  "teaselpaddle batch publish examples/region/config.jsonc",
+	"batch config":   "teaselpaddle --json batch config",
+	"batch submit":   "teaselpaddle batch submit nest-plan batch-17 examples/region/job.jsonc --api-key KEY --wait",
+	"batch status":   "teaselpaddle batch status nest-plan batch-17 --api-key KEY",
+	"batch cancel":   "teaselpaddle batch cancel nest-plan batch-17 --api-key KEY",
+	"batch pending":  "teaselpaddle batch pending nest-plan --api-key KEY",
+	"batch workers":  "teaselpaddle batch workers",
 	"explain":        "teaselpaddle explain 5c0e7a21d94b36f8 control-1.log control-2.log entry-*.log",
 	"replay":         "teaselpaddle replay monday.trace --policy policy.jsonc",
 	"version":        "teaselpaddle version",
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/juju/errors"
 
+	"teaselpaddle.example/teaselpaddle/internal/httpapi"
 	"teaselpaddle.example/teaselpaddle/internal/model"
 )
 
@@ -41,6 +42,7 @@
 	method string
 	path   string // with the query
 	body   any
+	key    string // of the customer; "" sends none
 	// wait is added to the time that a server has for its answer.
 	wait time.Duration
 }
@@ -104,6 +106,9 @@
 	if err != nil {
 		return &UsageError{Detail: "server address " + strconv.Quote(server) + ": " + err.Error()}
 	}
+	if r.key != "" {
+		req.Header.Set(httpapi.HeaderKey, r.key)
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return c.noAnswer(server, r, err)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -69,6 +69,9 @@
 // Run serves until ctx ends, then stops gracefully. It returns an error if the
 // daemon cannot be started or a planned stop was incomplete.
 func Run(ctx context.Context, s *settings.Settings, log logr.Logger) error {
+	if s.Extent == settings.ExtentRegion {
+		return runRegion(ctx, s, log)
+	}
 	d, err := start(s, log)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/daemon/region.go
@@ -0,0 +1,89 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/juju/errors"
+
+	"teaselpaddle.example/teaselpaddle/internal/httpapi"
+	"teaselpaddle.example/teaselpaddle/internal/link"
+	"teaselpaddle.example/teaselpaddle/internal/region"
+	"teaselpaddle.example/teaselpaddle/internal/settings"
+	"teaselpaddle.example/teaselpaddle/internal/workerapi"
+)
+
+// regionDrain bounds the open requests of a planned stop: none waits longer for
+// a leader.
+const regionDrain = 10 * time.Second
+
+// runRegion runs an instance of a deployment with the extent region. The
+// instances with a disk are the control instances.
+func runRegion(ctx context.Context, s *settings.Settings, log logr.Logger) error {
+	self := s.Self()
+	clientLn, err := net.Listen("tcp", self.ClientAddress)
+	if err != nil {
+		return errors.Annotate(err, "client address")
+	}
+	peerLn, err := net.Listen("tcp", self.PeerAddress)
+	if err != nil {
+		return errors.Annotate(err, "peer address")
+	}
+	links := link.New(link.Config{Self: s.Name, Addresses: s.PeerAddresses(), Logger: log})
+	router := &region.Router{Self: s.Name, Peers: links, Log: log.WithName("router")}
+	router.SetSeeds(s.WithDisk())
+	var control *region.Control
+	if self.Disk {
+		control, err = region.OpenControl(region.ControlConfig{
+			Self: s.Name, Seeds: s.WithDisk(), Form: s.FirstStart, DataFolder: s.DataFolder, Peers: links,
+			Client: workerapi.NewUnitHTTPClient(), MaxLease: time.Duration(s.LeaseSeconds * float64(time.Second)), Log: log,
+		}, router)
+		if err != nil {
+			return err
+		}
+	}
+	var stopping atomic.Bool
+	api := &httpapi.RegionAPI{
+		Router: router, Log: log.WithName("api"), MaxRequests: s.MaxRequests,
+		Ready: func() bool { return !stopping.Load() && router.Ready() },
+	}
+	client := httpapi.NewServer(api.Handler())
+	peer := &http.Server{Handler: links.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	var wg sync.WaitGroup
+	serve := func(name string, srv *http.Server, ln net.Listener) {
+		wg.Go(func() {
+			if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+				log.Error(err, "listener ended", "address", name)
+			}
+		})
+	}
+	serve("client", client, clientLn)
+	serve("peer", peer, peerLn)
+	watch, endWatch := context.WithCancel(context.Background())
+	wg.Go(func() { router.Watch(watch) })
+	log.Info("serving", "instance", s.Name, "zone", self.AvailabilityZone, "extent", s.Extent, "control", self.Disk)
+	<-ctx.Done()
+
+	log.Info("stopping", "instance", s.Name)
+	stopping.Store(true)
+	time.Sleep(unreadyTime)
+	dctx, cancel := context.WithTimeout(context.Background(), regionDrain)
+	defer cancel()
+	err = client.Shutdown(dctx)
+	if control != nil {
+		control.Close()
+	}
+	endWatch()
+	links.Close()
+	if perr := peer.Shutdown(dctx); perr != nil {
+		log.Info("links cut off", "error", perr.Error())
+	}
+	wg.Wait()
+	log.Info("stopped", "instance", s.Name)
+	return errors.Annotate(err, "open requests")
+}
--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -52,9 +52,9 @@
 
 	mu             sync.Mutex // guards all below
 	w              batch.Worker
-	looked         bool // the worker has answered this leader
-	gone           bool // another life runs at its address
-	replaced       bool // so does another worker: nothing sent to this one arrives any more
+	looked         bool      // the worker has answered this leader
+	gone           bool      // another life runs at its address
+	replaced       bool      // so does another worker: nothing sent to this one arrives any more
 	noted          int64     // ends up to this number are committed
 	told           int64     // the worker has been told so of ends up to this number
 	clockMS        int64     // the worker's clock
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -33,20 +33,9 @@
 
 // Handler returns the routes.
 func (a *API) Handler() http.Handler {
-	r := chi.NewRouter()
-	r.Use(a.recovered)
-	r.NotFound(func(w http.ResponseWriter, r *http.Request) {
-		refuse(w, model.Refuse(model.ReasonNotFound, "path %q does not exist", r.URL.Path))
-	})
-	r.MethodNotAllowed(func(w http.ResponseWriter, r *http.Request) {
-		refuse(w, model.Refuse(model.ReasonMethodNotAllowed, "%s is not allowed on %q", r.Method, r.URL.Path))
-	})
+	r := newRoutes(a.Log, func() bool { return a.Ready() })
 	r.Group(func(r chi.Router) {
-		n := a.MaxRequests
-		if n == 0 {
-			n = defaultMaxRequests
-		}
-		r.Use(limit(n))
+		r.Use(limit(orDefault(a.MaxRequests)))
 		a.routes(r)
 	})
 	// Workers have slots of their own: callers that wait for answers must not keep
@@ -56,10 +45,6 @@
 		r.Post("/v1/workers/announce", a.announce)
 		r.Post("/v1/workers/reports", a.report)
 	})
-	// Probes and metrics are answered even when the instance is overloaded.
-	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	r.Get("/readyz", a.ready)
-	r.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 	return r
 }
 
@@ -83,10 +68,33 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-func (a *API) ready(w http.ResponseWriter, _ *http.Request) {
-	if !a.Ready() {
-		refuse(w, model.Refuse(model.ReasonStopping, "not ready").After(time.Second))
-		return
+// newRoutes returns the routes that every instance has: an error for what does
+// not exist, probes and metrics. The probes are answered even when the instance is
+// overloaded.
+func newRoutes(log logr.Logger, ready func() bool) chi.Router {
+	r := chi.NewRouter()
+	r.Use(recovered(log))
+	r.NotFound(func(w http.ResponseWriter, r *http.Request) {
+		refuse(w, model.Refuse(model.ReasonNotFound, "path %q does not exist", r.URL.Path))
+	})
+	r.MethodNotAllowed(func(w http.ResponseWriter, r *http.Request) {
+		refuse(w, model.Refuse(model.ReasonMethodNotAllowed, "%s is not allowed on %q", r.Method, r.URL.Path))
+	})
+	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	r.Get("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			refuse(w, model.Refuse(model.ReasonStopping, "not ready").After(time.Second))
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	r.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	return r
+}
+
+func orDefault(maxRequests int) int {
+	if maxRequests == 0 {
+		return defaultMaxRequests
 	}
-	w.WriteHeader(http.StatusOK)
+	return maxRequests
 }
--- a/internal/httpapi/limits_test.go
+++ b/internal/httpapi/limits_test.go
@@ -118,7 +118,7 @@
 	a := &API{Log: logr.Discard()}
 	w := httptest.NewRecorder()
 	before := refusals(model.ReasonInternal)
-	a.recovered(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("x") })).ServeHTTP(w, httptest.NewRequest("GET", "/", nil))
+	recovered(a.Log)(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("x") })).ServeHTTP(w, httptest.NewRequest("GET", "/", nil))
 	is.Equal(w.Code, http.StatusInternalServerError)
 	is.Equal(refusals(model.ReasonInternal), before+1)
 	w = httptest.NewRecorder()
--- a/internal/httpapi/problem.go
+++ b/internal/httpapi/problem.go
@@ -27,6 +27,8 @@
 	model.ReasonInvalid:          http.StatusBadRequest,
 	model.ReasonTooLarge:         http.StatusRequestEntityTooLarge,
 	model.ReasonNotFound:         http.StatusNotFound,
+	model.ReasonUnknownKey:       http.StatusUnauthorized,
+	model.ReasonNotSupported:     http.StatusNotImplemented,
 	model.ReasonMethodNotAllowed: http.StatusMethodNotAllowed,
 	model.ReasonKeyConflict:      http.StatusConflict,
 	model.ReasonVersionConflict:  http.StatusConflict,
--- a/internal/httpapi/server.go
+++ b/internal/httpapi/server.go
@@ -5,6 +5,8 @@
 	"runtime/debug"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"teaselpaddle.example/teaselpaddle/internal/model"
 )
 
@@ -49,19 +51,21 @@
 }
 
 // recovered answers a request whose handler panicked as an internal error.
-func (a *API) recovered(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		defer func() {
-			v := recover()
-			if v == nil {
-				return
-			}
-			if v == http.ErrAbortHandler {
-				panic(v)
-			}
-			a.Log.Info("handler panicked", "path", r.URL.Path, "panic", v, "stack", string(debug.Stack()))
-			refuse(w, model.Refuse(model.ReasonInternal, "the request failed"))
-		}()
-		next.ServeHTTP(w, r)
-	})
+func recovered(log logr.Logger) func(http.Handler) http.Handler {
+	return func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			defer func() {
+				v := recover()
+				if v == nil {
+					return
+				}
+				if v == http.ErrAbortHandler {
+					panic(v)
+				}
+				log.Info("handler panicked", "path", r.URL.Path, "panic", v, "stack", string(debug.Stack()))
+				refuse(w, model.Refuse(model.ReasonInternal, "the request failed"))
+			}()
+			next.ServeHTTP(w, r)
+		})
+	}
 }
--- a/internal/model/reason.go
+++ b/internal/model/reason.go
@@ -11,6 +11,8 @@
 	ReasonNotFound          Reason = "not_found"
 	ReasonKeyConflict       Reason = "key_conflict"
 	ReasonUnknownCustomer   Reason = "unknown_customer"
+	ReasonUnknownKey        Reason = "unknown_key"
+	ReasonNotSupported      Reason = "not_supported"
 	ReasonQueueFull         Reason = "queue_full"
 	ReasonNeverFits         Reason = "never_fits"
 	ReasonDeadlineUnmet     Reason = "deadline_cannot_be_met"
@@ -56,6 +58,8 @@
 	ReasonNotFound,
 	ReasonKeyConflict,
 	ReasonUnknownCustomer,
+	ReasonUnknownKey,
+	ReasonNotSupported,
 	ReasonQueueFull,
 	ReasonNeverFits,
 	ReasonDeadlineUnmet,
--- a/internal/region/control.go
+++ b/internal/region/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -318,10 +319,27 @@
 				return
 			}
 			rep.State = j.State
+			if req.Job.Progress {
+				p := j.Progress()
+				rep.Progress = &p
+			}
+		case req.Workers != nil:
+			rep.Workers = workersOf(v)
 		}
 	})
 }
 
+func workersOf(v *batch.View) []WorkerView {
+	out := make([]WorkerView, 0, len(v.Workers()))
+	for id, w := range v.Workers() {
+		runs := 0
+		v.EachActive(id, func(batch.UnitRef, *batch.Unit) { runs++ })
+		out = append(out, WorkerView{Worker: *w, Runs: runs})
+	}
+	slices.SortFunc(out, func(a, b WorkerView) int { return strings.Compare(a.Worker.ID, b.Worker.ID) })
+	return out
+}
+
 // announce notes that a worker lives and commits what is new about it.
 func (c *Control) announce(ctx context.Context, rep *Reply, a *Announcement) {
 	w := a.Worker
--- a/internal/region/message.go
+++ b/internal/region/message.go
@@ -18,12 +18,22 @@
 	Config   *struct{}     `cbor:"6,keyasint,omitempty"`
 	Announce *Announcement `cbor:"7,keyasint,omitempty"`
 	Ping     *struct{}     `cbor:"8,keyasint,omitempty"`
+	Workers  *struct{}     `cbor:"9,keyasint,omitempty"`
 }
 
 // JobQuery asks for a job's state.
 type JobQuery struct {
 	Call batch.Call `cbor:"1,keyasint"`
 	ID   string     `cbor:"2,keyasint"`
+	// Progress asks for the number of units too, which takes time in proportion to
+	// the size of the job.
+	Progress bool `cbor:"3,keyasint,omitempty"`
+}
+
+// WorkerView is a worker as operators see it.
+type WorkerView struct {
+	Worker batch.Worker `cbor:"1,keyasint"`
+	Runs   int          `cbor:"2,keyasint,omitempty"` // that are recorded on it
 }
 
 // Announcement is what a worker says of itself.
@@ -48,5 +58,7 @@
 	Pending int           `cbor:"7,keyasint,omitempty"`
 	// Document is the configuration as its operator published it; nil if there is
 	// none yet.
-	Document []byte `cbor:"8,keyasint,omitempty"`
+	Document []byte          `cbor:"8,keyasint,omitempty"`
+	Progress *batch.Progress `cbor:"9,keyasint,omitempty"`
+	Workers  []WorkerView    `cbor:"10,keyasint,omitempty"` // by name
 }
--- a/internal/region/router.go
+++ b/internal/region/router.go
@@ -132,6 +132,11 @@
 	return r.do(ctx, &request{Config: &struct{}{}})
 }
 
+// Workers returns the workers that the group has recorded.
+func (r *Router) Workers(ctx context.Context) (*Reply, error) {
+	return r.do(ctx, &request{Workers: &struct{}{}})
+}
+
 // Announce passes on what a worker says of itself.
 func (r *Router) Announce(ctx context.Context, a *Announcement) (*Reply, error) {
 	return r.do(ctx, &request{Announce: a})
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -78,6 +78,14 @@
 	if s.MaxRequests < minRequests || s.MaxRequests > maxRequests {
 		c.add("max_requests", "must be between %d and %d requests, not %d", minRequests, maxRequests, s.MaxRequests)
 	}
+	switch {
+	case s.Extent != ExtentZone && s.Extent != ExtentRegion:
+		c.add("extent", "must be %q or %q, not %q", ExtentZone, ExtentRegion, s.Extent)
+	case s.Extent == ExtentRegion && len(s.WithDisk()) == 0:
+		c.add("extent", "%q requires an instance with disk set", s.Extent)
+	case s.Extent == ExtentZone && s.FirstStart:
+		c.add("first_start", "must not be set with extent %q", s.Extent)
+	}
 	if n := len(s.Instances); n < 1 || n > maxInstances {
 		c.add("instances", "must have 1 to %d entries, not %d", maxInstances, n)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -29,10 +29,28 @@
 	Disk bool `json:"disk,omitempty"`
 }
 
+// Extent is what one group of jobs covers. docs/decisions/0007-region-extent.md
+// weighs the two.
+type Extent string
+
+// The extents.
+const (
+	ExtentZone   Extent = "zone"
+	ExtentRegion Extent = "region"
+)
+
 // Settings are the settings of one daemon. examples/settings describes each key.
 type Settings struct {
 	// Name names the entry of Instances that is this daemon.
 	Name string `json:"name"`
+	// Extent is zone, where each availability zone has its own jobs, or region,
+	// where one group of the instances with a disk holds the jobs of all zones;
+	// default: zone.
+	Extent Extent `json:"extent,omitempty"`
+	// FirstStart allows the instances with a disk to form a region's group. It is
+	// set at the first start of a deployment only: an instance that has lost its
+	// disk later joins the group that is there.
+	FirstStart bool `json:"first_start,omitempty"`
 	// DataFolder is set on instances with a disk.
 	DataFolder string `json:"data_folder,omitempty"`
 	// LogLevel is debug, info or error; default: info.
@@ -130,7 +148,7 @@
 	if err != nil {
 		return nil, &SyntaxError{Cause: err}
 	}
-	s := &Settings{LogLevel: defaultLogLevel, LeaseSeconds: defaultLeaseSeconds, MaxRequests: defaultMaxRequests}
+	s := &Settings{Extent: ExtentZone, LogLevel: defaultLogLevel, LeaseSeconds: defaultLeaseSeconds, MaxRequests: defaultMaxRequests}
 	if err := strictjson.Decode(std, s, strictjson.Limits{Nesting: maxNesting, Tokens: maxTokens}); err != nil {
 		return nil, err
 	}
@@ -173,6 +191,17 @@
 	return out
 }
 
+// WithDisk returns the names of the instances with a disk.
+func (s *Settings) WithDisk() []string {
+	var out []string
+	for i := range s.Instances {
+		if s.Instances[i].Disk {
+			out = append(out, s.Instances[i].Name)
+		}
+	}
+	return out
+}
+
 // InZone returns the names of a zone's instances.
 func (s *Settings) InZone(zone string) []string {
 	var out []string
--- a/internal/standin/command.go
+++ b/internal/standin/command.go
@@ -21,6 +21,9 @@
 func (w *Worker) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(tasksPath, w.serveCommand)
+	if w.units != nil {
+		mux.HandleFunc(unitsPath, w.serveUnits)
+	}
 	mux.HandleFunc("/standin/faults", w.serveFaults)
 	return mux
 }
--- a/internal/standin/journal.go
+++ b/internal/standin/journal.go
@@ -35,6 +35,8 @@
 	Job         model.JobID `json:"job"`
 	Fence       uint64      `json:"fence"`
 	Task        int         `json:"task"`
+	// Unit names a unit within its job; Fence is its run then. Empty for a task.
+	Unit string `json:"unit,omitempty"`
 	// OK is set on the finish of a task that succeeded.
 	OK bool `json:"ok,omitempty"`
 	// Detail is the reason of a refusal or a stop.
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -35,6 +35,8 @@
 	Connections  int      `arg:"--connections" default:"64" help:"open connections accepted at the same time"`
 	Journal      string   `arg:"--journal" help:"file that records what happened to each task"`
 	Checkpoints  string   `arg:"--checkpoints" help:"folder for checkpoints that all workers share; empty: kept in memory"`
+	Service      string   `arg:"--service" help:"run units of this service, for a deployment with the extent region"`
+	Labels       []string `arg:"--labels" help:"labels of a worker with a service"`
 	Faults       string   `arg:"--faults" help:"faults from the start, as JSON (see POST /standin/faults)"`
 
 	AnnouncePeriod time.Duration `arg:"--announce-period" default:"2s"`
@@ -49,6 +51,9 @@
 	leavingPeriod = 500 * time.Millisecond // between announcements while leaving
 	leaseCheck    = 20 * time.Millisecond  // how often leases are checked
 	idlePoll      = 20 * time.Millisecond  // how often a leaving worker checks for its end
+	// endsLimit is how long a leaving worker without runs waits until its ends are
+	// noted.
+	endsLimit = 10 * time.Second
 )
 
 // Worker is one stand-in worker.
@@ -72,7 +77,8 @@
 	rng     *rand.Rand
 	seq     uint64
 	leaving bool
-	unacked int // results not acknowledged yet
+	unacked int    // results not acknowledged yet
+	units   *units // nil without a service
 }
 
 // New returns a worker and opens its journal.
@@ -85,13 +91,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Worker{
+	w := &Worker{
 		o: o, incarnation: uint64(time.Now().UnixNano()), epoch: time.Now().Add(-time.Second),
 		journal: j, faults: *f,
 		client: &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
 		tasks:  map[taskKey]*task{}, saved: map[checkpointKey]time.Duration{},
 		rng: rand.New(rand.NewPCG(rand.Uint64(), 0)),
-	}, nil
+	}
+	if o.Service != "" {
+		w.units = newUnits(time.Now())
+	}
+	return w, nil
 }
 
 // Run serves on the address of o until ctx ends, then leaves: it announces that
@@ -119,6 +129,9 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { w.checkLeases(stopped) })
 	wg.Go(func() { w.announceLoop(ctx, stopped) })
+	if w.units != nil {
+		wg.Go(func() { w.advanceUnits(stopped) })
+	}
 	<-ctx.Done()
 	w.leave(stopped)
 	stop()
@@ -135,15 +148,33 @@
 	w.leaving = true
 	w.mu.Unlock()
 	w.announce(ctx, 0)
-	for !w.idle() {
+	idleSince := time.Now()
+	for !w.idle() && (!w.onlyEnds() || time.Since(idleSince) < endsLimit) {
+		if !w.onlyEnds() {
+			idleSince = time.Now()
+		}
 		pause(ctx, idlePoll)
 	}
+	if w.units != nil {
+		w.mu.Lock()
+		a := w.asUnitWorker()
+		w.mu.Unlock()
+		w.tell(ctx, 0, "/v1/workers/leave", a)
+	}
+}
+
+// onlyEnds reports whether a worker with a service runs nothing, so that it waits
+// only until its ends are noted.
+func (w *Worker) onlyEnds() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.units != nil && len(w.units.runs) == 0
 }
 
 func (w *Worker) idle() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.unacked > 0 {
+	if w.unacked > 0 || w.units != nil && len(w.units.runs)+len(w.units.ends) > 0 {
 		return false
 	}
 	for _, t := range w.tasks {
@@ -168,6 +199,9 @@
 		t.state = workerapi.TaskStopped
 		t.acked = true
 	}
+	if w.units != nil {
+		clear(w.units.runs)
+	}
 	w.unacked = 0
 }
 
@@ -190,15 +224,23 @@
 func (w *Worker) announce(ctx context.Context, i int) {
 	w.mu.Lock()
 	w.seq++
-	a := model.Worker{
+	var v any = &model.Worker{
 		Name: w.o.Name, Address: w.address, AvailabilityZone: w.o.Zone, Rack: w.o.Rack,
 		Cores: w.o.Cores, MemoryMiB: w.o.MemoryMiB, Accelerators: w.o.Accelerators,
 		Slots: w.o.Slots, Connections: w.o.Connections, Leaving: w.leaving,
 		Incarnation: w.incarnation, Seq: w.seq,
 	}
+	if w.units != nil {
+		v = w.asUnitWorker()
+	}
 	w.mu.Unlock()
+	w.tell(ctx, i, "/v1/workers/announce", v)
+}
+
+// tell sends v to the first entry instance that takes it, beginning with number i.
+func (w *Worker) tell(ctx context.Context, i int, path string, v any) {
 	for k := range w.o.Entries {
-		if w.post(ctx, w.o.Entries[(i+k)%len(w.o.Entries)], "/v1/workers/announce", &a) == taken {
+		if w.post(ctx, w.o.Entries[(i+k)%len(w.o.Entries)], path, v) == taken {
 			return
 		}
 	}
--- /dev/null
+++ b/internal/standin/units_test.go
@@ -0,0 +1,117 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/matryer/is"
+
+	"teaselpaddle.example/teaselpaddle/internal/batch"
+	"teaselpaddle.example/teaselpaddle/internal/workerapi"
+)
+
+// unitBed is a worker with a service and the client that drives it.
+type unitBed struct {
+	t      *testing.T
+	is     *is.I
+	w      *Worker
+	target workerapi.UnitWorker
+	client *workerapi.UnitHTTPClient
+}
+
+func newUnitBed(t *testing.T) *unitBed {
+	is := is.New(t)
+	w, err := New(&Options{Name: "w1", Service: "desk", Zone: "z1", Rack: "r1", Journal: filepath.Join(t.TempDir(), "j")})
+	is.NoErr(err)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = w.Serve(ctx, ln)
+	}()
+	t.Cleanup(func() { w.Kill(); cancel(); <-done })
+	return &unitBed{
+		t: t, is: is, w: w, client: workerapi.NewUnitHTTPClient(),
+		target: workerapi.UnitWorker{ID: "w1", Address: ln.Addr().String()},
+	}
+}
+
+var unit0 = batch.UnitRef{Job: "j1"}
+
+// start sends a start with a lease of the given time from now.
+func (b *unitBed) start(run int, payload, checkpoint string, lease time.Duration) error {
+	return b.client.Start(b.t.Context(), b.target, workerapi.UnitStart{
+		Unit: unit0, Run: run, Payload: payload, Epoch: 2, Checkpoint: checkpoint, UntilMS: b.w.clockMS() + lease.Milliseconds(),
+	})
+}
+
+// ends holds until the worker lists an end.
+func (b *unitBed) ends(noted int64) []workerapi.UnitEnd {
+	rep, err := b.client.Hold(b.t.Context(), b.target, workerapi.UnitHold{Epoch: 2, Noted: noted, WaitMS: 2000})
+	b.is.NoErr(err)
+	return rep.Ends
+}
+
+func refusal(err error) workerapi.OrderRefusal {
+	var r *workerapi.OrderRefusedError
+	if errors.As(err, &r) {
+		return r.Reason
+	}
+	return ""
+}
+
+// Guards against a stand-in that is kinder than a worker may be: runs end at the
+// end of their lease, orders of earlier leaders and late runs are refused, a stop
+// refuses a start that comes after it, and an end is listed until it is noted.
+func TestUnitOrders(t *testing.T) {
+	b := newUnitBed(t)
+	b.is.NoErr(b.start(1, "sleep=50ms", "", time.Second))
+	b.is.NoErr(b.start(1, "sleep=50ms", "", time.Second)) // sent again
+	ends := b.ends(0)
+	b.is.Equal(len(ends), 1)
+	b.is.Equal(ends[0].How, batch.EndDone)
+	b.is.Equal(len(b.ends(0)), 1) // not noted yet
+	b.is.Equal(refusal(b.start(1, "sleep=50ms", "", time.Second)), workerapi.RefusedOld)
+
+	b.is.NoErr(b.client.Stop(t.Context(), b.target, workerapi.UnitStop{Unit: unit0, Run: 2, Epoch: 2}))
+	b.is.Equal(refusal(b.start(2, "sleep=50ms", "", time.Second)), workerapi.RefusedOld)
+	b.is.Equal(refusal(b.start(3, "sleep=50ms", "", -time.Second)), workerapi.RefusedLate)
+	err := b.client.Stop(t.Context(), b.target, workerapi.UnitStop{Unit: unit0, Run: 2, Epoch: 1})
+	b.is.Equal(refusal(err), workerapi.RefusedEpoch)
+	var wrong *workerapi.WrongLifeError
+	_, err = b.client.Hold(t.Context(), workerapi.UnitWorker{ID: "w2", Address: b.target.Address}, workerapi.UnitHold{Epoch: 2})
+	b.is.True(errors.As(err, &wrong))
+
+	// The lease of the first start still stands for about a second.
+	b.is.NoErr(b.start(4, "never-end", "", 100*time.Millisecond))
+	ends = b.ends(1)
+	b.is.Equal(len(ends), 1)
+	b.is.Equal(ends[0].How, batch.EndLapsed)
+}
+
+// Guards against a stop that loses the progress of a unit, and against a
+// checkpoint that the next run does not go on from.
+func TestUnitGoesOnFromItsCheckpoint(t *testing.T) {
+	b := newUnitBed(t)
+	b.is.NoErr(b.start(1, "sleep=1s", "", 10*time.Second))
+	time.Sleep(300 * time.Millisecond)
+	b.is.NoErr(b.client.Stop(t.Context(), b.target, workerapi.UnitStop{Unit: unit0, Run: 1, Epoch: 2}))
+	ends := b.ends(0)
+	b.is.Equal(len(ends), 1)
+	b.is.Equal(ends[0].How, batch.EndStopped)
+	saved, err := time.ParseDuration(ends[0].Saved)
+	b.is.NoErr(err)
+	b.is.True(saved >= 300*time.Millisecond && saved < time.Second)
+	b.is.NoErr(b.start(2, "sleep=1s", "990ms", 10*time.Second))
+	began := time.Now()
+	ends = b.ends(1)
+	b.is.Equal(len(ends), 1)
+	b.is.Equal(ends[0].How, batch.EndDone)
+	b.is.True(time.Since(began) < 500*time.Millisecond)
+}
--- a/internal/workerapi/http.go
+++ b/internal/workerapi/http.go
@@ -12,8 +12,8 @@
 )
 
 // maxReplyBytes bounds a worker's reply: a task's output of 64 KiB and its
-// JSON escaping.
-const maxReplyBytes = 1 << 20
+// JSON escaping, or the lists of a worker with thousands of units.
+const maxReplyBytes = 4 << 20
 
 // dialIdleTimeout closes idle connections to workers, so that a connection that
 // went silent is not used again after a pause.
@@ -61,36 +61,46 @@
 
 // Do implements Client.
 func (h *HTTPClient) Do(ctx context.Context, address string, c *Command) (*Reply, error) {
-	body, err := json.Marshal(c)
+	status, data, err := h.post(ctx, address, "/v1/tasks/"+string(c.Op), c)
+	if err == nil && status != http.StatusOK {
+		err = &StatusError{Status: status}
+	}
+	var r Reply
+	if err == nil {
+		err = json.Unmarshal(data, &r)
+	}
 	if err != nil {
 		return nil, &UnreachableError{Address: address, Cause: err}
 	}
+	return &r, nil
+}
+
+// post sends a message and returns the status and the body of the answer. A
+// worker that did not answer loses its connections.
+func (h *HTTPClient) post(ctx context.Context, address, path string, v any) (int, []byte, error) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		return 0, nil, err
+	}
 	client := h.client(address)
-	r, err := post(ctx, client, "http://"+address+"/v1/tasks/"+string(c.Op), body)
+	status, data, err := exchange(ctx, client, "http://"+address+path, body)
 	if err != nil {
 		h.drop(address, client)
-		return nil, &UnreachableError{Address: address, Cause: err}
 	}
-	return r, nil
+	return status, data, err
 }
 
-func post(ctx context.Context, client *http.Client, url string, body []byte) (*Reply, error) {
+func exchange(ctx context.Context, client *http.Client, url string, body []byte) (int, []byte, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
-		return nil, err
+		return 0, nil, err
 	}
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := client.Do(req)
 	if err != nil {
-		return nil, err
+		return 0, nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return nil, &StatusError{Status: resp.StatusCode}
-	}
-	var r Reply
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes)).Decode(&r); err != nil {
-		return nil, err
-	}
-	return &r, nil
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	return resp.StatusCode, data, err
 }
--- a/prove/cluster_test.go
+++ b/prove/cluster_test.go
@@ -26,6 +26,9 @@
 type options struct {
 	workersPerRack int // default 2
 	leaseSeconds   float64
+	// region is set for the extent region: in each zone one control instance and
+	// one entry instance, and workers that run units.
+	region bool
 }
 
 // Shape of a cluster; the configuration in testdata fits it.
@@ -67,6 +70,7 @@
 	workers []*worker
 	proxies map[[2]string]*faultproxy.Proxy
 	held    map[string]net.Listener // reserved addresses
+	first   bool                    // the deployment has not been started before
 }
 
 func newCluster(r *run, o options) *cluster {
@@ -80,7 +84,7 @@
 	if err != nil {
 		panic(err)
 	}
-	return &cluster{r: r, o: o, dir: dir, proxies: map[[2]string]*faultproxy.Proxy{}, held: map[string]net.Listener{}}
+	return &cluster{r: r, o: o, dir: dir, proxies: map[[2]string]*faultproxy.Proxy{}, held: map[string]net.Listener{}, first: true}
 }
 
 func perZone() int {
@@ -90,6 +94,14 @@
 	return defaultPerZone
 }
 
+// instances returns the number of instances in each zone.
+func (c *cluster) instances() int {
+	if c.o.region {
+		return 2
+	}
+	return perZone()
+}
+
 func (c *cluster) path(parts ...string) string {
 	return filepath.Join(append([]string{c.dir}, parts...)...)
 }
@@ -130,10 +142,18 @@
 	for _, d := range c.daemons {
 		c.waitReady(d)
 	}
+	c.first = false
+	for _, d := range c.daemons {
+		c.writeSettings(d)
+	}
 	c.makeWorkers()
 	for _, w := range c.workers {
 		c.startWorker(w)
 	}
+	if c.o.region {
+		c.startRegion()
+		return
+	}
 	want := racksPerZone * c.o.workersPerRack
 	for _, d := range c.daemons {
 		c.r.until("workers known to "+d.Name, readyTimeout, func() bool { return c.knownWorkers(d) >= want })
@@ -143,7 +163,7 @@
 
 func (c *cluster) makeDaemons() {
 	for _, z := range zones {
-		for i := range perZone() {
+		for i := range c.instances() {
 			d := &daemon{Instance: settings.Instance{
 				Name: fmt.Sprintf("%s-%c", z, 'a'+i), AvailabilityZone: z, Disk: i == 0,
 				ClientAddress: c.reserve(), PeerAddress: c.reserve(),
@@ -178,6 +198,9 @@
 // through proxies.
 func (c *cluster) writeSettings(self *daemon) {
 	s := &settings.Settings{Name: self.Name, DataFolder: self.folder, LogLevel: "debug", LeaseSeconds: c.o.leaseSeconds}
+	if c.o.region {
+		s.Extent, s.FirstStart = settings.ExtentRegion, c.first
+	}
 	for _, d := range c.daemons {
 		in := d.Instance
 		if d != self {
@@ -261,6 +284,9 @@
 				for _, d := range c.inZone(z) {
 					w.args = append(w.args, d.ClientAddress)
 				}
+				if c.o.region {
+					w.args = append(w.args, "--service", "order-desk")
+				}
 				c.workers = append(c.workers, w)
 			}
 		}
--- a/prove/proofs_test.go
+++ b/prove/proofs_test.go
@@ -26,5 +26,8 @@
 	{name: "operators-race", bound: 60 * time.Second, run: operatorsRace},
 	{name: "config-never-reverts", bound: 120 * time.Second, run: configNeverReverts},
 	{name: "guarantee-reclaim", bound: 75 * time.Second, run: guaranteeReclaim},
+	{name: "region-lost-disk", bound: 90 * time.Second, setup: options{region: true}, run: regionLostDisk},
+	{name: "region-all-processes-die", bound: 90 * time.Second, setup: options{region: true}, run: regionDies},
+	{name: "region-zone-cut", bound: 90 * time.Second, setup: options{region: true}, run: regionZoneCut},
 	{name: "random", bound: 120 * time.Second, run: randomFaults},
 }
