Let a killed stand-in worker end at once

Cause: a stand-in that was killed in a test waited 10 s for its ends to be noted. Ruled out: a shorter limit, which a worker that leaves needs in full. Change: Kill drops the ends with the runs. Conclusion: a killed worker knows nothing, ends included.

--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -201,6 +201,7 @@
 	}
 	if w.units != nil {
 		clear(w.units.runs)
+		w.units.ends = nil
 	}
 	w.unacked = 0
 }
