Draw a page of what happened from the logs

Cause: explain tells the story of one job; nothing showed the region over time.

Ruled out: plots by own code (not what the project exists for), a page with scripts from elsewhere (it must need no other file). Recorded traces of the zone extent are not read: they hold inputs, not placements.

"run started" names the customer and the accelerators, which the logs lacked.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -41,6 +41,7 @@
 	Fragmentation *fragmentationCmd `arg:"subcommand:fragmentation" help:"show the free accelerators of each rack"`
 	Batch         *batchCmd         `arg:"subcommand:batch" help:"work with a deployment whose extent is region"`
 	Explain       *explainCmd       `arg:"subcommand:explain" help:"tell the story of a job from the instances' logs"`
+	Report        *reportCmd        `arg:"subcommand:report" help:"draw what happened from the instances' logs, as one page"`
 	Replay        *ReplayOptions    `arg:"subcommand:replay" help:"replay a recorded trace through the decision code"`
 	Version       *versionCmd       `arg:"subcommand:version" help:"print the version"`
 }
@@ -84,6 +85,7 @@
 	"batch pending":  "teaselpaddle batch pending nest-plan --api-key KEY",
 	"batch workers":  "teaselpaddle batch workers",
 	"explain":        "teaselpaddle explain 5c0e7a21d94b36f8 control-1.log control-2.log entry-*.log",
+	"report":         "teaselpaddle report control-1.log control-2.log entry-*.log --out report.html",
 	"replay":         "teaselpaddle replay monday.trace --policy policy.jsonc",
 	"version":        "teaselpaddle version",
 }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -300,6 +300,22 @@
 	is.True(strings.Contains(out, "guarantees not met"))
 }
 
+// Guards against a report that is not written, and against one without events
+// that looks like success.
+func TestReport(t *testing.T) {
+	is := is.New(t)
+	out := filepath.Join(t.TempDir(), "r.html")
+	code, text, _ := run(t, "", "report", "../explain/testdata/control.log", "../explain/testdata/entry.log", "--out", out)
+	is.Equal(code, exitOK)
+	is.True(strings.Contains(text, "changes"))
+	page, err := os.ReadFile(out)
+	is.NoErr(err)
+	is.True(bytes.Contains(page, []byte("<svg")))
+	code, _, errOut := run(t, "not a log\n", "report", "--out", out)
+	is.Equal(code, exitRefused)
+	is.True(strings.Contains(errOut, "no line of a teaselpaddle instance"))
+}
+
 // Guards against check results that lack a fault or its place.
 func TestCheck(t *testing.T) {
 	is := is.New(t)
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -26,18 +26,11 @@
 }
 
 func (c *explainCmd) run(_ context.Context, e *env) error {
-	var logs []io.Reader
-	for _, name := range c.Logs {
-		f, err := os.Open(name)
-		if err != nil {
-			return err
-		}
-		defer func() { _ = f.Close() }()
-		logs = append(logs, f)
-	}
-	if len(logs) == 0 {
-		logs = append(logs, e.in)
+	logs, done, err := e.logs(c.Logs)
+	if err != nil {
+		return err
 	}
+	defer done()
 	s, err := explain.Read(c.Job, logs...)
 	if err != nil {
 		return err
@@ -64,3 +57,27 @@
 	}
 	return nil
 }
+
+// logs opens log files, or takes the standard input if there are none. done closes
+// them.
+func (e *env) logs(names []string) (logs []io.Reader, done func(), err error) {
+	var files []*os.File
+	done = func() {
+		for _, f := range files {
+			_ = f.Close()
+		}
+	}
+	for _, name := range names {
+		f, err := os.Open(name)
+		if err != nil {
+			done()
+			return nil, nil, err
+		}
+		files = append(files, f)
+		logs = append(logs, f)
+	}
+	if len(logs) == 0 {
+		logs = append(logs, e.in)
+	}
+	return logs, done, nil
+}
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -485,7 +485,7 @@
 
 // send tells a worker to start a recorded run.
 func (p *planner) send(s *batch.Start, g *place.Group, atMS int64) {
-	var payload, checkpoint string
+	var payload, checkpoint, customer string
 	ok := false
 	p.o.cfg.Machine.View(func(v *batch.View) {
 		j := v.Live()[s.Unit.Job]
@@ -493,7 +493,7 @@
 			return
 		}
 		g := j.Group(s.Unit.Occurrence, s.Unit.Step)
-		payload, ok = j.Spec.Payload, true
+		payload, customer, ok = j.Spec.Payload, j.Customer, true
 		checkpoint = checkpointOf(g, j.Step(g), &g.Units[s.Unit.Index])
 	})
 	a := p.o.agent(s.Worker)
@@ -506,7 +506,7 @@
 		reclaimTime.Update(float64(waited) / 1000)
 	}
 	p.o.log.Info("run started", "job", s.Unit.Job, "unit", s.Unit, "run", s.Run, "worker", s.Worker, "life", s.Life,
-		"priority", g.Priority, "guaranteed", g.Guaranteed, "waitedMS", waited, "workerHeardMS", a.heardAge().Milliseconds())
+		"customer", customer, "accelerators", g.Step.Need.Accelerators, "priority", g.Priority, "guaranteed", g.Guaranteed, "waitedMS", waited, "workerHeardMS", a.heardAge().Milliseconds())
 	a.start(runKey{s.Unit, s.Run}, g.Step.Need, payload, checkpoint)
 	a.notify()
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -64,26 +64,46 @@
 }
 
 func (s *Story) scan(log io.Reader, all *[]Event) error {
+	skipped, leftOut, err := Scan(log, func(e Event) { *all = append(*all, e) })
+	s.Skipped += skipped
+	s.LeftOut += leftOut
+	return err
+}
+
+// Scan calls f with each line of a log. It returns the number of lines that could
+// not be read, and of those that the instance did not write because its reader
+// was slow. The error is that of the reader.
+func Scan(log io.Reader, f func(Event)) (skipped, leftOut int, err error) {
 	sc := bufio.NewScanner(log)
 	sc.Buffer(make([]byte, 64<<10), maxLine)
 	for sc.Scan() {
 		e, ok := parse(sc.Bytes())
 		if !ok {
-			s.Skipped++
+			skipped++
 			continue
 		}
 		if e.Message == "log lines left out" {
-			n, _ := e.Fields["lines"].(json.Number)
-			lines, err := n.Int64()
-			if err != nil {
-				s.Skipped++
-				continue
-			}
-			s.LeftOut += int(lines)
+			leftOut += int(e.Number("lines"))
 		}
-		*all = append(*all, e)
+		f(e)
+	}
+	return skipped, leftOut, sc.Err()
+}
+
+// Text returns a field that is a text, or "".
+func (e *Event) Text(name string) string {
+	s, _ := e.Fields[name].(string)
+	return s
+}
+
+// Number returns a field that is a whole number, or 0.
+func (e *Event) Number(name string) int64 {
+	n, _ := e.Fields[name].(json.Number)
+	v, err := n.Int64()
+	if err != nil {
+		return 0
 	}
-	return sc.Err()
+	return v
 }
 
 // parse reads a line. Anything before its JSON object, such as a collector's
--- /dev/null
+++ b/internal/report/report_test.go
@@ -0,0 +1,98 @@
+package report
+
+import (
+	"bytes"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/juju/errors"
+	"github.com/matryer/is"
+)
+
+const sample = `{"ts":"2026-07-16T02:00:00Z","msg":"leadership begun","instance":"c1","epoch":1}
+{"ts":"2026-07-16T02:00:01Z","msg":"submission judged","instance":"c1","job":"j1","verdict":"ok","notLeader":false,"unsure":false}
+{"ts":"2026-07-16T02:00:01.5Z","msg":"submission judged","instance":"c1","job":"j9","verdict":"ok","notLeader":true,"unsure":false}
+{"ts":"2026-07-16T02:00:02Z","msg":"run started","instance":"c1","job":"j1","unit":"0.0.0","run":1,"customer":"a<b>","accelerators":4,"guaranteed":true}
+{"ts":"2026-07-16T02:00:02Z","msg":"run started","instance":"c1","job":"j2","unit":"0.0.0","run":1,"customer":"c","accelerators":2,"guaranteed":false}
+{"ts":"2026-07-16T02:00:03Z","msg":"run stopped to make room","instance":"c1","job":"j2","unit":"0.0.0","run":1}
+{"ts":"2026-07-16T02:00:03.5Z","msg":"run ended","instance":"c1","job":"j2","unit":"0.0.0","run":1,"how":"stopped"}
+collector: {"ts":"2026-07-16T02:00:03.6Z","msg":"request refused","instance":"e1","job":"j3","reason":"no_leader"}
+{"ts":"2026-07-16T02:00:03.7Z","msg":"request refused","instance":"e2","job":"j4","reason":"no_leader"}
+{"ts":"2026-07-16T02:00:04Z","msg":"job concluded","instance":"c1","job":"j1","state":"completed"}
+{"ts":"2026-07-16T02:00:04Z","msg":"configuration in force","instance":"c1","version":7}
+{"ts":"2026-07-16T02:00:04.1Z","msg":"configuration in force","instance":"c2","version":7}
+{"ts":"2026-07-16T02:00:04.2Z","msg":"cut of
+`
+
+// Guards against plots that count a job, a run or a refusal wrongly: answers of
+// instances that do not lead, a gang of which one run's end stands for all,
+// configurations that several instances note.
+func TestCounts(t *testing.T) {
+	is := is.New(t)
+	r, err := Read(strings.NewReader(sample))
+	is.NoErr(err)
+	is.Equal(r.Skipped, 1)
+	is.Equal(len(r.Changes), 2)
+	is.True(r.Changes[0].Leader)
+	is.Equal(len(r.queue), 1)
+	is.Equal(peak(r.queue[0]), 1.0)
+	is.Equal(r.queue[0].points[1].value, 0.0)
+	is.Equal(len(r.customer), 2)
+	is.Equal(r.customer[0].name, "a<b>")
+	is.Equal(peak(r.customer[0]), 4.0)
+	for _, s := range r.customer {
+		is.Equal(s.points[len(s.points)-1].value, 0.0) // nothing is left in use
+	}
+	is.Equal(len(r.use), 3)
+	is.Equal(peak(r.use[2]), 2.0) // taken back
+	is.Equal(peak(r.refused[0]), 2.0)
+	totals := map[string]int{}
+	for _, x := range r.Totals {
+		totals[x.What] = x.Count
+	}
+	is.Equal(totals, map[string]int{
+		"jobs completed": 1, "runs ended as stopped": 1, "runs stopped to make room": 1, "requests refused, no_leader": 2,
+	})
+}
+
+// Guards against a page that needs other files, and against names from the logs
+// that change the page.
+func TestPage(t *testing.T) {
+	is := is.New(t)
+	r, err := Read(strings.NewReader(sample))
+	is.NoErr(err)
+	var b bytes.Buffer
+	is.NoErr(r.WriteHTML(&b))
+	page := b.String()
+	is.Equal(strings.Count(page, "<svg"), 4)
+	is.True(strings.Contains(page, "c1 leads, epoch 1"))
+	is.True(strings.Contains(page, "a&lt;b&gt;"))
+	is.True(!strings.Contains(page, "a<b>"))
+	is.True(!strings.Contains(page, "<link") && !strings.Contains(page, "<script"))
+	is.True(strings.Contains(page, "1 lines could not be read"))
+}
+
+// Guards against a report that cannot take recorded logs of a day with a change
+// of the leader, and against an empty page for files that are not logs.
+func TestRecordedLogs(t *testing.T) {
+	is := is.New(t)
+	f, err := os.Open("../explain/testdata/control.log")
+	is.NoErr(err)
+	defer func() { _ = f.Close() }()
+	r, err := Read(f)
+	is.NoErr(err)
+	leaders := 0
+	for _, c := range r.Changes {
+		if c.Leader {
+			leaders++
+		}
+	}
+	is.True(leaders >= 2)
+	var b bytes.Buffer
+	is.NoErr(r.WriteHTML(&b))
+
+	_, err = Read(strings.NewReader("Jul 16 host kernel: link is up\n"))
+	var none *NoEventsError
+	is.True(errors.As(err, &none))
+}
