Send the number of a submission and the limit of a history

Cause: two fields of routing.Request had the number 9, and the codec leaves out both of such a pair without an error. The number of a submission never reached the owner zone through another instance: a copy of a refused not-repeatable job that arrived late was judged anew, so a job of which its caller had been told not_run could still run. The limit of a history read at another instance arrived as 0.

Ruled out: a codec option against the pair; the library has none for encoding.

Change: Limit has the number 10. Instances of the version before ignore both numbers, so versions can run side by side.

No other message has such a pair.

--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -52,7 +52,7 @@
 	// Publish goes with OpPublish.
 	Publish *config.Publish `cbor:"8,keyasint,omitempty"`
 	// Limit bounds the records of OpHistory.
-	Limit int `cbor:"9,keyasint,omitempty"`
+	Limit int `cbor:"10,keyasint,omitempty"`
 }
 
 // Response is the answer to a request.
