--- a/Makefile
+++ b/Makefile
@@ -31,10 +31,11 @@
 	go test -tags prove -c -o bin/prove.test ./prove
 	cd prove && ../bin/prove.test -test.run TestProve -test.timeout 40m -proof '$(NAME)' -seed '$(SEED)'
 
-# Fault soak of the region's programs: make soak SEEDS=1-50.
+# Fault soak of the region's programs: make soak SEEDS=1-50 INSTALLATION=few-large.
 SEEDS ?= 1-50
+INSTALLATION ?= standard
 soak: build
-	go test ./platform/soak -run TestSoak -v -timeout 60m -seeds '$(SEEDS)'
+	go test ./platform/soak -run TestSoak -v -timeout 60m -seeds '$(SEEDS)' -installation '$(INSTALLATION)'
 
 # Measurements, lines "BENCH <name> <value> <unit> naive <value>".
 bench:
