Show where the accelerators' time went

Ruled out: a bound from a packing of the recorded jobs. The logs lack the true lengths of units that were stopped, so it would be a guess. Change: totals of accelerator-seconds by ending and the mean wait of first runs by priority. Nothing of this was shown before.

--- a/internal/report/count.go
+++ b/internal/report/count.go
@@ -21,6 +21,7 @@
 
 // runUse is what a run in progress uses.
 type runUse struct {
+	began        time.Time
 	customer     string
 	accelerators float64
 	guaranteed   bool
@@ -40,11 +41,19 @@
 	back     map[int64]float64            // accelerators taken back, by second
 	refused  map[string]map[int64]float64 // by reason and second
 	ends     map[string]int
+	spent    map[string]float64 // accelerator-seconds by ending
+	waited   map[string]*wait   // by priority
 	changes  []Change
 	preempts int
 	finals   map[string]int
 }
 
+// wait sums the waits of first runs.
+type wait struct {
+	runs int
+	ms   int64
+}
+
 // tally is a sum over time.
 type tally struct {
 	sum    float64
@@ -60,7 +69,7 @@
 	return &counter{
 		pending: map[string]bool{}, began: map[string]bool{}, runs: map[runKey]runUse{}, versions: map[int64]bool{},
 		queue: series{name: "jobs"}, use: map[string]*tally{}, back: map[int64]float64{},
-		refused: map[string]map[int64]float64{}, ends: map[string]int{}, finals: map[string]int{},
+		refused: map[string]map[int64]float64{}, ends: map[string]int{}, spent: map[string]float64{}, waited: map[string]*wait{}, finals: map[string]int{},
 	}
 }
 
@@ -84,6 +93,7 @@
 			if k.job == job {
 				delete(c.runs, k)
 				c.count(e.Time, u, -u.accelerators)
+				c.spent["done"] += u.accelerators * e.Time.Sub(u.began).Seconds()
 			}
 		}
 	case "run stopped to make room":
@@ -119,7 +129,7 @@
 func (c *counter) start(e *explain.Event, job string) {
 	c.leaveQueue(job, e.Time)
 	u := runUse{
-		customer: cmp.Or(e.Text("customer"), "public"), accelerators: float64(e.Number("accelerators")),
+		began: e.Time, customer: cmp.Or(e.Text("customer"), "public"), accelerators: float64(e.Number("accelerators")),
 		guaranteed: e.Fields["guaranteed"] == true,
 	}
 	k := runKey{job, e.Text("unit"), e.Number("run")}
@@ -128,6 +138,16 @@
 	}
 	c.runs[k] = u
 	c.count(e.Time, u, u.accelerators)
+	if k.run > 1 {
+		return
+	}
+	w := c.waited[fmt.Sprint(e.Number("priority"))]
+	if w == nil {
+		w = &wait{}
+		c.waited[fmt.Sprint(e.Number("priority"))] = w
+	}
+	w.runs++
+	w.ms += e.Number("waitedMS")
 }
 
 func (c *counter) end(e *explain.Event, k runKey) {
@@ -135,6 +155,7 @@
 	if u, ok := c.runs[k]; ok {
 		delete(c.runs, k)
 		c.count(e.Time, u, -u.accelerators)
+		c.spent[e.Text("how")] += u.accelerators * e.Time.Sub(u.began).Seconds()
 	}
 }
 
@@ -187,6 +208,13 @@
 		r.Totals = append(r.Totals, Total{"runs ended as " + name, c.ends[name]})
 	}
 	r.Totals = append(r.Totals, Total{"runs stopped to make room", c.preempts})
+	for _, name := range slices.Sorted(maps.Keys(c.spent)) {
+		r.Totals = append(r.Totals, Total{"accelerator-seconds of runs ended as " + name, int(c.spent[name])})
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.waited)) {
+		w := c.waited[name]
+		r.Totals = append(r.Totals, Total{"mean wait of a first run at priority " + name + ", ms", int(w.ms / int64(w.runs))})
+	}
 	for _, reason := range slices.Sorted(maps.Keys(c.refused)) {
 		n := 0.0
 		for _, v := range c.refused[reason] {
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -13,7 +13,7 @@
 const sample = `{"ts":"2026-07-16T02:00:00Z","msg":"leadership begun","instance":"c1","epoch":1}
 {"ts":"2026-07-16T02:00:01Z","msg":"submission judged","instance":"c1","job":"j1","verdict":"ok","notLeader":false,"unsure":false}
 {"ts":"2026-07-16T02:00:01.5Z","msg":"submission judged","instance":"c1","job":"j9","verdict":"ok","notLeader":true,"unsure":false}
-{"ts":"2026-07-16T02:00:02Z","msg":"run started","instance":"c1","job":"j1","unit":"0.0.0","run":1,"customer":"a<b>","accelerators":4,"guaranteed":true}
+{"ts":"2026-07-16T02:00:02Z","msg":"run started","instance":"c1","job":"j1","unit":"0.0.0","run":1,"customer":"a<b>","accelerators":4,"guaranteed":true,"priority":0,"waitedMS":1000}
 {"ts":"2026-07-16T02:00:02Z","msg":"run started","instance":"c1","job":"j2","unit":"0.0.0","run":1,"customer":"c","accelerators":2,"guaranteed":false}
 {"ts":"2026-07-16T02:00:03Z","msg":"run stopped to make room","instance":"c1","job":"j2","unit":"0.0.0","run":1}
 {"ts":"2026-07-16T02:00:03.5Z","msg":"run ended","instance":"c1","job":"j2","unit":"0.0.0","run":1,"how":"stopped"}
@@ -53,6 +53,8 @@
 	}
 	is.Equal(totals, map[string]int{
 		"jobs completed": 1, "runs ended as stopped": 1, "runs stopped to make room": 1, "requests refused, no_leader": 2,
+		"accelerator-seconds of runs ended as done": 8, "accelerator-seconds of runs ended as stopped": 3,
+		"mean wait of a first run at priority 0, ms": 500,
 	})
 }
 
