Bound the connections of the leader's instance

The leader kept a connection for each worker's status reports, one for each hold that waits for an end, and idle ones, against a limit of 4,096 descriptors.

Ruled out: processor time (51% of the machine at most) and memory (202 of 280 MB); the log names the descriptors. Sending the status reports to all control instances would spread them, but each would be forwarded to the leader.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -140,12 +140,34 @@
 			}
 			continue
 		}
-		if !a.hold(wait) && !sleep(a.ctx, a.pause()) {
+		if !a.poll(wait) && !sleep(a.ctx, a.pause()) {
 			return
 		}
 	}
 }
 
+// poll holds the lease, and waits for an end on the worker if a slot is free. If
+// none is, it asks at once and waits here, where the end is noticed later.
+func (a *agent) poll(wait time.Duration) bool {
+	if wait == 0 {
+		return a.hold(0)
+	}
+	if a.o.takeWait() {
+		defer a.o.giveWait()
+		return a.hold(wait)
+	}
+	telemetry.Count("teaselpaddle_holds_without_wait_total")
+	if !a.hold(0) {
+		return false
+	}
+	select {
+	case <-a.ctx.Done():
+	case <-a.wake:
+	case <-time.After(wait / 2):
+	}
+	return true
+}
+
 // pause grows with the failures, so that a dead worker costs few calls.
 func (a *agent) pause() time.Duration {
 	a.mu.Lock()
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -66,6 +66,8 @@
 	slow     string                     // a worker on which units take three times as long
 	alone    bool                       // each unit needs a whole worker
 	stopping time.Duration              // that a stop takes
+
+	waiting, mostWaiting int // holds that wait for an end
 }
 
 func newFakeWorkers(t *testing.T, duration time.Duration, ids ...string) *fakeWorkers {
@@ -179,6 +181,17 @@
 
 func (f *fakeWorkers) Hold(ctx context.Context, t workerapi.UnitWorker, o workerapi.UnitHold) (*workerapi.UnitReport, error) {
 	until := time.Now().Add(time.Duration(o.WaitMS) * time.Millisecond)
+	if o.WaitMS > 0 {
+		f.mu.Lock()
+		f.waiting++
+		f.mostWaiting = max(f.mostWaiting, f.waiting)
+		f.mu.Unlock()
+		defer func() {
+			f.mu.Lock()
+			f.waiting--
+			f.mu.Unlock()
+		}()
+	}
 	for first := true; ; first = false {
 		f.mu.Lock()
 		w, err := f.worker(t.ID)
@@ -221,6 +234,7 @@
 	workers    *fakeWorkers
 	beats      *Beats
 	leadership *Leadership
+	maxWaits   int
 }
 
 const testLease = 400 * time.Millisecond
@@ -251,7 +265,7 @@
 	epoch := b.apply(&batch.Command{Lead: &batch.Lead{Instance: "test"}}).(uint64)
 	b.leadership = Open(Config{
 		Machine: b.m, Group: b.group, Client: b.workers, Epoch: epoch, Beats: b.beats, Log: logr.Discard(),
-		MaxLease: testLease,
+		MaxLease: testLease, MaxWaits: b.maxWaits,
 	})
 	b.t.Cleanup(b.leadership.Close)
 }
@@ -609,3 +623,27 @@
 		return len(f.by["w1"].ends)+len(f.by["w2"].ends) == 0
 	})
 }
+
+// Pattern: far more busy workers than connections. Guards against a leader that
+// keeps a connection to each of them until it has no descriptors left, and against
+// leases that lapse because of the bound.
+func TestWaitsForEndsAreBounded(t *testing.T) {
+	ids := []string{"w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8"}
+	f := newFakeWorkers(t, 900*time.Millisecond, ids...)
+	b := newBed(t, f)
+	b.leadership.Close()
+	b.maxWaits = 2
+	b.open()
+	b.submit("/b/", "j1", units(8, 8))
+	b.within(10*time.Second, "completed", func() bool { return b.state("j1") == batch.Completed })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.mostWaiting > 2 {
+		t.Errorf("%d holds waited at the same time", f.mostWaiting)
+	}
+	for ref, on := range f.starts {
+		if len(on) != 1 {
+			t.Errorf("%v began on %v", ref, on)
+		}
+	}
+}
--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -35,6 +35,9 @@
 	Epoch    uint64
 	// Beats are the times at which the workers' announcements were last seen.
 	Beats *Beats
+	// MaxWaits is the number of holds that may wait for an end at the same time: each
+	// keeps a connection. 0 is no limit.
+	MaxWaits int
 	// Now returns the time; tests change it.
 	Now func() time.Time
 }
@@ -55,6 +58,7 @@
 	wg      sync.WaitGroup
 	wake    chan struct{}
 	planner planner
+	waits   chan struct{} // a slot for each hold that waits; nil without a limit
 
 	mu     sync.Mutex // guards agents
 	agents map[string]*agent
@@ -71,6 +75,9 @@
 		ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1), agents: map[string]*agent{},
 	}
 	o.planner.o = o
+	if cfg.MaxWaits > 0 {
+		o.waits = make(chan struct{}, cfg.MaxWaits)
+	}
 	o.log.Info("leadership begun")
 	o.Wake()
 	o.wg.Add(1)
@@ -93,6 +100,25 @@
 	}
 }
 
+// takeWait takes a slot for a hold that waits. It returns false if there is none.
+func (o *Leadership) takeWait() bool {
+	if o.waits == nil {
+		return true
+	}
+	select {
+	case o.waits <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
+func (o *Leadership) giveWait() {
+	if o.waits != nil {
+		<-o.waits
+	}
+}
+
 // Plans are made at most every planInterval, so that a burst of commits costs
 // one plan, and at least every idleInterval for what depends on time alone.
 const (
--- a/internal/region/control.go
+++ b/internal/region/control.go
@@ -40,6 +40,7 @@
 	Peers      link.Peers
 	Client     workerapi.UnitClient
 	MaxLease   time.Duration // longest lease that a worker grants
+	MaxWaits   int           // see dispatch.Config; 0 is no limit
 	Log        logr.Logger
 }
 
@@ -148,7 +149,7 @@
 		return
 	}
 	o := dispatch.Open(dispatch.Config{
-		Machine: c.machine, Group: c.group, Client: c.cfg.Client, MaxLease: c.cfg.MaxLease,
+		Machine: c.machine, Group: c.group, Client: c.cfg.Client, MaxLease: c.cfg.MaxLease, MaxWaits: c.cfg.MaxWaits,
 		Log: c.cfg.Log, Epoch: result.(uint64), Beats: &c.beats,
 	})
 	c.mu.Lock()
