Say what a refused submission means

Cause: the comment called every refusal final; a submission without a configuration in force may be sent again. Ruled out: nothing else reads it so. Change: the comment. Conclusion: found while reading the change as a newcomer.

--- a/internal/httpapi/region.go
+++ b/internal/httpapi/region.go
@@ -227,8 +227,8 @@
 	return model.Refuse(model.ReasonInvalid, "%v", err)
 }
 
-// verdicts are the refusals of the group's verdicts. Those of a submission are
-// final: the job never runs under this id.
+// verdicts are the refusals for the group's verdicts. A submission with one of them
+// was not accepted.
 var verdicts = map[batch.Verdict]func() *model.Refusal{
 	batch.NoConfig: func() *model.Refusal {
 		return model.Refuse(model.ReasonNoConfiguration, "no configuration was accepted yet")
