Keep one copy of the pause that ends with its context

Ruled out: internal/control's sleep, which has no result. Conclusion: found by the list of duplicates.

--- a/internal/cli/batch.go
+++ b/internal/cli/batch.go
@@ -14,6 +14,7 @@
 	"teaselpaddle.example/teaselpaddle/internal/batch"
 	"teaselpaddle.example/teaselpaddle/internal/httpapi"
 	"teaselpaddle.example/teaselpaddle/internal/model"
+	"teaselpaddle.example/teaselpaddle/internal/retry"
 )
 
 type batchCmd struct {
@@ -121,7 +122,7 @@
 		return err
 	}
 	for c.Wait && !finalState(j.State) {
-		if !sleep(ctx, retryPause) {
+		if !retry.Sleep(ctx, retryPause) {
 			return &JobEndError{ID: model.JobID(j.ID), State: model.Unknown, Reason: model.ReasonTimeout}
 		}
 		err := e.client.do(ctx, c.request(http.MethodGet, nil), &j)
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -14,6 +14,7 @@
 
 	"teaselpaddle.example/teaselpaddle/internal/httpapi"
 	"teaselpaddle.example/teaselpaddle/internal/model"
+	"teaselpaddle.example/teaselpaddle/internal/retry"
 )
 
 // Limits of one exchange with one server.
@@ -169,7 +170,7 @@
 			return err
 		}
 		progress(err)
-		if !sleep(ctx, pauseAfter(err)) {
+		if !retry.Sleep(ctx, pauseAfter(err)) {
 			return doubt
 		}
 	}
@@ -188,12 +189,3 @@
 	}
 	return retryPause
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
--- a/internal/cli/jobs.go
+++ b/internal/cli/jobs.go
@@ -10,6 +10,7 @@
 
 	"teaselpaddle.example/teaselpaddle/internal/httpapi"
 	"teaselpaddle.example/teaselpaddle/internal/model"
+	"teaselpaddle.example/teaselpaddle/internal/retry"
 )
 
 // waitPart is the wait of one request while the tool waits for a job.
@@ -73,7 +74,7 @@
 		default:
 			fmt.Fprintf(e.err, "still waiting: %v\n", err)
 		}
-		if !j.State.Final() && !sleep(ctx, retryPause/4) {
+		if !j.State.Final() && !retry.Sleep(ctx, retryPause/4) {
 			return &JobEndError{ID: j.ID, State: model.Unknown, Reason: model.ReasonTimeout}
 		}
 	}
--- a/internal/cli/publish.go
+++ b/internal/cli/publish.go
@@ -16,6 +16,7 @@
 	"teaselpaddle.example/teaselpaddle/internal/config"
 	"teaselpaddle.example/teaselpaddle/internal/httpapi"
 	"teaselpaddle.example/teaselpaddle/internal/model"
+	"teaselpaddle.example/teaselpaddle/internal/retry"
 	"teaselpaddle.example/teaselpaddle/internal/sched/cell"
 )
 
@@ -221,7 +222,7 @@
 			return
 		}
 		gaveUp := err == nil && len(behind) == 0 && e.now().Sub(begin) > missingLimit
-		if gaveUp || !sleep(ctx, inForcePoll) {
+		if gaveUp || !retry.Sleep(ctx, inForcePoll) {
 			fmt.Fprintf(e.err, "in force in: %s; not yet in: %s; cannot be reached: %s\n",
 				listOr(in, "none"), listOr(behind, "none"), listOr(missing, "none"))
 			return
--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"teaselpaddle.example/teaselpaddle/internal/batch"
+	"teaselpaddle.example/teaselpaddle/internal/retry"
 	"teaselpaddle.example/teaselpaddle/internal/telemetry"
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
@@ -140,7 +141,7 @@
 			}
 			continue
 		}
-		if !a.poll(wait) && !sleep(a.ctx, a.pause()) {
+		if !a.poll(wait) && !retry.Sleep(a.ctx, a.pause()) {
 			return
 		}
 	}
@@ -191,7 +192,7 @@
 		var refused *workerapi.OrderRefusedError
 		if err != nil && !errors.As(err, &refused) {
 			a.log.V(1).Info("run of an earlier life could not be fenced yet", "run", k, "error", err.Error())
-			if !sleep(a.ctx, retryPause) {
+			if !retry.Sleep(a.ctx, retryPause) {
 				return false
 			}
 			continue
--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -20,6 +20,7 @@
 	"teaselpaddle.example/teaselpaddle/internal/batch"
 	"teaselpaddle.example/teaselpaddle/internal/codec"
 	"teaselpaddle.example/teaselpaddle/internal/replica"
+	"teaselpaddle.example/teaselpaddle/internal/retry"
 	"teaselpaddle.example/teaselpaddle/internal/telemetry"
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
@@ -141,24 +142,12 @@
 		}
 		o.syncAgents()
 		o.planner.pass()
-		if !sleep(o.ctx, max(planInterval, planShare*o.planner.took)) {
+		if !retry.Sleep(o.ctx, max(planInterval, planShare*o.planner.took)) {
 			return
 		}
 	}
 }
 
-// sleep returns false if ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // syncAgents starts an agent for each recorded worker and ends the agents of
 // workers that are gone or live another life.
 func (o *Leadership) syncAgents() {
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"teaselpaddle.example/teaselpaddle/internal/batch"
+	"teaselpaddle.example/teaselpaddle/internal/retry"
 	"teaselpaddle.example/teaselpaddle/internal/telemetry"
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
@@ -84,7 +85,7 @@
 			return
 		}
 		telemetry.Count("teaselpaddle_start_retries_total")
-		if !sleep(a.ctx, retryPause) {
+		if !retry.Sleep(a.ctx, retryPause) {
 			return
 		}
 	}
@@ -167,7 +168,7 @@
 		}
 		a.noteError(err)
 		telemetry.Count("teaselpaddle_stop_retries_total")
-		if !sleep(a.ctx, retryPause) {
+		if !retry.Sleep(a.ctx, retryPause) {
 			return
 		}
 	}
