wal: refuse damage in what a segment held when it got its name

Cause of the failure: the test took the middle of the file to be in an earlier write. The test now adds two small writes, so that the middle lies in a write that a later one knows as synced.

Found while tracing it: the header of a segment (the state after a compaction or an install) and all of a segment that Open has written anew are on disk before the file gets its name, so no crash tears them. Damage there was dropped like a torn tail all the same. With it a member forgot its term and vote, and may vote twice. The first record of a segment now says how many bytes the file had when it got its name. Files of earlier versions have 0 there and are read as before.

Ruled out: a late start of the damaged member (the file on disk still contained the flipped byte and its last write was cut), and the race detector's slowness (the order of two writes decides, not their duration).

--- a/internal/replica/disk_test.go
+++ b/internal/replica/disk_test.go
@@ -88,7 +88,14 @@
 	for i := range uint64(30) {
 		z.put(100 + i)
 	}
-	z.durable() // or the damage may be at the end and look like a torn tail
+	// Damage in the last write looks like a torn tail, and a member that catches up
+	// may take all of the above in one write. The two small writes that follow leave
+	// the middle of the file in an earlier one.
+	for i := range uint64(2) {
+		z.durable()
+		z.put(200 + i)
+	}
+	z.durable()
 	z.kill("i0")
 	logs, err := filepath.Glob(filepath.Join(z.folder, "i0", "*.log"))
 	is.NoErr(err)
--- a/internal/wal/open.go
+++ b/internal/wal/open.go
@@ -196,23 +196,28 @@
 	}
 	l.segments = append(l.segments, segment{number: number})
 	rp.offset = 0
+	placed := 0
 	for rp.offset < len(b) {
 		r, n := parse(b[rp.offset:])
 		if n == 0 {
 			break
 		}
+		if rp.offset == 0 {
+			placed = int(r.synced)
+		}
 		if err := rp.add(&r, number); err != nil {
 			return err
 		}
 		rp.offset += n
 	}
-	if rp.offset == 0 || rp.offset < len(b) && (!last || syncedBeyond(b, rp.offset)) {
+	if rp.offset == 0 || rp.offset < placed || rp.offset < len(b) && (!last || syncedBeyond(b, rp.offset)) {
 		return rp.damaged("the record fails its check")
 	}
 	if !last {
 		return nil
 	}
 	rp.contents.Cut = len(b) - rp.offset
+	copy(b, beginRecord(number, rp.offset))
 	f, err := l.place(rp.at, b[:rp.offset])
 	if err != nil {
 		return err
--- a/internal/wal/record.go
+++ b/internal/wal/record.go
@@ -16,7 +16,9 @@
 //	payload
 //
 // synced tells a torn tail from damage: what a later record knows as synced had
-// been acknowledged and must be readable.
+// been acknowledged and must be readable. In the first record of a segment it is
+// the size that the file had when it got its name, or 0 in files of versions
+// before it was kept.
 const headerBytes = 29
 
 // maxPayload bounds a record, so that a damaged length is noticed. It is above
@@ -54,6 +56,13 @@
 	return b
 }
 
+// beginRecord returns the first record of a segment that is placed with a size in
+// bytes.
+func beginRecord(number uint64, size int) []byte {
+	r := record{kind: kindBegin, synced: uint32(size), index: number}
+	return r.appendTo(nil)
+}
+
 // parse reads the record at the start of b and returns its size, or 0 if there
 // is no valid one.
 func parse(b []byte) (record, int) {
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -126,8 +126,7 @@
 	if n := len(l.segments); n > 0 {
 		number = l.segments[n-1].number + 1
 	}
-	begin := record{kind: kindBegin, index: number}
-	b := begin.appendTo(nil)
+	b := beginRecord(number, 0)
 	if reset != nil {
 		r := record{kind: kindReset, index: reset.Index, term: reset.Term}
 		b = r.appendTo(b)
@@ -136,6 +135,7 @@
 		r := record{kind: kindState, payload: l.state}
 		b = r.appendTo(b)
 	}
+	copy(b, beginRecord(number, len(b)))
 	f, err := l.place(l.segmentName(number), b)
 	if err != nil {
 		return err
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -248,6 +248,53 @@
 	}
 }
 
+// Guards against damage in what a segment held when it got its name, which no
+// crash can tear, being dropped as a torn tail: a member would forget its vote
+// and vote a second time in the same term.
+func TestDamageInPlacedPartIsRefused(t *testing.T) {
+	for name, grow := range map[string]func(*Log) error{
+		"compact": func(l *Log) error { return l.Compact(Snapshot{Index: 3, Term: 1, Data: []byte("state")}) },
+		"install": func(l *Log) error { return l.Install(Snapshot{Index: 9, Term: 1, Data: []byte("state")}, []byte("s2")) },
+		"reopen":  func(*Log) error { return nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			fs := newMemFS()
+			o := options(fs)
+			o.SegmentBytes = 1 << 20
+			l, _ := mustOpen(t, o)
+			is.NoErr(l.Append([]byte("s1"), entries(1, 1, 3)))
+			is.NoErr(grow(l))
+			is.NoErr(l.Close())
+			if name == "reopen" {
+				l, _ = mustOpen(t, o)
+				is.NoErr(l.Close())
+			}
+			last := l.segmentName(l.segments[len(l.segments)-1].number)
+			for i := range fs.live[last].data {
+				for _, cut := range []bool{false, true} {
+					copied := newMemFS()
+					for n, g := range fs.live {
+						copied.live[n] = &memFile{data: append([]byte{}, g.data...)}
+					}
+					f := copied.live[last]
+					if cut {
+						f.data = f.data[:i]
+					} else {
+						f.data[i] ^= 1
+					}
+					o.FS = copied
+					_, _, err := Open(o)
+					var damaged *DamagedError
+					if !errors.As(err, &damaged) {
+						t.Fatalf("byte %d of %d, cut %v: %v", i, len(fs.live[last].data), cut, err)
+					}
+				}
+			}
+		})
+	}
+}
+
 // Guards against a torn tail that stops the start, and against one that leaves
 // part of its batch.
 func TestTornTailIsCut(t *testing.T) {
