link: wait for the newer connection in the test of older ones

Cause: the handshake is answered before the connection becomes the newest one. An older dial that comes in between passes the first check and is closed by the second, which is safe, but the test demanded a refused dial.

Ruled out: the other node of the pair, which dials as well under another session. It is left out now, as a second session hides the order of the first one's connections.

The test now waits until the newer connection is attached and then demands a refused dial; a dial that overtakes must be closed, and the newest connection must stay.

Conclusion: a fault of the test; the product's two checks stay as they are.

--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -251,11 +251,14 @@
 }
 
 // Guards against a late connection of an earlier dial that replaces the newer
-// one, over which requests may already have been sent again.
+// one, over which requests may already have been sent again. It is refused, or
+// closed if the newer one was still in its handshake when it came.
 func TestOlderConnectionRefused(t *testing.T) {
 	is := is.New(t)
-	_, b, _ := pair(t, Config{}, Config{})
-	dial := func(number string) error {
+	lb := listen(t, "127.0.0.1:0")
+	// Nothing listens at the address of a: its own dials would be a second session.
+	b := start(t, lb, Config{Self: "b", Addresses: map[string]string{"a": "127.0.0.1:1", "b": lb.Addr().String()}})
+	dial := func(number string) (*websocket.Conn, error) {
 		h := http.Header{}
 		h.Set(headerFrom, "a")
 		h.Set(headerSession, "5")
@@ -265,11 +268,33 @@
 		if err == nil {
 			t.Cleanup(func() { _ = ws.CloseNow() })
 		}
-		return err
+		return ws, err
 	}
-	is.NoErr(dial("2"))
-	is.True(dial("1") != nil)
-	is.NoErr(dial("3"))
+	newest := func() (number uint64, open bool) {
+		in := b.inboundFrom("a")
+		in.mu.Lock()
+		defer in.mu.Unlock()
+		return in.lastConn, in.conn != nil && !in.conn.closed()
+	}
+	attached := func(number uint64) func() bool {
+		return func() bool { n, open := newest(); return n == number && open }
+	}
+	_, err := dial("2")
+	is.NoErr(err)
+	eventually(t, testTimeout, attached(2))
+	_, err = dial("1")
+	is.True(err != nil)
+	_, err = dial("4")
+	is.NoErr(err)
+	if late, err := dial("3"); err == nil {
+		eventually(t, testTimeout, attached(4))
+		_, _, err = late.Read(within(t, testTimeout))
+		is.True(err != nil && !errors.Is(err, context.DeadlineExceeded)) // closed
+	}
+	eventually(t, testTimeout, attached(4))
+	_, err = dial("5")
+	is.NoErr(err)
+	eventually(t, testTimeout, attached(5))
 }
 
 // Guards against two versions that misread each other's frames.
