--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -66,7 +66,8 @@
 	suspendedUntil time.Time
 	orders         map[runKey]*order
 	reported       map[runKey]workerapi.UnitRun
-	reportAt       time.Time // when the request of the last report was sent
+	reportAt       time.Time            // when the request of the last report was sent
+	endSeen        map[runKey]time.Time // when an end that is not committed was first reported
 	pace           map[runKey]*progress
 	past           record
 	fences         []runKey // runs that may still begin although their worker's life ended
@@ -78,7 +79,8 @@
 		o: o, log: o.log.WithValues("worker", w.ID, "life", w.Life), ctx: ctx, cancel: cancel,
 		wake: make(chan struct{}, 1), w: w,
 		orders: map[runKey]*order{}, reported: map[runKey]workerapi.UnitRun{}, pace: map[runKey]*progress{},
-		fences: fences,
+		endSeen: map[runKey]time.Time{},
+		fences:  fences,
 	}
 	o.wg.Add(1)
 	go a.run()
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -3,10 +3,15 @@
 import (
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"teaselpaddle.example/teaselpaddle/internal/batch"
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
 
+// endNotedTime is the time from the first report of an end to its commit.
+var endNotedTime = metrics.GetOrCreateHistogram("teaselpaddle_end_noted_seconds")
+
 // take commits what a report says and notes the rest. sent is when the report was
 // asked for; told is the number of the last end that the worker forgot then.
 func (a *agent) take(rep *workerapi.UnitReport, sent time.Time, told int64) bool {
@@ -39,12 +44,23 @@
 	}
 	a.observe(reported, now)
 	a.judgeEnds(ends, now)
+	for i := range ends {
+		k := runKey{ends[i].Unit, ends[i].Run}
+		if _, again := a.endSeen[k]; !again {
+			a.endSeen[k] = now
+		}
+	}
 	a.mu.Unlock()
 
 	if !a.o.commitEnds(a.rec().ID, ends) {
 		return false
 	}
+	committed := a.o.cfg.Now()
 	a.mu.Lock()
+	for i := range ends {
+		endNotedTime.Update(committed.Sub(a.endSeen[runKey{ends[i].Unit, ends[i].Run}]).Seconds())
+	}
+	clear(a.endSeen)
 	a.noted = max(a.noted, noted)
 	a.told = max(a.told, told)
 	a.reported = reported
--- a/internal/dispatch/workers_test.go
+++ b/internal/dispatch/workers_test.go
@@ -1,12 +1,17 @@
 package dispatch
 
 import (
+	"bytes"
 	"context"
+	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"teaselpaddle.example/teaselpaddle/internal/batch"
 	"teaselpaddle.example/teaselpaddle/internal/replica"
 	"teaselpaddle.example/teaselpaddle/internal/retry"
@@ -220,3 +225,31 @@
 		}
 	}
 }
+
+// histogram returns the number of values and the sum in seconds that a histogram
+// has taken.
+func histogram(t *testing.T, name string) (count, sum float64) {
+	t.Helper()
+	var b bytes.Buffer
+	metrics.WritePrometheus(&b, false)
+	for line := range strings.Lines(b.String()) {
+		_, _ = fmt.Sscanf(line, name+"_count %f", &count)
+		_, _ = fmt.Sscanf(line, name+"_sum %f", &sum)
+	}
+	return count, sum
+}
+
+// Guards against a time to note an end that leaves out the wait for its commit.
+func TestTimeToNoteAnEndCountsTheCommit(t *testing.T) {
+	const commit = 150 * time.Millisecond
+	count, sum := histogram(t, "teaselpaddle_end_noted_seconds")
+	f := newFakeWorkers(t, 50*time.Millisecond, "w1")
+	b := newBed(t, f)
+	b.submit("/b/", "j1", units(1, 1))
+	b.group.delay.Store(int64(commit))
+	b.within(5*time.Second, "completed", func() bool { return b.state("j1") == batch.Completed })
+	b.within(time.Second, "counted", func() bool {
+		c, s := histogram(t, "teaselpaddle_end_noted_seconds")
+		return c == count+1 && s-sum >= commit.Seconds()
+	})
+}
--- a/internal/replica/store.go
+++ b/internal/replica/store.go
@@ -3,7 +3,9 @@
 import (
 	"crypto/rand"
 	"encoding/binary"
+	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
 
 	"teaselpaddle.example/teaselpaddle/internal/codec"
@@ -110,6 +112,9 @@
 	return s, nil
 }
 
+// syncTime is the time to write and sync what one step of a member stores.
+var syncTime = metrics.GetOrCreateHistogram("teaselpaddle_disk_sync_seconds")
+
 func (d *diskStore) save(rd *raft.Ready) error {
 	state, err := codec.Marshal(&rd.HardState)
 	if err != nil {
@@ -141,7 +146,12 @@
 		}
 		entries[i] = wal.Entry{Index: e.Index, Term: e.Term, Data: data}
 	}
-	return errors.Trace(d.log.Append(state, entries))
+	began := time.Now()
+	if err := d.log.Append(state, entries); err != nil {
+		return errors.Trace(err)
+	}
+	syncTime.UpdateDuration(began)
+	return nil
 }
 
 func encodeSnapshot(s *raft.Snapshot) (wal.Snapshot, error) {
