report: draw a recorded trace through the replay

The replay tells each step to a watcher of its options, and the report reads the steps like the lines of a log, so that one counter serves both. The page says that it shows a replay and not what happened. A trace is given alone, as the times of a replay are its own.

Ruled out: drawing the recorded events alone. They hold submissions and ends, but no start, so there is nothing in use and no queue to draw.

TestRecordedTrace compares the totals with those of the replay on two recorded traces; before, `teaselpaddle report demo.jsonl` ended with "the logs have no line of a teaselpaddle instance".

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -314,6 +314,15 @@
 	code, _, errOut := run(t, "not a log\n", "report", "--out", out)
 	is.Equal(code, exitRefused)
 	is.True(strings.Contains(errOut, "no line of a teaselpaddle instance"))
+	const trace = "../replay/testdata/demo.jsonl"
+	code, _, _ = run(t, "", "report", trace, "--out", out)
+	is.Equal(code, exitOK)
+	page, err = os.ReadFile(out)
+	is.NoErr(err)
+	is.True(bytes.Contains(page, []byte("A recorded trace")))
+	code, _, errOut = run(t, "", "report", trace, "../explain/testdata/control.log", "--out", out)
+	is.Equal(code, exitRefused)
+	is.True(strings.Contains(errOut, "without other files"))
 }
 
 // Guards against check results that lack a fault or its place.
--- a/internal/replay/driver.go
+++ b/internal/replay/driver.go
@@ -29,6 +29,7 @@
 	truth     *Event
 	remaining time.Duration
 	attempt   int // grows with each start and end, so that old timers are known
+	starts    int
 	run       *sched.Running
 	final     bool
 	done      bool
@@ -183,6 +184,7 @@
 			d.state.SetConfig(d.cfg)
 		}
 		d.changed = true
+		d.note(StepConfig, nil)
 	case KindAnnounce:
 		d.announce(e)
 	case KindSilent:
@@ -243,6 +245,7 @@
 	d.open = append(d.open, j)
 	j.entitled = d.entitled(j)
 	d.queue(j)
+	d.note(StepQueued, j)
 }
 
 // queue lets a job wait.
@@ -278,12 +281,14 @@
 	if j.run == nil && d.state != nil {
 		d.state.RemoveWaiting(j.ID)
 	}
+	j.done = done
+	d.note(StepFinished, j)
 	if done {
 		d.table.Add(j.Spec.Customer, j.Spec.EstimatedSeconds, time.Duration(j.truth.RunSeconds*float64(time.Second)))
 		d.state.SetEstimates(d.table.Corrections())
 	}
 	d.endRun(j)
-	j.final, j.done, j.finished = true, done, d.now
+	j.final, j.finished = true, d.now
 	d.open = slices.DeleteFunc(d.open, func(o *job) bool { return o == j })
 	d.changed = true
 }
@@ -317,6 +322,7 @@
 			j.remaining = max(j.remaining-ran, 0)
 		}
 		j.preempted++
+		d.note(StepEnded, j)
 		d.endRun(j)
 		d.queue(j)
 	}
@@ -340,6 +346,7 @@
 		d.finish(j, false)
 		return
 	}
+	d.note(StepEnded, j)
 	d.endRun(j)
 	d.queue(j)
 }
@@ -408,6 +415,7 @@
 	for _, r := range p.Rejections {
 		j := d.jobs[r.ID]
 		j.rejected = r.Reason
+		d.note(StepRefused, j)
 		d.finish(j, false)
 	}
 	for _, v := range p.Preemptions {
@@ -420,6 +428,7 @@
 		d.setRun(j, r)
 		d.after(v.Bound, timer{kind: timerStopped, job: j, attempt: j.attempt})
 		d.m.preemptions++
+		d.note(StepReclaim, j)
 		if f := d.jobs[v.For]; f.reclaimed.IsZero() {
 			f.reclaimed = d.now
 		}
@@ -457,6 +466,7 @@
 	j := d.jobs[s.ID]
 	d.state.RemoveWaiting(s.ID)
 	j.attempt++
+	j.starts++
 	if !j.started {
 		j.started, j.startedAt = true, d.now
 	}
@@ -465,6 +475,7 @@
 		ID: s.ID, Customer: j.Spec.Customer, Spec: j.Spec, Seq: j.Seq, Placement: s.Placement,
 		Borrowed: s.Borrowed, Claim: s.Claim, StartedAt: d.now, UsedMemoryMiB: j.truth.UsedMemoryMiB,
 	})
+	d.note(StepStarted, j)
 	for _, t := range s.Placement {
 		if d.workers[t.Worker].faulty {
 			d.after(faultAfter, timer{kind: timerFail, job: j, attempt: j.attempt, worker: t.Worker})
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -31,6 +31,9 @@
 	LoseWork bool
 	// Check is called with each snapshot and its plan; nil is none.
 	Check func(*sched.Snapshot, sched.Plan)
+	// Watch is called with each step; nil is none. Zones are replayed one after
+	// another, each from the start of the trace.
+	Watch func(Step)
 
 	policy *model.Policy
 }
--- a/internal/report/count.go
+++ b/internal/report/count.go
@@ -141,10 +141,11 @@
 	if k.run > 1 {
 		return
 	}
-	w := c.waited[fmt.Sprint(e.Number("priority"))]
+	priority := cmp.Or(e.Text("priority"), fmt.Sprint(e.Number("priority")))
+	w := c.waited[priority]
 	if w == nil {
 		w = &wait{}
-		c.waited[fmt.Sprint(e.Number("priority"))] = w
+		c.waited[priority] = w
 	}
 	w.runs++
 	w.ms += e.Number("waitedMS")
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -39,6 +39,9 @@
 	// Skipped counts lines that could not be read, LeftOut lines that instances did
 	// not write because their reader was slow. Both make the plots too low.
 	Skipped, LeftOut int
+	// Replayed is set if the report shows what the decision code makes of a recorded
+	// trace, and not what happened.
+	Replayed bool
 
 	queue    []series // jobs accepted and not begun; steps are not counted
 	customer []series // accelerators in use by customer
@@ -74,6 +77,12 @@
 	if len(all) == 0 {
 		return nil, &NoEventsError{Skipped: r.Skipped}
 	}
+	r.count(all)
+	return r, nil
+}
+
+// count makes the report from events in any order.
+func (r *Report) count(all []explain.Event) {
 	slices.SortStableFunc(all, func(a, b explain.Event) int { return a.Time.Compare(b.Time) })
 	r.From, r.To = all[0].Time, all[len(all)-1].Time
 	c := newCounter()
@@ -81,5 +90,4 @@
 		c.take(&all[i])
 	}
 	c.fill(r)
-	return r, nil
 }
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/juju/errors"
 	"github.com/matryer/is"
+
+	"teaselpaddle.example/teaselpaddle/internal/replay"
 )
 
 const sample = `{"ts":"2026-07-16T02:00:00Z","msg":"leadership begun","instance":"c1","epoch":1}
@@ -98,3 +100,56 @@
 	var none *NoEventsError
 	is.True(errors.As(err, &none))
 }
+
+// Guards against a report on a trace that counts otherwise than the replay, leaves
+// accelerators in use after the last job, or passes for what happened.
+func TestRecordedTrace(t *testing.T) {
+	for _, name := range []string{"demo", "birlik"} {
+		is := is.New(t)
+		path := "../replay/testdata/" + name + ".jsonl"
+		f, err := os.Open(path)
+		is.NoErr(err)
+		r, err := ReadTrace(f)
+		is.NoErr(err)
+		is.NoErr(f.Close())
+		want, err := replay.Run(replay.Options{TracePath: path})
+		is.NoErr(err)
+		totals := map[string]int{}
+		for _, x := range r.Totals {
+			totals[x.What] = x.Count
+		}
+		is.True(totals["jobs completed"] > 0)
+		is.Equal(totals["jobs completed"]+totals["jobs not completed"]+want.Unfinished, jobsOf(t, path))
+		is.Equal(totals["runs stopped to make room"], want.Preemptions)
+		is.True(len(r.queue) == 1 && peak(r.queue[0]) >= 1)
+		if want.Unfinished == 0 {
+			for _, s := range r.customer {
+				is.Equal(s.points[len(s.points)-1].value, 0.0)
+			}
+		}
+		var b bytes.Buffer
+		is.NoErr(r.WriteHTML(&b))
+		is.True(strings.Contains(b.String(), "nothing of it happened as shown"))
+	}
+}
+
+// jobsOf returns the number of jobs of a trace.
+func jobsOf(t *testing.T, path string) int {
+	t.Helper()
+	f, err := os.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = f.Close() }()
+	events, err := replay.Read(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	jobs := map[string]bool{}
+	for i := range events {
+		if events[i].Kind == replay.KindSubmit {
+			jobs[string(events[i].Job)] = true
+		}
+	}
+	return len(jobs)
+}
--- /dev/null
+++ b/internal/report/trace.go
@@ -0,0 +1,85 @@
+package report
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"strconv"
+
+	"github.com/juju/errors"
+
+	"teaselpaddle.example/teaselpaddle/internal/explain"
+	"teaselpaddle.example/teaselpaddle/internal/replay"
+)
+
+// traceProbe is how much of a file is looked at to tell a trace from a log, in
+// bytes. Both have the words that tell in the first fields of a line.
+const traceProbe = 64
+
+// IsTrace reports whether the lines that follow are those of a recorded trace. It
+// consumes nothing.
+func IsTrace(r *bufio.Reader) bool {
+	head, err := r.Peek(traceProbe)
+	if err != nil && len(head) == 0 {
+		return false // an empty or unreadable log, which Read reports
+	}
+	return bytes.HasPrefix(head, []byte(`{"at_ms":`))
+}
+
+// ReadTrace replays a recorded trace and reports on the replay. Its error is that of
+// replay.Read, or a *NoEventsError.
+func ReadTrace(trace io.Reader) (*Report, error) {
+	recorded, err := replay.Read(trace)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	var all []explain.Event
+	watch := func(s replay.Step) { all = append(all, event(&s)) }
+	if _, err := replay.Run(replay.Options{Events: recorded, Watch: watch}); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if len(all) == 0 {
+		return nil, &NoEventsError{}
+	}
+	r := &Report{Replayed: true}
+	r.count(all)
+	return r, nil
+}
+
+// event returns the log line that the step of an instance would have written.
+func event(s *replay.Step) explain.Event {
+	e := explain.Event{Time: s.At, Fields: map[string]any{"job": string(s.Job), "run": number(int64(s.Attempt))}}
+	switch s.Kind {
+	case replay.StepConfig:
+		e.Message = "configuration in force"
+		e.Fields["version"] = number(int64(s.Version))
+	case replay.StepQueued:
+		e.Message = "submission judged"
+		e.Fields["verdict"], e.Fields["notLeader"], e.Fields["unsure"] = "ok", false, false
+	case replay.StepRefused:
+		e.Message = "request refused"
+		e.Fields["reason"] = string(s.Reason)
+	case replay.StepStarted:
+		e.Message = "run started"
+		e.Fields["customer"], e.Fields["guaranteed"] = s.Customer, !s.Borrowed
+		e.Fields["accelerators"] = number(int64(s.Accelerators))
+		e.Fields["waitedMS"] = number(s.Waited.Milliseconds())
+		e.Fields["priority"] = "normal"
+		if s.Urgent {
+			e.Fields["priority"] = "urgent"
+		}
+	case replay.StepReclaim:
+		e.Message = "run stopped to make room"
+	case replay.StepEnded:
+		e.Message, e.Fields["how"] = "run ended", "stopped or failed"
+	case replay.StepFinished:
+		e.Message, e.Fields["state"] = "job concluded", "not completed"
+		if s.Done {
+			e.Fields["state"] = "completed"
+		}
+	}
+	return e
+}
+
+func number(n int64) json.Number { return json.Number(strconv.FormatInt(n, 10)) }
