dispatch: count the room of committed ends as being given back

Cause: an end is in the committed state, and wakes the planner, a little before the agent that reported it marks its order as over. In between the run's room counted neither as free nor as being given back. The worker that was being emptied seemed full, and the gang chose another one and stopped what ran there. Room of runs without a record is about to come in all cases: the agent stops what it finds there. It counts so now. Starts still wait until the room is free.

TestRoomOfCommittedEndIsBeingGivenBack lets 30 ms pass between the application of a commit and its answer.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -303,6 +303,52 @@
 	})
 }
 
+// Pattern: an urgent gang takes the room of other runs, which end at different
+// times. Guards against further runs that are stopped for it: an end is in the
+// committed state a little before the agent that reported it knows, and for that
+// time the room counted neither as free nor as being given back.
+func TestRoomOfCommittedEndIsBeingGivenBack(t *testing.T) {
+	f := newFakeWorkers(t, 3*time.Second, "w1", "w2")
+	f.stopping, f.slow = 100*time.Millisecond, "w2"
+	b := newBed(t, f)
+	started := func(unit batch.UnitRef) func() bool {
+		return func() bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return len(f.starts[unit]) == 1
+		}
+	}
+	whole := func(accelerators int64) batch.Step { // each unit takes all cores of a worker
+		st := units(2, accelerators)
+		st.Need.CPU, st.Gang = 8000, true
+		return st
+	}
+	b.submit("/b/", "cheap", whole(1))
+	b.within(time.Second, "gang began", started(batch.UnitRef{Job: "cheap", Index: 1}))
+	f.mu.Lock()
+	f.by["w3"], f.by["w4"] = newFakeWorker(1), newFakeWorker(1)
+	f.mu.Unlock()
+	b.announce("w3", 1)
+	b.announce("w4", 1)
+	dear := whole(8)
+	dear.Gang = false
+	b.submit("/b/", "dear", dear)
+	b.within(time.Second, "others began", started(batch.UnitRef{Job: "dear", Index: 1}))
+	time.Sleep(300 * time.Millisecond) // both lose about the same time
+	b.group.lag.Store(int64(30 * time.Millisecond))
+	b.submit("/u/", "urgent", whole(1))
+	b.within(2*time.Second, "urgent gang began", started(batch.UnitRef{Job: "urgent"}))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, w := range f.by {
+		for unit := range w.fenced {
+			if unit.Job == "dear" {
+				t.Errorf("unit %v was stopped on %s", unit, id)
+			}
+		}
+	}
+}
+
 // Guards against room that is never given back: the start of a run that was
 // given up without an answer is fenced once its worker answers again.
 func TestRoomOfUnansweredStartIsGivenBack(t *testing.T) {
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -380,6 +380,7 @@
 	for k, od := range a.orders {
 		if !od.startAt.IsZero() && !od.over && !p.recorded(w, k) {
 			w.Free = w.Free.Sub(od.need)
+			w.Coming = w.Coming.Add(od.need)
 		}
 	}
 	for k := range a.reported {
@@ -388,6 +389,7 @@
 		}
 		if st, ok := p.stepOf(k); ok {
 			w.Free = w.Free.Sub(st.Need)
+			w.Coming = w.Coming.Add(st.Need)
 		}
 	}
 	if a.lastAnswer.After(heard) {
--- a/internal/dispatch/workers_test.go
+++ b/internal/dispatch/workers_test.go
@@ -24,14 +24,17 @@
 	m     *batch.Machine
 	index uint64
 	delay atomic.Int64 // of each commit, ns
+	lag   atomic.Int64 // from the application of a commit to the answer, ns
 }
 
 func (g *localGroup) Propose(_ context.Context, entry []byte) (any, error) {
 	time.Sleep(time.Duration(g.delay.Load()))
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	g.index++
-	return g.m.Apply(g.index, entry), nil
+	result := g.m.Apply(g.index, entry)
+	g.mu.Unlock()
+	time.Sleep(time.Duration(g.lag.Load()))
+	return result, nil
 }
 func (g *localGroup) ReadIndex(context.Context) error   { return nil }
 func (g *localGroup) WaitDurable(context.Context) error { return nil }
@@ -64,7 +67,7 @@
 	by       map[string]*fakeWorker
 	duration time.Duration
 	starts   map[batch.UnitRef][]string // workers on which a unit began
-	slow     string                     // a worker on which units take three times as long
+	slow     string                     // a worker on which units and stops take three times as long
 	alone    bool                       // each unit needs a whole worker
 	stopping time.Duration              // that a stop takes
 
@@ -173,7 +176,11 @@
 		return err
 	}
 	if _, there := w.running[runKey{o.Unit, o.Run}]; there {
-		w.stops[runKey{o.Unit, o.Run}] = time.Now().Add(f.stopping)
+		takes := f.stopping
+		if t.ID == f.slow {
+			takes *= 3
+		}
+		w.stops[runKey{o.Unit, o.Run}] = time.Now().Add(takes)
 	}
 	w.advance()
 	w.fenced[o.Unit] = max(w.fenced[o.Unit], o.Run)
