--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -225,6 +225,12 @@
 	Closed bool `cbor:"10,keyasint,omitempty" json:"-"`
 }
 
+// AimMS returns by when a job of the queue should be completed whose turn comes at
+// a time, Unix ms. lengthMS is the estimate of its longest chain of steps.
+func (q *Queue) AimMS(sinceMS, lengthMS int64) int64 {
+	return sinceMS + q.TargetMS + int64(q.Stretch*float64(lengthMS))
+}
+
 // Customer has keys and a guaranteed number of accelerators for its jobs of
 // priority 0.
 type Customer struct {
@@ -278,3 +284,16 @@
 	}
 	return longest
 }
+
+// Demand returns what the job's units take by the caller's estimates, each resource
+// multiplied by milliseconds, and what they can use at once.
+func (j *Job) Demand() (work, atOnce Resources) {
+	for i := range j.Spec.Steps {
+		st := &j.Spec.Steps[i]
+		n := int64(st.Count) * int64(max(1, j.Spec.Occurrences))
+		need := Resources{CPU: n * st.Need.CPU, MemoryMB: n * st.Need.MemoryMB, Accelerators: n * st.Need.Accelerators}
+		atOnce = atOnce.Add(need)
+		work = work.Add(Resources{CPU: need.CPU * st.EstimateMS, MemoryMB: need.MemoryMB * st.EstimateMS, Accelerators: need.Accelerators * st.EstimateMS})
+	}
+	return work, atOnce
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -42,6 +42,7 @@
 	Batch         *batchCmd         `arg:"subcommand:batch" help:"work with a deployment whose extent is region"`
 	Explain       *explainCmd       `arg:"subcommand:explain" help:"tell the story of a job from the instances' logs"`
 	Report        *reportCmd        `arg:"subcommand:report" help:"draw what happened from the instances' logs, as one page"`
+	Bound         *boundCmd         `arg:"subcommand:bound" help:"compare what a region served on time with what was possible, from its logs"`
 	Replay        *ReplayOptions    `arg:"subcommand:replay" help:"replay a recorded trace through the decision code"`
 	Version       *versionCmd       `arg:"subcommand:version" help:"print the version"`
 }
@@ -86,6 +87,7 @@
 	"batch workers":  "teaselpaddle batch workers",
 	"explain":        "teaselpaddle explain 5c0e7a21d94b36f8 control-1.log control-2.log entry-*.log",
 	"report":         "teaselpaddle report control-1.log control-2.log entry-*.log --out report.html",
+	"bound":          "teaselpaddle bound control-*.log",
 	"replay":         "teaselpaddle replay monday.trace --policy policy.jsonc",
 	"version":        "teaselpaddle version",
 }
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -312,7 +312,7 @@
 		Job: j.ID, Occurrence: g.Occurrence, StepIndex: g.Step, Step: st, Service: q.Service, Priority: q.Priority,
 		SinceMS: max(j.AcceptedMS, due), Seq: j.Seq, Total: len(g.Units),
 	}
-	pg.AimMS = pg.SinceMS + q.TargetMS + int64(q.Stretch*float64(j.LengthMS()))
+	pg.AimMS = q.AimMS(pg.SinceMS, j.LengthMS())
 	for i := range g.Units {
 		u := &g.Units[i]
 		switch u.State {
--- a/internal/region/answer.go
+++ b/internal/region/answer.go
@@ -34,6 +34,9 @@
 	case req.Submit != nil:
 		c.commit(ctx, rep, &batch.Command{Submit: req.Submit})
 		c.noteJudged("submission judged", req.Submit.ID, &req.Submit.Call, rep, st.Term)
+		if rep.Verdict == batch.OK && !rep.NotLeader && !rep.Unsure {
+			c.noteRecorded(req.Submit.ID)
+		}
 	case req.Cancel != nil:
 		c.commit(ctx, rep, &batch.Command{Cancel: req.Cancel})
 		c.noteJudged("cancellation judged", req.Cancel.ID, &req.Cancel.Call, rep, st.Term)
@@ -63,6 +66,31 @@
 		"unsure", rep.Unsure, "config", version, "epoch", epoch, "term", term)
 }
 
+// noteRecorded logs what a job asks for and by when, from which a bound on the day
+// can be computed.
+func (c *Control) noteRecorded(id string) {
+	c.machine.View(func(v *batch.View) {
+		j := v.Live()[id]
+		if j == nil {
+			return // an old job handed in again
+		}
+		q := v.Queue(j.Host, j.Prefix)
+		lasting := slices.ContainsFunc(j.Spec.Steps, func(st batch.Step) bool { return st.Lasting })
+		if q == nil || lasting {
+			return // nothing is due by then
+		}
+		from := j.AcceptedMS
+		last := from
+		if j.Timed() {
+			from = j.Spec.StartMS
+			last = from + int64(j.Spec.Occurrences-1)*j.Spec.IntervalMS
+		}
+		work, atOnce := j.Demand()
+		c.log.Info("job recorded", "job", id, "queue", q.Name, "customer", j.Customer, "priority", q.Priority, "fromMS", from,
+			"dueMS", q.AimMS(last, j.LengthMS()), "lengthMS", j.LengthMS(), "workMS", work, "atOnce", atOnce)
+	})
+}
+
 func memberNames(st replica.Status) []string {
 	out := make([]string, 0, len(st.Members))
 	for _, m := range st.Members {
@@ -172,6 +200,7 @@
 	}
 	c.commit(ctx, rep, &batch.Command{Worker: &batch.WorkerChange{Worker: w}})
 	if !rep.NotLeader && !rep.Unsure {
-		c.log.Info("worker recorded", "worker", w.ID, "life", w.Life, "address", w.Address, "draining", w.Draining)
+		c.log.Info("worker recorded", "worker", w.ID, "life", w.Life, "address", w.Address, "draining", w.Draining,
+			"capacity", w.Capacity)
 	}
 }
--- /dev/null
+++ b/internal/report/bound_test.go
@@ -0,0 +1,103 @@
+package report
+
+import (
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"teaselpaddle.example/teaselpaddle/internal/batch"
+)
+
+func job(priority int, from, due, work, accelerators int64) Demand {
+	return Demand{
+		Job: time.UnixMilli(from).String(), Priority: priority, From: time.UnixMilli(from), Due: time.UnixMilli(due),
+		Work: batch.Resources{Accelerators: work}, AtOnce: batch.Resources{Accelerators: accelerators},
+	}
+}
+
+// Guards against a bound that does not move earlier work aside, counts work beyond
+// the accelerators or a job's own width, or gives room to the less urgent first.
+func TestBoundsOfKnownDays(t *testing.T) {
+	for name, c := range map[string]struct {
+		jobs []Demand
+		want []float64
+	}{
+		"all fits":         {[]Demand{job(0, 0, 1000, 4000, 4), job(1, 0, 2000, 4000, 4)}, []float64{1, 1}},
+		"half fits":        {[]Demand{job(0, 0, 1000, 8000, 8)}, []float64{0.5}},
+		"narrow":           {[]Demand{job(0, 0, 1000, 4000, 1)}, []float64{0.25}},
+		"urgent first":     {[]Demand{job(0, 0, 1000, 4000, 4), job(1, 0, 1000, 4000, 4)}, []float64{1, 0}},
+		"moved aside":      {[]Demand{job(0, 0, 2000, 4000, 4), job(1, 0, 1000, 4000, 4)}, []float64{1, 1}},
+		"no accelerator":   {[]Demand{job(0, 0, 1000, 0, 0)}, []float64{1}},
+		"part of its slot": {[]Demand{job(0, 250, 500, 1000, 4)}, []float64{1}},
+		"due at once":      {[]Demand{job(0, 250, 250, 1000, 4)}, []float64{0}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			got := Bounds(c.jobs, batch.Resources{Accelerators: 4})
+			is.Equal(len(got), len(c.want))
+			for i, w := range c.want {
+				if math.Abs(got[i].Possible-w) > 1e-9 {
+					t.Errorf("priority %d: %v of %v possible, want %v", got[i].Priority, got[i].Possible, got[i].Jobs, w)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a bound below what a schedule reaches: jobs of random windows are
+// run one after another on all accelerators, and those that end in time count.
+func TestBoundIsAboveASchedule(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const accelerators = 4
+		var jobs []Demand
+		var clock, served int64
+		for i := range rapid.IntRange(1, 25).Draw(t, "jobs") {
+			from := rapid.Int64Range(0, 20_000).Draw(t, "from")
+			work := rapid.Int64Range(1, 8000).Draw(t, "work")
+			d := job(0, from, from+rapid.Int64Range(1, 6000).Draw(t, "time"), work, accelerators)
+			d.Job = string(rune('a' + i))
+			jobs = append(jobs, d)
+			end := max(clock, from) + (work+accelerators-1)/accelerators
+			if end <= d.Due.UnixMilli() {
+				clock = end
+				served++
+			}
+		}
+		b := Bounds(jobs, batch.Resources{Accelerators: accelerators})
+		if b[0].Possible < float64(served)-1e-9 || b[0].Possible > float64(len(jobs))+1e-9 {
+			t.Fatalf("bound %v, served %d of %d", b[0].Possible, served, len(jobs))
+		}
+	})
+}
+
+// Guards against a bound that counts a job of two leaders' logs twice, a job that was
+// completed late as on time, or the accelerators of a worker for each of its lives.
+func TestBoundsOfLogs(t *testing.T) {
+	is := is.New(t)
+	const log = `{"ts":"2026-07-16T02:00:00Z","msg":"worker recorded","worker":"w1","capacity":{"accelerators":8}}
+{"ts":"2026-07-16T02:00:01Z","msg":"worker recorded","worker":"w1","capacity":{"accelerators":8}}
+{"ts":"2026-07-16T02:00:01Z","msg":"job recorded","job":"j1","priority":2,"workMS":{"accelerators":8000},"atOnce":{"accelerators":8},"fromMS":1784167201000,"dueMS":1784167203000}
+{"ts":"2026-07-16T02:00:01Z","msg":"job recorded","job":"j1","priority":2,"workMS":{"accelerators":8000},"atOnce":{"accelerators":8},"fromMS":1784167201000,"dueMS":1784167203000}
+{"ts":"2026-07-16T02:00:01Z","msg":"job recorded","job":"j2","priority":2,"workMS":{"accelerators":8000},"atOnce":{"accelerators":8},"fromMS":1784167201000,"dueMS":1784167203000}
+{"ts":"2026-07-16T02:00:02Z","msg":"job concluded","job":"j1","state":"completed"}
+{"ts":"2026-07-16T02:00:04Z","msg":"job concluded","job":"j2","state":"completed"}
+`
+	got, capacity, err := ReadBounds(strings.NewReader(log))
+	is.NoErr(err)
+	is.Equal(capacity, batch.Resources{Accelerators: 8})
+	is.Equal(got, []Bound{{Priority: 2, Jobs: 2, OnTime: 1, Possible: 2}})
+}
+
+// Guards against a bound by accelerators alone: the units of some jobs fill the
+// memory of a worker long before its accelerators.
+func TestScarcestResourceBounds(t *testing.T) {
+	is := is.New(t)
+	j := job(0, 0, 1000, 1000, 1)
+	j.Work.MemoryMB, j.AtOnce.MemoryMB = 64_000_000, 64_000
+	got := Bounds([]Demand{j}, batch.Resources{Accelerators: 8, MemoryMB: 16_000})
+	is.Equal(got, []Bound{{Jobs: 1, Possible: 0.25, Limit: "memory"}})
+}
