Measure the epoch under which an instance leads and the age of the leader

OPERATIONS.md told who leads from two counters, which a restart sets back.

teaselpaddle_leading_epoch is the epoch while an instance leads and 0 otherwise; teaselpaddle_leader_heard_seconds is the age of the leader's last answer on an entry instance.

Ruled out: the age on control instances, whose router asks the leader only when a control request needs it.

TestEpochIsMeasured and TestAgeOfLeaderIsMeasured do not compile without the change; with it, they pass.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -481,3 +481,12 @@
 		}
 	}
 }
+
+// Guards against a gauge by which an instance that has ended its leadership still
+// leads.
+func TestEpochIsMeasured(t *testing.T) {
+	b := newBed(t, newFakeWorkers(t, 50*time.Millisecond, "w1"))
+	b.is.True(epochGauge.Get() > 0)
+	b.leadership.Close()
+	b.is.Equal(epochGauge.Get(), 0.0)
+}
--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -47,6 +47,9 @@
 // milliseconds; a leader without a majority steps down within about 2 s.
 const proposeTimeout = 3 * time.Second
 
+// epochGauge is the epoch under which this instance leads, and 0 while it does not.
+var epochGauge = metrics.GetOrCreateGauge("teaselpaddle_leading_epoch", nil)
+
 var commitTime = metrics.GetOrCreateHistogram("teaselpaddle_commit_seconds")
 
 // Leadership is a leader's time under one epoch.
@@ -79,6 +82,7 @@
 	if cfg.MaxWaits > 0 {
 		o.waits = make(chan struct{}, cfg.MaxWaits)
 	}
+	epochGauge.Set(float64(cfg.Epoch))
 	o.log.Info("leadership begun")
 	o.Wake()
 	o.wg.Add(1)
@@ -90,6 +94,7 @@
 func (o *Leadership) Close() {
 	o.cancel()
 	o.wg.Wait()
+	epochGauge.Set(0)
 	o.log.Info("leadership ended")
 }
 
--- a/internal/region/readiness.go
+++ b/internal/region/readiness.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
 // Ages of the leader's last answer.
@@ -14,6 +16,10 @@
 	pingAge = time.Second
 )
 
+// heardGauge is the age of the leader's last answer in seconds; it is below 0 until a
+// leader has answered.
+var heardGauge = metrics.GetOrCreateGauge("teaselpaddle_leader_heard_seconds", nil)
+
 // Ready reports whether a leader has answered this instance lately.
 func (r *Router) Ready() bool { return time.Since(r.HeardLeader()) <= readyAge }
 
@@ -37,6 +43,7 @@
 				r.Log.Info("leader does not answer", "error", err.Error())
 			}
 		}
+		heardGauge.Set(r.LeaderAge().Seconds())
 		now := r.Ready()
 		if now != ready {
 			r.Log.Info("readiness changed", "ready", now)
--- a/internal/region/router_test.go
+++ b/internal/region/router_test.go
@@ -100,3 +100,22 @@
 	is.True(errors.As(err, &u))
 	is.True(!u.MayHaveRun)
 }
+
+// Guards against a gauge that does not show that an instance is cut off from the
+// leader.
+func TestAgeOfLeaderIsMeasured(t *testing.T) {
+	is := is.New(t)
+	f := &fakePeers{leader: "a", dead: map[string]bool{}, hint: map[string]string{}}
+	r := testRouter(f)
+	go r.Watch(t.Context())
+	for r.HeardLeader().IsZero() || heardGauge.Get() < 0 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	is.True(heardGauge.Get() < readyAge.Seconds())
+	f.mu.Lock()
+	f.leader = ""
+	f.mu.Unlock()
+	for end := time.Now().Add(3 * readyAge); heardGauge.Get() < readyAge.Seconds(); time.Sleep(5 * time.Millisecond) {
+		is.True(time.Now().Before(end))
+	}
+}
