routing: one message for each operation

Each operation is a message of its own now, beside the file that carries it out, and a request holds exactly one of them. A part of a zone's view is a type of its own.

The numbers of the earlier fields are not used again.

Ruled out: a handler registry by name, which would hide at run time what the compiler checks now.

--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -38,18 +38,18 @@
 }
 
 // view returns the operators' view of this instance's zone.
-func (d *Daemon) view(op routing.Op) *view.Zone {
+func (d *Daemon) view(part routing.Part) *view.Zone {
 	now := time.Now()
 	z := &view.Zone{AvailabilityZone: d.self.AvailabilityZone, Instance: d.s.Name}
-	switch op {
-	case routing.OpWorkers:
+	switch part {
+	case routing.PartWorkers:
 		z.Workers = d.board.List()
-	case routing.OpCustomers:
+	case routing.PartCustomers:
 		z.Customers = view.Customers(d.self.AvailabilityZone, d.machine.Config(), d.machine.Active())
-	case routing.OpFragmentation:
+	case routing.PartFragmentation:
 		usable := func(e *blackboard.Entry) bool { return d.ctl.Usable(e, now) }
 		z.Fragmentation = view.NewFragmentation(d.board.List(), d.machine.Active(), usable)
-	case routing.OpStatus:
+	case routing.PartStatus:
 		z.Status = view.NewStatus(d.zone.Status(), d.machine.Config(), d.adopter.Confirmed(), now)
 		z.Status.Instances = d.instances()
 	}
--- a/internal/httpapi/config.go
+++ b/internal/httpapi/config.go
@@ -46,10 +46,10 @@
 	r.Put("/v1/config", a.publish)
 	r.Get("/v1/config", a.config)
 	r.Get("/v1/config/history", a.history)
-	r.Get("/v1/workers", a.parts(routing.OpWorkers))
-	r.Get("/v1/customers", a.parts(routing.OpCustomers))
-	r.Get("/v1/fragmentation", a.parts(routing.OpFragmentation))
-	r.Get("/v1/status", a.parts(routing.OpStatus))
+	r.Get("/v1/workers", a.parts(routing.PartWorkers))
+	r.Get("/v1/customers", a.parts(routing.PartCustomers))
+	r.Get("/v1/fragmentation", a.parts(routing.PartFragmentation))
+	r.Get("/v1/status", a.parts(routing.PartStatus))
 }
 
 func (a *API) publish(w http.ResponseWriter, r *http.Request) {
@@ -116,9 +116,9 @@
 }
 
 // parts answers with the views of all zones.
-func (a *API) parts(op routing.Op) http.HandlerFunc {
+func (a *API) parts(part routing.Part) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		out := &Parts{Instance: a.Router.Self, Zones: a.Router.Views(r.Context(), op)}
+		out := &Parts{Instance: a.Router.Self, Zones: a.Router.Views(r.Context(), part)}
 		for i := range out.Zones {
 			out.Partial = out.Partial || out.Zones[i].Error != nil
 		}
@@ -129,7 +129,7 @@
 // list answers with the jobs of all zones that can be reached.
 func (a *API) list(w http.ResponseWriter, r *http.Request) {
 	out := &JobList{Jobs: []*Job{}}
-	req := &routing.Request{Op: routing.OpList, Customer: r.URL.Query().Get("customer")}
+	req := &routing.Request{List: &routing.List{Customer: r.URL.Query().Get("customer")}}
 	for _, z := range a.Router.Each(r.Context(), req) {
 		if z.Refusal == nil {
 			for _, j := range z.Response.Jobs {
--- a/internal/httpapi/config_test.go
+++ b/internal/httpapi/config_test.go
@@ -34,7 +34,7 @@
 	if err := codec.Unmarshal(body, &req); err != nil {
 		return nil, err
 	}
-	if req.Op == routing.OpList {
+	if req.List != nil {
 		return codec.Marshal(&routing.Response{Jobs: []*model.Job{{ID: "z2.0", State: model.Queued}}})
 	}
 	return codec.Marshal(&routing.Response{View: &view.Zone{AvailabilityZone: "z2", Instance: to}})
@@ -55,9 +55,9 @@
 		Peers:  peers{}, Group: replica.NewLocal("a", m), Machine: m, Log: logr.Discard(),
 		Config: routing.ConfigGroup{Voters: []string{"a"}, Group: replica.NewLocal("a", cm), Machine: cm},
 	}
-	r.View = func(op routing.Op) *view.Zone {
+	r.View = func(part routing.Part) *view.Zone {
 		z := &view.Zone{AvailabilityZone: "z1", Instance: "a"}
-		if op == routing.OpStatus {
+		if part == routing.PartStatus {
 			z.Status = view.NewStatus(r.Group.Status(), m.Config(), time.Now(), time.Now())
 		}
 		return z
--- a/internal/httpapi/jobs.go
+++ b/internal/httpapi/jobs.go
@@ -101,7 +101,7 @@
 		refuse(w, ref)
 		return
 	}
-	req := &routing.Request{Op: routing.OpGet, ID: id}
+	req := &routing.Get{ID: id}
 	if s := r.URL.Query().Get("wait"); s != "" {
 		d, err := time.ParseDuration(s)
 		if err != nil || d < 0 || d > maxWait {
@@ -110,7 +110,7 @@
 		}
 		req.WaitMillis = d.Milliseconds()
 	}
-	a.job(w, r, zone, req)
+	a.job(w, r, zone, &routing.Request{Get: req})
 }
 
 func (a *API) cancel(w http.ResponseWriter, r *http.Request) {
@@ -119,7 +119,7 @@
 		refuse(w, ref)
 		return
 	}
-	a.job(w, r, zone, &routing.Request{Op: routing.OpCancel, ID: id})
+	a.job(w, r, zone, &routing.Request{Cancel: &routing.Cancel{ID: id}})
 }
 
 // job answers a request about one job with its record.
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -15,12 +15,10 @@
 	"teaselpaddle.example/teaselpaddle/internal/telemetry"
 )
 
-// The operations on the configuration group.
-const (
-	OpPublish  Op = "publish"
-	OpAccepted Op = "accepted"
-	OpHistory  Op = "history"
-)
+// History asks a voter for the last accepted changes.
+type History struct {
+	Limit int `cbor:"1,keyasint"`
+}
 
 // publishLimit bounds a publish with all its tries; it is shorter than
 // requestTimeout, so that the caller gets the outcome and not a timeout.
@@ -45,7 +43,7 @@
 func (r *Router) Publish(ctx context.Context, p *config.Publish) (*Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, publishLimit)
 	defer cancel()
-	req := &Request{Op: OpPublish, Publish: p}
+	req := &Request{Publish: p}
 	uncertain := false
 	leader := ""
 	for {
@@ -125,7 +123,7 @@
 // Accepted returns the configuration that the group has accepted; a zone may
 // still be adopting it. The error is a *model.Refusal.
 func (r *Router) Accepted(ctx context.Context) (*model.Configuration, error) {
-	resp, err := r.readConfig(ctx, &Request{Op: OpAccepted})
+	resp, err := r.readConfig(ctx, &Request{Accepted: &struct{}{}})
 	if err != nil {
 		return nil, err
 	}
@@ -135,7 +133,7 @@
 // History returns the last limit accepted changes, newest first. The error is a
 // *model.Refusal.
 func (r *Router) History(ctx context.Context, limit int) ([]config.Record, error) {
-	resp, err := r.readConfig(ctx, &Request{Op: OpHistory, Limit: limit})
+	resp, err := r.readConfig(ctx, &Request{History: &History{Limit: limit}})
 	if err != nil {
 		return nil, err
 	}
@@ -162,7 +160,7 @@
 	if r.Config.Group == nil {
 		return &Response{NotLeader: true}
 	}
-	if req.Op == OpPublish {
+	if req.Publish != nil {
 		return r.publishLocal(ctx, req.Publish)
 	}
 	ctx, cancel := context.WithTimeout(ctx, voterTimeout)
@@ -170,8 +168,8 @@
 	if err := r.Config.Group.ReadIndex(ctx); err != nil {
 		return &Response{Refusal: model.Refuse(model.ReasonNoLeader, "%v", err).After(retryAfter)}
 	}
-	if req.Op == OpHistory {
-		return &Response{History: r.Config.Machine.History(req.Limit)}
+	if req.History != nil {
+		return &Response{History: r.Config.Machine.History(req.History.Limit)}
 	}
 	return &Response{Accepted: r.Config.Machine.Current()}
 }
--- a/internal/routing/config_test.go
+++ b/internal/routing/config_test.go
@@ -65,7 +65,7 @@
 			Self: name, Zone: zone, Zones: []string{"z1", "z2", "z3"}, InZone: func(z string) []string { return inZone[z] },
 			Peers: peers, Group: replica.NewLocal(name, m), Machine: m, Config: ConfigGroup{Voters: []string{"a"}}, Log: logr.Discard(),
 		}
-		r.View = func(Op) *view.Zone { return &view.Zone{AvailabilityZone: zone, Instance: name} }
+		r.View = func(Part) *view.Zone { return &view.Zone{AvailabilityZone: zone, Instance: name} }
 		r.Register()
 		servers[name].Config.Handler = peers.Handler()
 		servers[name].Start()
@@ -157,7 +157,7 @@
 func TestUnreachable(t *testing.T) {
 	is := is.New(t)
 	d := deploy(t)
-	zones := d.b.Views(t.Context(), OpWorkers)
+	zones := d.b.Views(t.Context(), PartWorkers)
 	is.Equal(len(zones), 3)
 	is.Equal(zones[0].Instance, "a")
 	is.Equal(zones[0].Error, nil)
@@ -198,11 +198,11 @@
 	is := is.New(t)
 	d := deploy(t)
 	d.b.Group = led{d.b.Group, "a"}
-	is.Equal(d.b.local(t.Context(), &Request{Op: OpStatus}).View.Instance, "a")
+	is.Equal(d.b.local(t.Context(), &Request{View: &View{Part: PartStatus}}).View.Instance, "a")
 	d.a.Group = led{d.a.Group, "b"} // the two disagree
-	is.Equal(d.b.local(t.Context(), &Request{Op: OpStatus}).View.Instance, "a")
+	is.Equal(d.b.local(t.Context(), &Request{View: &View{Part: PartStatus}}).View.Instance, "a")
 	d.b.Group = led{d.b.Group, "c"} // down
-	is.Equal(d.b.local(t.Context(), &Request{Op: OpStatus}).View.Instance, "b")
+	is.Equal(d.b.local(t.Context(), &Request{View: &View{Part: PartStatus}}).View.Instance, "b")
 }
 
 // Guards against racks in an availability zone that a typing error invents.
--- a/internal/routing/jobs.go
+++ b/internal/routing/jobs.go
@@ -14,12 +14,37 @@
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
 
+// Submit asks the owner zone's leader to accept a job.
+type Submit struct {
+	ID   model.JobID    `cbor:"1,keyasint"`
+	Spec *model.JobSpec `cbor:"2,keyasint"`
+	// Submission is the number of this submission, or 0; see jobs.Command.
+	Submission uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Cancel asks the owner zone's leader to cancel a job.
+type Cancel struct {
+	ID model.JobID `cbor:"1,keyasint"`
+}
+
+// Get asks any instance of the owner zone for a job.
+type Get struct {
+	ID model.JobID `cbor:"1,keyasint"`
+	// WaitMillis is how long to wait for a final state, ms.
+	WaitMillis int64 `cbor:"2,keyasint,omitempty"`
+}
+
+// List asks any instance of a zone for a customer's jobs there, or with "" for all.
+type List struct {
+	Customer string `cbor:"1,keyasint,omitempty"`
+}
+
 // Submit accepts a job or returns the record of an earlier request with the
 // same identity. The error is a *model.Refusal.
 func (r *Router) Submit(ctx context.Context, spec *model.JobSpec) (*Response, error) {
 	zone := model.OwnerZone(r.Zones, spec.Customer, spec.Key)
 	id := model.NewJobID(zone, spec.Customer, spec.Key)
-	resp, err := r.Do(ctx, zone, &Request{Op: OpSubmit, ID: id, Spec: spec, Submission: rand.Uint64() | 1})
+	resp, err := r.Do(ctx, zone, &Request{Submit: &Submit{ID: id, Spec: spec, Submission: rand.Uint64() | 1}})
 	var ref *model.Refusal
 	lost := errors.As(err, &ref) && ref.Reason == model.ReasonOwnerUnreachable
 	if lost && spec.Repeatable && zone != r.Zone && ctx.Err() == nil {
@@ -27,7 +52,7 @@
 		// caller has gone, the owner may well be reachable.
 		telemetry.Retried(model.ReasonOwnerUnreachable)
 		id = model.NewJobID(r.Zone, spec.Customer, spec.Key)
-		return r.Do(ctx, r.Zone, &Request{Op: OpSubmit, ID: id, Spec: spec})
+		return r.Do(ctx, r.Zone, &Request{Submit: &Submit{ID: id, Spec: spec}})
 	}
 	return resp, err
 }
@@ -42,27 +67,28 @@
 			return nil
 		}
 	}
-	_, err := r.Do(ctx, rep.Job.Zone(), &Request{Op: OpReport, Report: rep})
+	_, err := r.Do(ctx, rep.Job.Zone(), &Request{Report: rep})
 	return err
 }
 
 // lead carries out a request as the zone's leader.
 func (r *Router) lead(ctx context.Context, req *Request) *Response {
-	cmd := &jobs.Command{At: time.Now().UTC(), ID: req.ID}
-	switch req.Op {
-	case OpSubmit:
-		cmd.Kind = jobs.KindSubmit
-		cmd.Spec = req.Spec
-		cmd.Submission = req.Submission
-		if !req.Spec.Repeatable {
-			return r.submitOnce(ctx, cmd)
-		}
-	case OpCancel:
-		cmd.Kind = jobs.KindCancel
-	case OpReport:
+	switch {
+	case req.Submit != nil && req.Submit.Spec != nil:
+		return r.submit(ctx, req.Submit)
+	case req.Cancel != nil:
+		return r.propose(ctx, &jobs.Command{Kind: jobs.KindCancel, At: time.Now().UTC(), ID: req.Cancel.ID})
+	case req.Report != nil:
 		return r.report(ctx, req.Report)
 	default:
-		return &Response{Refusal: model.Refuse(model.ReasonInvalid, "operation %q is not known", req.Op)}
+		return &Response{Refusal: model.Refuse(model.ReasonInvalid, "a request without an operation that is known here")}
+	}
+}
+
+func (r *Router) submit(ctx context.Context, s *Submit) *Response {
+	cmd := &jobs.Command{Kind: jobs.KindSubmit, At: time.Now().UTC(), ID: s.ID, Spec: s.Spec, Submission: s.Submission}
+	if !s.Spec.Repeatable {
+		return r.submitOnce(ctx, cmd)
 	}
 	return r.propose(ctx, cmd)
 }
@@ -143,7 +169,7 @@
 
 // get answers from the local replica. A record that is not there or not final
 // is read again after everything committed has been applied.
-func (r *Router) get(ctx context.Context, req *Request) *Response {
+func (r *Router) get(ctx context.Context, req *Get) *Response {
 	j := r.Machine.Get(req.ID)
 	if j == nil {
 		if err := r.Group.ReadIndex(ctx); err != nil {
--- a/internal/routing/property_test.go
+++ b/internal/routing/property_test.go
@@ -222,7 +222,7 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		get := &routing.Request{Op: routing.OpGet, ID: resp.Job.ID, WaitMillis: 500}
+		get := &routing.Request{Get: &routing.Get{ID: resp.Job.ID, WaitMillis: 500}}
 		got, err := d.entry().Do(ctx, resp.Job.ID.Zone(), get)
 		if err == nil && got.Job.State.Final() {
 			return got.Job
--- a/internal/routing/remote.go
+++ b/internal/routing/remote.go
@@ -130,7 +130,7 @@
 		}
 	}
 	ask()
-	patience := hedgeDelay + time.Duration(req.WaitMillis)*time.Millisecond
+	patience := hedgeDelay + req.wait()
 	for {
 		hedge := time.NewTimer(patience)
 		select {
@@ -158,7 +158,7 @@
 		return resp
 	}
 	if err != nil && ctx.Err() == nil {
-		r.Log.V(1).Info("request failed", "to", to, "op", req.Op, "job", req.ID, "error", err.Error())
+		r.Log.V(1).Info("request failed", "to", to, "job", req.job(), "error", err.Error())
 	}
 	return nil
 }
@@ -175,7 +175,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout+time.Duration(req.WaitMillis)*time.Millisecond)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout+req.wait())
 	defer cancel()
 	out, err := r.Peers.Call(ctx, to, link.KindRequest, body)
 	if err != nil {
--- a/internal/routing/remote_test.go
+++ b/internal/routing/remote_test.go
@@ -41,13 +41,13 @@
 	p := &fakePeers{f: func(_ context.Context, to string) ([]byte, error) { return nil, refusedCall(to) }}
 	r := newRouter(p)
 	begin := time.Now()
-	resp := r.remote(context.Background(), "there", &Request{Op: OpGet})
+	resp := r.remote(context.Background(), "there", &Request{Get: &Get{}})
 	is.Equal(resp.Refusal.Reason, model.ReasonOwnerUnreachable)
 	is.Equal(resp.Refusal.State, model.Unknown)
 	is.True(resp.Refusal.RetryAfter > 0)
 	is.True(time.Since(begin) < time.Second)
 	tries := p.n.Load()
-	r.remote(context.Background(), "there", &Request{Op: OpGet})
+	r.remote(context.Background(), "there", &Request{Get: &Get{}})
 	is.Equal(p.n.Load(), tries)
 }
 
@@ -62,7 +62,7 @@
 	r := newRouter(p)
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { time.Sleep(20 * time.Millisecond); cancel() }()
-	r.remote(ctx, "there", &Request{Op: OpGet})
+	r.remote(ctx, "there", &Request{Get: &Get{}})
 	is.True(!r.health("there").down(time.Now()))
 }
 
@@ -78,7 +78,7 @@
 		}
 		return want, nil
 	}}
-	resp := newRouter(p).remote(context.Background(), "there", &Request{Op: OpGet})
+	resp := newRouter(p).remote(context.Background(), "there", &Request{Get: &Get{}})
 	is.Equal(resp.Job.ID, model.JobID("j"))
 }
 
@@ -95,7 +95,7 @@
 		return want, nil
 	}}
 	begin := time.Now()
-	resp := newRouter(p).remote(context.Background(), "there", &Request{Op: OpGet})
+	resp := newRouter(p).remote(context.Background(), "there", &Request{Get: &Get{}})
 	is.Equal(resp.Job.ID, model.JobID("j"))
 	is.True(time.Since(begin) < time.Second)
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -22,36 +22,47 @@
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
 
-// Op is what a request asks for.
-type Op string
-
-// The operations on a zone.
-const (
-	OpSubmit Op = "submit"
-	OpCancel Op = "cancel"
-	OpGet    Op = "get"
-	OpList   Op = "list"
-	OpReport Op = "report"
-)
-
-// Request is a request for a zone.
+// Request is a request for a zone. Exactly one of its operations is set. The numbers
+// 1 to 4, 6, 9 and 10 belonged to earlier versions.
 type Request struct {
-	Op       Op                `cbor:"1,keyasint"`
-	ID       model.JobID       `cbor:"2,keyasint,omitempty"`
-	Spec     *model.JobSpec    `cbor:"3,keyasint,omitempty"`
-	Customer string            `cbor:"4,keyasint,omitempty"`
-	Report   *workerapi.Report `cbor:"5,keyasint,omitempty"`
-	// WaitMillis is how long a get waits for a final state.
-	WaitMillis int64 `cbor:"6,keyasint,omitempty"`
-	// Submission is the number of a submit; see jobs.Command.
-	Submission uint64 `cbor:"9,keyasint,omitempty"`
+	Submit  *Submit           `cbor:"11,keyasint,omitempty"`
+	Cancel  *Cancel           `cbor:"12,keyasint,omitempty"`
+	Get     *Get              `cbor:"13,keyasint,omitempty"`
+	List    *List             `cbor:"14,keyasint,omitempty"`
+	Report  *workerapi.Report `cbor:"5,keyasint,omitempty"`
+	View    *View             `cbor:"15,keyasint,omitempty"`
+	Publish *config.Publish   `cbor:"8,keyasint,omitempty"`
+	// Accepted asks for the configuration that the configuration group has accepted.
+	Accepted *struct{} `cbor:"16,keyasint,omitempty"`
+	History  *History  `cbor:"17,keyasint,omitempty"`
+
 	// LeaderOnly is set when a request was forwarded inside its zone, so that
 	// two instances that disagree about the leader do not forward it in a loop.
 	LeaderOnly bool `cbor:"7,keyasint,omitempty"`
-	// Publish goes with OpPublish.
-	Publish *config.Publish `cbor:"8,keyasint,omitempty"`
-	// Limit bounds the records of OpHistory.
-	Limit int `cbor:"10,keyasint,omitempty"`
+}
+
+// job returns the job that a request is about, or "".
+func (r *Request) job() model.JobID {
+	switch {
+	case r.Submit != nil:
+		return r.Submit.ID
+	case r.Cancel != nil:
+		return r.Cancel.ID
+	case r.Get != nil:
+		return r.Get.ID
+	case r.Report != nil:
+		return r.Report.Job
+	default:
+		return ""
+	}
+}
+
+// wait is how long the request may wait where it is answered.
+func (r *Request) wait() time.Duration {
+	if r.Get == nil {
+		return 0
+	}
+	return time.Duration(r.Get.WaitMillis) * time.Millisecond
 }
 
 // Response is the answer to a request.
@@ -65,8 +76,7 @@
 	// Leader is the leader that the instance knows, if NotLeader is set by the
 	// configuration group.
 	Leader string `cbor:"6,keyasint,omitempty"`
-	// Record answers OpPublish, Accepted OpAccepted, History OpHistory and View
-	// the operations on views.
+	// The answers to the operations of the same name; Record answers Publish.
 	Record   *config.Record       `cbor:"7,keyasint,omitempty"`
 	Accepted *model.Configuration `cbor:"8,keyasint,omitempty"`
 	History  []config.Record      `cbor:"9,keyasint,omitempty"`
@@ -95,7 +105,7 @@
 	// Config is the configuration group as seen from here.
 	Config ConfigGroup
 	// View returns the view of the own zone from this instance.
-	View func(Op) *view.Zone
+	View func(Part) *view.Zone
 	Log  logr.Logger
 	// Usage takes usage reports on the leader; nil drops them.
 	Usage func(id model.JobID, fence uint64, memoryMiB int)
@@ -117,7 +127,7 @@
 
 // Do carries out a request in a zone. The error is a *model.Refusal.
 func (r *Router) Do(ctx context.Context, zone string, req *Request) (*Response, error) {
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout+time.Duration(req.WaitMillis)*time.Millisecond)
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout+req.wait())
 	defer cancel()
 	var resp *Response
 	if zone == r.Zone {
@@ -134,15 +144,15 @@
 
 // local carries out a request in this instance's own zone.
 func (r *Router) local(ctx context.Context, req *Request) *Response {
-	switch req.Op {
-	case OpPublish, OpAccepted, OpHistory:
+	switch {
+	case req.Publish != nil, req.Accepted != nil, req.History != nil:
 		return r.configLocal(ctx, req)
-	case OpWorkers, OpCustomers, OpFragmentation, OpStatus:
+	case req.View != nil:
 		return r.view(ctx, req)
-	case OpGet:
-		return r.get(ctx, req)
-	case OpList:
-		return &Response{Jobs: r.Machine.ByCustomer(req.Customer)}
+	case req.Get != nil:
+		return r.get(ctx, req.Get)
+	case req.List != nil:
+		return &Response{Jobs: r.Machine.ByCustomer(req.List.Customer)}
 	}
 	limit := time.Now().Add(leaderTimeout)
 	for {
--- a/internal/routing/view.go
+++ b/internal/routing/view.go
@@ -12,12 +12,20 @@
 	"teaselpaddle.example/teaselpaddle/internal/view"
 )
 
-// The operations on a zone's view.
+// View asks a zone for a part of its view.
+type View struct {
+	Part Part `cbor:"1,keyasint"`
+}
+
+// Part is a part of a zone's view.
+type Part string
+
+// The parts.
 const (
-	OpWorkers       Op = "workers"
-	OpCustomers     Op = "customers"
-	OpFragmentation Op = "fragmentation"
-	OpStatus        Op = "status"
+	PartWorkers       Part = "workers"
+	PartCustomers     Part = "customers"
+	PartFragmentation Part = "fragmentation"
+	PartStatus        Part = "status"
 )
 
 // viewTimeout bounds a question to all zones, so that one zone that cannot be
@@ -56,11 +64,11 @@
 	return out
 }
 
-// Views asks all zones for a view. The part of a zone that cannot be reached
+// Views asks all zones for a part of their views. The part of a zone that cannot be reached
 // says so.
-func (r *Router) Views(ctx context.Context, op Op) []view.Zone {
+func (r *Router) Views(ctx context.Context, part Part) []view.Zone {
 	var out []view.Zone
-	for _, a := range r.Each(ctx, &Request{Op: op}) {
+	for _, a := range r.Each(ctx, &Request{View: &View{Part: part}}) {
 		switch {
 		case a.Refusal != nil:
 			out = append(out, view.Zone{
@@ -91,5 +99,5 @@
 			return resp
 		}
 	}
-	return &Response{View: r.View(req.Op)}
+	return &Response{View: r.View(req.View.Part)}
 }
