--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -376,7 +376,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	// Runs without a record may be there all the same: those of a gang that is
-	// done, until their own ends are listed, and those of an earlier leader.
+	// done, until their own ends are listed, and those of an earlier leader. An end is
+	// committed a little before its order is marked as over. All of this room is
+	// about to come: the agent stops what it finds there.
 	for k, od := range a.orders {
 		if !od.startAt.IsZero() && !od.over && !p.recorded(w, k) {
 			w.Free = w.Free.Sub(od.need)
