--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -122,11 +122,7 @@
 	b := newBed(t, f)
 	b.submit("/b/", "j1", units(1, 8))
 	ref := batch.UnitRef{Job: "j1"}
-	b.within(5*time.Second, "started", func() bool {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		return len(f.starts[ref]) == 1
-	})
+	b.within(5*time.Second, "started", f.began(ref))
 	f.mu.Lock()
 	f.by["w1"].silent = true
 	f.by["w2"] = newFakeWorker(1)
@@ -180,11 +176,7 @@
 	b := newBed(t, f)
 	b.submit("/b/", "j1", units(1, 8))
 	ref := batch.UnitRef{Job: "j1"}
-	b.within(5*time.Second, "started", func() bool {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		return len(f.starts[ref]) == 1
-	})
+	b.within(5*time.Second, "started", f.began(ref))
 	f.mu.Lock()
 	f.by["w1"] = newFakeWorker(2)
 	f.mu.Unlock()
@@ -311,20 +303,13 @@
 	f := newFakeWorkers(t, 3*time.Second, "w1", "w2")
 	f.stopping, f.slow = 100*time.Millisecond, "w2"
 	b := newBed(t, f)
-	started := func(unit batch.UnitRef) func() bool {
-		return func() bool {
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			return len(f.starts[unit]) == 1
-		}
-	}
 	whole := func(accelerators int64) batch.Step { // each unit takes all cores of a worker
 		st := units(2, accelerators)
 		st.Need.CPU, st.Gang = 8000, true
 		return st
 	}
 	b.submit("/b/", "cheap", whole(1))
-	b.within(time.Second, "gang began", started(batch.UnitRef{Job: "cheap", Index: 1}))
+	b.within(time.Second, "gang began", f.began(batch.UnitRef{Job: "cheap", Index: 1}))
 	f.mu.Lock()
 	f.by["w3"], f.by["w4"] = newFakeWorker(1), newFakeWorker(1)
 	f.mu.Unlock()
@@ -333,11 +318,11 @@
 	dear := whole(8)
 	dear.Gang = false
 	b.submit("/b/", "dear", dear)
-	b.within(time.Second, "others began", started(batch.UnitRef{Job: "dear", Index: 1}))
+	b.within(time.Second, "others began", f.began(batch.UnitRef{Job: "dear", Index: 1}))
 	time.Sleep(300 * time.Millisecond) // both lose about the same time
 	b.group.lag.Store(int64(30 * time.Millisecond))
 	b.submit("/u/", "urgent", whole(1))
-	b.within(2*time.Second, "urgent gang began", started(batch.UnitRef{Job: "urgent"}))
+	b.within(2*time.Second, "urgent gang began", f.began(batch.UnitRef{Job: "urgent"}))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id, w := range f.by {
--- a/internal/dispatch/workers_test.go
+++ b/internal/dispatch/workers_test.go
@@ -155,6 +155,15 @@
 	return nil
 }
 
+// began reports whether a unit has begun once.
+func (f *fakeWorkers) began(unit batch.UnitRef) func() bool {
+	return func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.starts[unit]) == 1
+	}
+}
+
 // noteStart fails the test if the unit runs on another worker.
 func (f *fakeWorkers) noteStart(id string, k runKey) {
 	f.starts[k.unit] = append(f.starts[k.unit], id)
