--- a/internal/sched/policy/state.go
+++ b/internal/sched/policy/state.go
@@ -53,7 +53,7 @@
 	customerOrder []*customer // by name
 
 	policy          model.Policy // of the service with the highest fragmentation weight, see setConfig
-	shapeUse        *bindings // shapes and the part of them in use, without cells
+	shapeUse        *bindings    // shapes and the part of them in use, without cells
 	bindings        *bindings
 	bindingsVersion uint64 // version of cells for which bindings was computed
 }
