raft: an open group keeps 2f+1 voters, f the disks that may be lost at once

Cause: the leader removed a voter that was only silent as long as three remained. Of five voters four were left; when two of these lost their disks, neither a majority of four nor the recovery election's majority of disk voters existed, though three of five instances had their disks. The group was lost for good.

Change: raft.MembershipPolicy decides, from the number of disks that may be lost (setting disk_losses). A silent voter is removed only while more than 2f+1 voters remain; a new instance that has caught up takes its place in one change, so that the group is never smaller in between.

The simulation also found that a leader panicked when the acknowledgement of a removed voter decided its own removal (TestRemovedVoterDecidesItsRemoval).

Ruled out: a smaller quorum for recovery elections of groups with an even number of voters; the policy leaves no such group at the tolerance.

--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -10,12 +10,14 @@
 	ChangeAdd     ChangeKind = iota // a learner of a new instance becomes a voter
 	ChangeReplace                   // a learner replaces its dead predecessor
 	ChangeRemove                    // a voter is removed
+	ChangeSwap                      // a learner of a new instance replaces a voter of another instance
 )
 
 // Change is a membership change.
 type Change struct {
 	Kind   ChangeKind
 	Member ID
+	Leaves ID // with ChangeSwap, the voter that leaves
 }
 
 // onJoin makes the sender a learner. Its message proves that every other
@@ -72,11 +74,17 @@
 func (n *Node) membershipAfter(c Change) (*Membership, ChangeReason) {
 	current := n.activeMembership().current
 	next := &Membership{Voters: slices.Clone(current.Voters)}
+	leaves := c.Leaves
 	if c.Kind == ChangeRemove {
-		next.Voters = slices.DeleteFunc(next.Voters, func(v Member) bool { return v.ID == c.Member })
+		leaves = c.Member
+	}
+	if !leaves.IsZero() {
+		next.Voters = slices.DeleteFunc(next.Voters, func(v Member) bool { return v.ID == leaves })
 		if len(next.Voters) == len(current.Voters) {
 			return nil, ChangeNotMember
 		}
+	}
+	if c.Kind == ChangeRemove {
 		if len(next.Voters) == 0 {
 			return nil, ChangeLastVoter
 		}
@@ -91,7 +99,7 @@
 	}
 	m := Member{ID: c.Member, Disk: p.disk}
 	prev := next.VoterOf(c.Member.Instance)
-	if c.Kind == ChangeAdd {
+	if c.Kind == ChangeAdd || c.Kind == ChangeSwap {
 		if prev != nil {
 			return nil, ChangeIsVoter
 		}
@@ -159,12 +167,3 @@
 		n.transferee = ID{}
 	}
 }
-
-// SilentChecks returns the number of quorum checks, one per ElectionTicks,
-// since a voter last answered this leader. It returns 0 on other members.
-func (n *Node) SilentChecks(id ID) int {
-	if p := n.peers[id]; n.role == leader && p != nil {
-		return p.silentChecks
-	}
-	return 0
-}
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -442,3 +442,23 @@
 	}
 	is.True(err.(*BusyError).Uncommitted >= maxUncommitted)
 }
+
+// Guards against a leader that panics when the acknowledgement that decides a removal
+// comes from the removed voter: it was silent only for a while.
+func TestRemovedVoterDecidesItsRemoval(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 11, true, true, true, true)
+	c.run(40)
+	l := c.readyLeader()
+	removed := c.nextHost(l)
+	c.isolate(c.nextHost(removed).name) // leaves three of four voters, among them the removed one
+	is.NoErr(l.node.ProposeMembership(Change{Kind: ChangeRemove, Member: removed.node.id}))
+	c.blocked[[2]string{removed.name, l.name}] = true
+	c.processReady(l, 0)
+	c.run(5)
+	is.True(l.node.pendingChange() != 0) // the acknowledgement of the removed voter is missing
+	delete(c.blocked, [2]string{removed.name, l.name})
+	c.run(10)
+	is.Equal(l.node.pendingChange(), uint64(0))
+	c.healAndCheck()
+}
--- a/internal/raft/replicate.go
+++ b/internal/raft/replicate.go
@@ -195,7 +195,8 @@
 		p.snap = nil
 	}
 	n.maybeCommit()
-	if n.role == leader {
+	// The acknowledgement may have decided a change that removes its sender.
+	if n.role == leader && n.peers[m.From] == p {
 		n.sendAppend(m.From, false)
 		n.maybeTransfer(m.From)
 	}
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 )
@@ -61,7 +62,8 @@
 	// notDurable holds, by proposer and index, the commands that their proposer has
 	// applied and that are not durable yet.
 	notDurable map[ID]map[uint64]string
-	proposed   map[string]bool // command and proposer, joined
+	proposed   map[string]bool   // command and proposer, joined
+	policy     *MembershipPolicy // of an open group; nil otherwise
 	// repairing is set from the loss of a host's state until the group is healthy
 	// again.
 	repairing bool
@@ -239,20 +241,19 @@
 			}
 		}
 	}
-	c.admitLearners(h)
+	c.changeMembership(h)
 	c.processReady(h, 0)
 }
 
-// admitLearners proposes that the first learner that has caught up becomes a voter.
-func (c *cluster) admitLearners(h *host) {
-	for _, l := range h.node.Status().Learners {
-		kind := ChangeAdd
-		if h.node.activeMembership().current.VoterOf(l.Member.ID.Instance) != nil {
-			kind = ChangeReplace
-		}
-		if l.CaughtUp && h.node.ProposeMembership(Change{Kind: kind, Member: l.Member.ID}) == nil {
-			return
-		}
+// changeMembership proposes the next change of the members. Without a policy of the
+// cluster, silent voters stay.
+func (c *cluster) changeMembership(h *host) {
+	policy := MembershipPolicy{ReplaceAfter: math.MaxInt, RemoveAfter: math.MaxInt}
+	if c.policy != nil {
+		policy = *c.policy
+	}
+	if change := h.node.NextChange(policy); change != nil {
+		_ = h.node.ProposeMembership(*change)
 	}
 }
 
--- a/internal/region/control.go
+++ b/internal/region/control.go
@@ -36,6 +36,7 @@
 	Self            string // IP:port for links from its peers; identifies the instance
 	Seeds           []string
 	Form            bool // first start of the deployment
+	DiskLosses      int  // disks that may be lost at the same time, see replica.Config; 0 means 1
 	DataFolder      string
 	Peers           link.Peers
 	Client          workerapi.UnitClient
@@ -78,7 +79,7 @@
 		}
 	}
 	g, err := replica.Open(replica.Config{
-		Group: groupName, Self: cfg.Self, Instances: specs, OpenMembership: true, AllowFormation: len(specs) > 0,
+		Group: groupName, Self: cfg.Self, Instances: specs, OpenMembership: true, AllowFormation: len(specs) > 0, DiskLosses: cfg.DiskLosses,
 		Contacts: router.Contacts, DataFolder: filepath.Join(cfg.DataFolder, groupName),
 		Dispatcher: replica.NewDispatcher(cfg.Peers), Machine: c.machine, Log: cfg.Log,
 		TickInterval: groupTick, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -39,6 +39,10 @@
 	// responds if there is one. Instances then lists only the initial voters, of
 	// which the one with the lowest name forms the group if AllowFormation is set.
 	OpenMembership bool
+	// DiskLosses is the number of disks that the members of an open group may lose at
+	// the same time without the loss of an acknowledged entry. The group keeps enough
+	// voters for that. 0 stands for 1.
+	DiskLosses int
 	// AllowFormation allows this instance to form an open group.
 	AllowFormation bool
 	// Contacts returns instances that may know the leader. It is used by open
@@ -84,6 +88,9 @@
 	if c.SnapshotEntries == 0 {
 		c.SnapshotEntries = defaultSnapshotEntries
 	}
+	if c.DiskLosses == 0 {
+		c.DiskLosses = 1
+	}
 	if c.OpenMembership {
 		return nil
 	}
--- a/internal/replica/form.go
+++ b/internal/replica/form.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -20,9 +21,6 @@
 	// group would need a larger majority than necessary and lose its quorum at the
 	// next loss.
 	silentChecksToRemove = 7
-	// minVoters is the number of voters that must remain when one is removed
-	// without a replacement: fewer would not tolerate a loss.
-	minVoters = 3
 	// formReplyValidTicks is the time for which the reply to a query is valid.
 	formReplyValidTicks = 2 * formQueryTicks
 )
@@ -133,49 +131,29 @@
 	return slices.Compact(out)
 }
 
-// promoteLearners proposes that a learner that has caught up becomes a voter, in
-// place of an earlier incarnation of its instance if that is a voter. Before an open
-// group adds a voter, it removes one that does not respond.
-func (r *Replica) promoteLearners() {
-	for _, l := range r.node.Learners() {
-		if !l.CaughtUp {
-			continue
-		}
-		st := r.node.Status()
-		kind := raft.ChangeAdd
-		if st.Membership.VoterOf(l.Member.ID.Instance) != nil {
-			kind = raft.ChangeReplace
-		}
-		if kind == raft.ChangeAdd && r.cfg.OpenMembership && r.removeSilentVoter(silentChecksToReplace, 1) {
-			return
-		}
-		err := r.node.ProposeMembership(raft.Change{Kind: kind, Member: l.Member.ID})
-		if err == nil {
-			r.log.Info("learner becomes voter", "member", l.Member.ID.String())
-			return
-		}
-		r.log.V(1).Info("learner cannot become voter yet", "member", l.Member.ID.String(), "reason", err.Error())
+// changeMembership proposes the next change of the members: a learner that has caught up
+// becomes a voter, or, in an open group, a voter that does not respond leaves. A removed
+// voter that was only unreachable joins again.
+func (r *Replica) changeMembership() {
+	policy := raft.MembershipPolicy{DiskLosses: r.cfg.DiskLosses, ReplaceAfter: silentChecksToReplace, RemoveAfter: silentChecksToRemove}
+	if !r.cfg.OpenMembership {
+		policy.ReplaceAfter, policy.RemoveAfter = math.MaxInt, math.MaxInt
 	}
-}
-
-// removeSilentVoter removes a voter that has not responded for minSilentChecks
-// quorum checks if at least minRemaining voters remain. It reports whether a
-// removal has been proposed. A removed voter that was only unreachable joins again.
-func (r *Replica) removeSilentVoter(minSilentChecks, minRemaining int) bool {
-	voters := r.node.Status().Membership.Voters
-	if len(voters) <= minRemaining {
-		return false
-	}
-	for _, v := range voters {
-		if r.node.SilentChecks(v.ID) < minSilentChecks {
-			continue
-		}
-		err := r.node.ProposeMembership(raft.Change{Kind: raft.ChangeRemove, Member: v.ID})
-		if err == nil {
-			r.log.Info("silent voter removed", "member", v.ID.String(), "remaining", len(voters)-1)
-			return true
-		}
-		r.log.V(1).Info("silent voter cannot be removed yet", "member", v.ID.String(), "reason", err.Error())
+	c := r.node.NextChange(policy)
+	if c == nil {
+		return
+	}
+	if err := r.node.ProposeMembership(*c); err != nil {
+		r.log.V(1).Info("membership cannot be changed yet", "member", c.Member.String(), "reason", err.Error())
+		return
+	}
+	if c.Kind != raft.ChangeRemove {
+		r.log.Info("learner becomes voter", "member", c.Member.String())
+	}
+	if c.Kind == raft.ChangeRemove {
+		c.Leaves = c.Member
+	}
+	if !c.Leaves.IsZero() {
+		r.log.Info("silent voter removed", "member", c.Leaves.String(), "remaining", len(r.node.Status().Membership.Voters))
 	}
-	return false
 }
--- a/internal/replica/run.go
+++ b/internal/replica/run.go
@@ -219,9 +219,6 @@
 	r.tickForm()
 	r.node.Tick()
 	r.tickJoin()
-	if r.cfg.OpenMembership && r.ticks%joinRetryTicks == 0 {
-		r.removeSilentVoter(silentChecksToRemove, minVoters)
-	}
 	r.tickReads()
 }
 
@@ -231,7 +228,7 @@
 	if r.node == nil {
 		return
 	}
-	r.promoteLearners()
+	r.changeMembership()
 	for r.node.HasReady() {
 		rd := r.node.Ready()
 		r.sendMessages(rd.Before)
