raft, replica: reads no longer multiply what the leader sends

Cause: each read takes a heartbeat to every member, and an answer to a heartbeat without an acknowledgement since the last one was taken for a lost message. A voter that came back made the leader send hundreds of chunks a second beside the entries; commits came late, their proposers gave up and proposed them again.

Change: messages count as lost after a heartbeat interval in ticks without anything new, doubling with each resend up to an election timeout. One round of reads is unanswered at a time and serves all that wait. A leader refuses proposals (they have not run) while the oldest entry has waited for an election timeout, and steps down if nothing is committed for five.

--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -86,6 +86,8 @@
 	n.peers = map[ID]*progress{}
 	n.quorumIndex = 0
 	n.durable = 0
+	n.commitAtTick = n.commit
+	n.sinceCommit = 0
 	n.sinceHeartbeat = 0
 	n.sinceQuorumCheck = 0
 	n.pendingReads = nil
@@ -162,7 +164,14 @@
 func (n *Node) tickLeader() {
 	n.sinceHeartbeat++
 	n.sinceQuorumCheck++
+	for _, p := range n.peers {
+		p.stalledTicks++
+	}
 	n.tickTransfer()
+	if n.commitStalled() {
+		n.becomeFollower(n.term, ID{})
+		return
+	}
 	if n.sinceQuorumCheck >= n.cfg.ElectionTicks {
 		n.sinceQuorumCheck = 0
 		if !n.checkQuorum() {
@@ -175,6 +184,18 @@
 	}
 }
 
+// commitStalled reports whether entries have been waiting for commitStallTimeouts
+// election timeouts without any being committed, although a quorum answers.
+func (n *Node) commitStalled() bool {
+	if n.commit != n.commitAtTick || n.commit == n.log.last() {
+		n.commitAtTick = n.commit
+		n.sinceCommit = 0
+		return false
+	}
+	n.sinceCommit++
+	return n.sinceCommit >= commitStallTimeouts*n.cfg.ElectionTicks
+}
+
 // checkQuorum reports whether messages of a quorum arrived since the last check.
 // It also drops the learners that have been silent for too long.
 func (n *Node) checkQuorum() bool {
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -34,7 +34,7 @@
 	}
 	n.peers[m.From] = &progress{
 		learner: true, disk: m.Disk, recentlyActive: true, probing: true,
-		next: n.log.last() + 1, joinSeq: n.heartbeatSeq + 1,
+		next: n.log.last() + 1, joinSeq: n.heartbeatSeq + 1, resendTicks: n.cfg.HeartbeatTicks,
 	}
 	n.sendAppend(m.From, false)
 }
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -20,6 +20,10 @@
 	// make its log newer than those of the voters, and then no voter can win. It
 	// counts the votes of the voters only, and steps down once they have its log.
 	learnerCampaignTimeouts = 3
+	// commitStallTimeouts is the number of election timeouts after which a leader that
+	// commits nothing steps down. Its replication may be stuck in a way that a new leader,
+	// which knows nothing of what was sent, cures. A slow disk commits earlier.
+	commitStallTimeouts = 5
 	// maxUncommitted is the number of uncommitted entries from which proposals are
 	// refused. It bounds the log while a quorum is lost, for instance because the
 	// only voter with a disk is down.
@@ -91,6 +95,9 @@
 	peers            map[ID]*progress // voters and learners except this member
 	durable          uint64           // see maybeCommit
 	quorumIndex      uint64           // last index of the leader's own term that a quorum of the voters holds
+	commitAtTick     uint64           // commit index at the last tick
+	sinceCommit      int              // ticks since the commit index last moved, while entries wait
+	resends          uint64           // times that messages to a member were taken for lost
 	sinceHeartbeat   int
 	sinceQuorumCheck int
 	heartbeatSeq     uint64 // last heartbeat number
@@ -326,6 +333,7 @@
 	// own term.
 	ReadyToLead bool
 	Learners    []Learner // known to the leader only
+	Resends     uint64    // times that this member took messages to another one for lost
 	Elections   uint64    // elections begun by this member
 	Recoveries  uint64    // recovery elections won by this member
 }
@@ -336,6 +344,32 @@
 	CaughtUp bool
 }
 
+// MemberProgress is the replication to another member.
+type MemberProgress struct {
+	Member            ID
+	Lag               uint64 // entries that the member is not known to have stored
+	Inflight          int    // unacknowledged append messages
+	SnapshotBytesLeft uint64 // of the snapshot that is being sent; 0 if there is none
+}
+
+// Progress returns the replication to each other member; none if this member is not the
+// leader.
+func (n *Node) Progress() []MemberProgress {
+	if n.role != leader {
+		return nil
+	}
+	var out []MemberProgress
+	for _, id := range n.peerIDs() {
+		p := n.peers[id]
+		m := MemberProgress{Member: id, Lag: n.log.last() - p.match, Inflight: p.inflight}
+		if p.snap != nil {
+			m.SnapshotBytesLeft = uint64(len(p.snap.Data)) - p.offset
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
 // Learners returns the learners that this member knows as the leader; none if it
 // is not the leader.
 func (n *Node) Learners() []Learner {
@@ -361,7 +395,7 @@
 		Term: n.term, Leader: n.leader, Leads: n.role == leader, Commit: n.commit, Applied: n.applied,
 		LastIndex: n.log.last(), SnapshotIndex: n.log.snap.Index, Membership: *active.current, Voter: active.current.Has(n.id),
 		ReadyToLead: n.role == leader && n.log.term(n.commit) == n.term,
-		Elections:   n.electionsBegun, Recoveries: n.recovery.wins,
+		Elections:   n.electionsBegun, Recoveries: n.recovery.wins, Resends: n.resends,
 	}
 	if n.role == leader {
 		st.Durable = n.durable
--- a/internal/raft/replicate.go
+++ b/internal/raft/replicate.go
@@ -13,9 +13,12 @@
 	next    uint64 // next index to send
 	// probing is set while only one append message at a time is sent, until the
 	// last matching index is known.
-	probing          bool
-	inflight         int    // unacknowledged append messages
-	matchAtHeartbeat uint64 // match at the last heartbeat answer; detects lost messages
+	probing  bool
+	inflight int // unacknowledged append messages
+	// stalledTicks counts the ticks without an acknowledgement of anything new, and
+	// resendTicks is the number of them after which messages are taken for lost.
+	stalledTicks int
+	resendTicks  int
 
 	snap   *Snapshot // snapshot being sent; nil otherwise
 	offset uint64    // of the next chunk
@@ -38,7 +41,7 @@
 		if p == nil {
 			// Counts as active in the first quorum check, so that a new leader
 			// has one election timeout to reach the voter.
-			p = &progress{next: n.log.last() + 1, probing: true, recentlyActive: true}
+			p = &progress{next: n.log.last() + 1, probing: true, recentlyActive: true, resendTicks: n.cfg.HeartbeatTicks}
 			n.peers[v.ID] = p
 		}
 		p.learner = false
@@ -122,6 +125,9 @@
 		Kind: MsgAppend, To: to, Index: prev, LogTerm: n.log.term(prev), Entries: entries,
 		Commit: n.commit, Decided: n.decided,
 	})
+	if p.inflight == 0 {
+		p.stalledTicks = 0 // nothing was outstanding
+	}
 	if p.probing || len(entries) > 0 {
 		p.inflight++
 	}
@@ -135,6 +141,7 @@
 	p.snap = &snap
 	p.offset = 0
 	p.inflight = 0
+	p.progressed(n.cfg.HeartbeatTicks)
 	n.sendChunk(to, p)
 }
 
@@ -160,8 +167,13 @@
 	if p.snap == nil || p.snap.Index != m.Index || m.Offset > uint64(len(p.snap.Data)) {
 		return
 	}
-	if m.Offset > p.offset || m.Offset == 0 {
+	switch {
+	case m.Offset > p.offset:
 		p.offset = m.Offset
+		p.progressed(n.cfg.HeartbeatTicks)
+		n.sendChunk(m.From, p)
+	case m.Offset == 0 && p.offset > 0: // the member restarted and has nothing
+		p.offset = 0
 		n.sendChunk(m.From, p)
 	}
 }
@@ -185,6 +197,7 @@
 	if m.Index > p.match {
 		p.match = m.Index
 		p.next = max(p.next, p.match+1)
+		p.progressed(n.cfg.HeartbeatTicks)
 	}
 	if p.probing {
 		p.probing = false
@@ -212,6 +225,7 @@
 	p.probing = true
 	p.inflight = 0
 	p.next = max(min(m.Index+1, p.next-1), p.match+1)
+	p.progressed(n.cfg.HeartbeatTicks)
 	n.sendAppend(m.From, false)
 }
 
@@ -241,20 +255,32 @@
 		// damaged last write for a torn one. A delayed answer looks the same; in
 		// that case some entries are sent twice.
 		p.match = m.Index
-		p.matchAtHeartbeat = m.Index
+		p.stalledTicks = p.resendTicks
 	}
 	n.resendLost(m.From, p)
 }
 
-// resendLost resends from the last acknowledged entry if nothing was acknowledged
-// between two heartbeat answers although the member lacks entries or messages to
-// it are unacknowledged.
+// progressed records that the member has acknowledged something new.
+func (p *progress) progressed(resendTicks int) {
+	p.stalledTicks = 0
+	p.resendTicks = resendTicks
+}
+
+// resendLost resends from the last acknowledged entry, or the current chunk of the
+// snapshot, if the member is alive but has acknowledged nothing new for resendTicks
+// although it lacks entries or messages to it are unacknowledged.
+//
+// The time counts in ticks and not in heartbeat answers: each read takes a heartbeat,
+// and answers to them come faster than a disk can sync. resendTicks doubles with each
+// resend up to an election timeout, because a member that is only slow gets slower with
+// everything that it receives twice.
 func (n *Node) resendLost(to ID, p *progress) {
-	stuck := p.matchAtHeartbeat == p.match && (p.match < n.log.last() || p.inflight > 0)
-	p.matchAtHeartbeat = p.match
-	if !stuck {
+	if p.match >= n.log.last() && p.inflight == 0 && p.snap == nil || p.stalledTicks < p.resendTicks {
 		return
 	}
+	p.stalledTicks = 0
+	p.resendTicks = min(2*p.resendTicks, n.cfg.ElectionTicks)
+	n.resends++
 	if p.snap != nil {
 		n.sendChunk(to, p)
 		return
--- a/internal/replica/net_test.go
+++ b/internal/replica/net_test.go
@@ -13,7 +13,9 @@
 
 	"github.com/go-logr/logr"
 
+	"teaselpaddle.example/teaselpaddle/internal/codec"
 	"teaselpaddle.example/teaselpaddle/internal/link"
+	"teaselpaddle.example/teaselpaddle/internal/raft"
 )
 
 // network connects the daemons of a test. Messages between two daemons stay in
@@ -22,6 +24,7 @@
 	mu       sync.Mutex
 	nodes    map[string]*node
 	isolated map[string]bool // instances that neither send nor receive
+	drop     func(*raft.Message) bool // selects messages that are lost; nil for none
 	bytes    atomic.Int64
 	count    atomic.Int64
 }
@@ -67,6 +70,12 @@
 	if dst == nil || p.net.nodes[p.name] != p || p.net.isolated[to] || p.net.isolated[p.name] {
 		return
 	}
+	if p.net.drop != nil {
+		var f frame
+		if codec.Unmarshal(body, &f) == nil && f.Msg != nil && p.net.drop(f.Msg) {
+			return
+		}
+	}
 	p.net.bytes.Add(int64(len(body)))
 	p.net.count.Add(1)
 	select {
@@ -79,6 +88,7 @@
 type recorder struct {
 	mu      sync.Mutex
 	applied []uint64
+	padding int // bytes that each snapshot is larger than its content
 }
 
 func (r *recorder) Apply(_ uint64, entry []byte) any {
@@ -95,6 +105,7 @@
 	for _, v := range r.applied {
 		out = binary.LittleEndian.AppendUint64(out, v)
 	}
+	out = append(out, make([]byte, r.padding)...)
 	return out, nil
 }
 
@@ -197,6 +208,13 @@
 	z.net.isolated[name] = isolated
 }
 
+// setDrop loses the messages that drop selects; nil for none.
+func (z *zone) setDrop(drop func(*raft.Message) bool) {
+	z.net.mu.Lock()
+	defer z.net.mu.Unlock()
+	z.net.drop = drop
+}
+
 // waitFor polls until ok returns true, and fails the test after 10 s.
 func (z *zone) waitFor(what string, ok func() bool) {
 	z.t.Helper()
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -85,7 +85,12 @@
 	var first, term uint64
 	var err error = &raft.NotLeaderError{}
 	if r.node != nil {
-		first, term, err = r.node.Propose(data...)
+		if err = r.checkCommitDelay(); err == nil {
+			first, term, err = r.node.Propose(data...)
+		}
+	}
+	if err == nil {
+		r.appendedAt = append(r.appendedAt, appendTime{last: first + uint64(len(batch)) - 1, tick: r.ticks})
 	}
 	for i, p := range batch {
 		if err != nil {
@@ -97,13 +102,51 @@
 	}
 }
 
+// appendTime is the time of the append of the entries up to an index.
+type appendTime struct{ last, tick uint64 }
+
+// SlowCommitError reports that nothing was proposed because entries wait for their commit
+// for longer than a new one could wait.
+type SlowCommitError struct{ Ticks uint64 }
+
+func (e *SlowCommitError) Error() string {
+	return fmt.Sprintf("the oldest entry has not been committed for %d ticks", e.Ticks)
+}
+
+// checkCommitDelay returns *SlowCommitError if the oldest entry proposed here has been
+// waiting for an election timeout. The proposer of a new entry would give up before its
+// commit and propose it again, and the log would fill with entries that nobody waits for.
+func (r *Replica) checkCommitDelay() error {
+	if waited := r.oldestWaitTicks(); waited > uint64(r.cfg.ElectionTicks) {
+		return &SlowCommitError{Ticks: waited}
+	}
+	return nil
+}
+
+// oldestWaitTicks returns the time since the oldest entry proposed here that is not
+// applied, in ticks; 0 if there is none.
+func (r *Replica) oldestWaitTicks() uint64 {
+	for len(r.appendedAt) > 0 && r.appendedAt[0].last <= r.applied {
+		r.appendedAt = r.appendedAt[1:]
+	}
+	if len(r.appendedAt) == 0 {
+		return 0
+	}
+	return r.ticks - r.appendedAt[0].tick
+}
+
 // proposeError converts an error of the core, which has appended nothing, to the
 // error that the caller of Propose gets.
 func (r *Replica) proposeError(err error) error {
 	var busy *raft.BusyError
-	if errors.As(err, &busy) {
+	var slow *SlowCommitError
+	switch {
+	case errors.As(err, &busy):
 		telemetry.Count(r.metricName("busy"))
 		return &NotProposedError{Cause: err}
+	case errors.As(err, &slow):
+		telemetry.Count(r.metricName("slow_commit"))
+		return &NotProposedError{Cause: err}
 	}
 	var nl *raft.NotLeaderError
 	if errors.As(err, &nl) && nl.Leader != r.id {
@@ -178,6 +221,9 @@
 		delete(r.readRounds, seq)
 		round.complete(cause)
 	}
+	(&readRound{reads: r.waitingReads}).complete(cause)
+	r.waitingReads = nil
+	r.appendedAt = nil
 	r.catchUpRead = nil
 	r.finishTransfers(true)
 }
--- a/internal/replica/read.go
+++ b/internal/replica/read.go
@@ -47,18 +47,35 @@
 	}
 }
 
-// batchReads starts one round for all queued reads.
-func (r *Replica) batchReads(first *pendingRead) {
-	reads := []*pendingRead{first}
-	for len(reads) < maxBatch {
+// queueReads adds the queued reads to those that the next round serves, and starts it
+// unless a round is unanswered. Each round takes a heartbeat to every member and its
+// answer, so that their number must not grow with that of the reads.
+func (r *Replica) queueReads(first *pendingRead) {
+	r.waitingReads = append(r.waitingReads, first)
+	for range maxBatch {
 		select {
 		case rd := <-r.reads:
-			reads = append(reads, rd)
+			r.waitingReads = append(r.waitingReads, rd)
 			continue
 		default:
 		}
 		break
 	}
+	r.startNextReadRound()
+}
+
+// startNextReadRound starts a round for the waiting reads unless one is unanswered.
+func (r *Replica) startNextReadRound() {
+	if len(r.waitingReads) == 0 {
+		return
+	}
+	for _, round := range r.readRounds {
+		if round.readIndex == 0 {
+			return
+		}
+	}
+	reads := r.waitingReads
+	r.waitingReads = nil
 	r.startReadRound(reads)
 }
 
@@ -119,4 +136,5 @@
 			round.complete(nil)
 		}
 	}
+	r.startNextReadRound()
 }
--- a/internal/replica/run.go
+++ b/internal/replica/run.go
@@ -56,12 +56,15 @@
 	pending           map[uint64]*proposal // by log index
 	lastReadSeq       uint64
 	readRounds        map[uint64]*readRound
+	waitingReads      []*pendingRead // served by the round after the unanswered one
+	appendedAt        []appendTime   // of the entries proposed here that are not applied, oldest first
 	pendingTransfers  []chan struct{} // closed once this member does not lead
 	durableWaits      []*durableWait
 	durableCaughtUpAt time.Time // when the durable index last reached the commit index
 	caughtUp          bool
 	catchUpRead       *pendingRead // completes once the member has caught up after its start
 	lastRaftStatus    raft.Status
+	gauges            *gauges
 
 	mu     sync.Mutex // guards status
 	status Status
@@ -93,6 +96,7 @@
 	if err := r.open(); err != nil {
 		return nil, err
 	}
+	r.gauges = newGauges(cfg.Group)
 	cfg.Dispatcher.add(r)
 	go r.run()
 	return r, nil
@@ -164,7 +168,7 @@
 		case p := <-r.proposals:
 			r.propose(p)
 		case rd := <-r.reads:
-			r.batchReads(rd)
+			r.queueReads(rd)
 		case ch := <-r.transfers:
 			r.transfer(ch)
 		case w := <-r.durableRequests:
@@ -220,6 +224,16 @@
 	r.node.Tick()
 	r.tickJoin()
 	r.tickReads()
+	r.updateGauges()
+}
+
+func (r *Replica) updateGauges() {
+	st := r.node.Status()
+	waited := 0.0
+	if st.Leads {
+		waited = (time.Duration(r.oldestWaitTicks()) * r.cfg.TickInterval).Seconds()
+	}
+	r.gauges.update(&st, r.node.Progress(), waited)
 }
 
 // processReady stores, sends and applies what the core hands out until nothing is
@@ -298,6 +312,7 @@
 // shutdown unregisters the member, fails all pending calls and closes the store.
 func (r *Replica) shutdown() {
 	r.cfg.Dispatcher.remove(r)
+	r.gauges.close()
 	r.failPending(&StoppedError{Group: r.cfg.Group})
 	r.resolveDurableWaits(nil)
 	if r.node != nil {
@@ -363,6 +378,9 @@
 	if n.Leader != prev.Leader || n.Term != prev.Term {
 		r.log.V(1).Info("leader changed", "leader", n.Leader.Instance, "term", n.Term)
 	}
+	if !n.Leads {
+		r.appendedAt = nil
+	}
 	if prev.Leads && !n.Leads {
 		telemetry.Count(r.metricName("leaderships_lost"))
 	}
