--- a/internal/replica/net_test.go
+++ b/internal/replica/net_test.go
@@ -23,7 +23,7 @@
 type network struct {
 	mu       sync.Mutex
 	nodes    map[string]*node
-	isolated map[string]bool // instances that neither send nor receive
+	isolated map[string]bool          // instances that neither send nor receive
 	drop     func(*raft.Message) bool // selects messages that are lost; nil for none
 	bytes    atomic.Int64
 	count    atomic.Int64
--- a/internal/replica/run.go
+++ b/internal/replica/run.go
@@ -56,8 +56,8 @@
 	pending           map[uint64]*proposal // by log index
 	lastReadSeq       uint64
 	readRounds        map[uint64]*readRound
-	waitingReads      []*pendingRead // served by the round after the unanswered one
-	appendedAt        []appendTime   // of the entries proposed here that are not applied, oldest first
+	waitingReads      []*pendingRead  // served by the round after the unanswered one
+	appendedAt        []appendTime    // of the entries proposed here that are not applied, oldest first
 	pendingTransfers  []chan struct{} // closed once this member does not lead
 	durableWaits      []*durableWait
 	durableCaughtUpAt time.Time // when the durable index last reached the commit index
