dispatch: a new leader listens to the workers before it plans

Pattern: the return after a change of leader.

Change: no plan before 95 % of the first calls to the workers have ended, at most 0.5 s (internal/dispatch/settle.go).

--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -64,6 +64,7 @@
 	wg        sync.WaitGroup
 	wake      chan struct{}
 	planner   planner
+	settled   bool // see settle; owned by the goroutine of run
 	waitSlots chan struct{} // one element per hold that waits; nil if there is no limit
 
 	mu     sync.Mutex // guards agents
@@ -153,7 +154,9 @@
 		case <-idle.C:
 		}
 		l.syncAgents()
-		l.planner.pass()
+		if l.settle() {
+			l.planner.pass()
+		}
 		if !retry.Sleep(l.ctx, max(planInterval, planRestFactor*l.planner.decisionTime)) {
 			return
 		}
--- /dev/null
+++ b/internal/dispatch/settle.go
@@ -0,0 +1,46 @@
+package dispatch
+
+import "time"
+
+// A new leader knows the committed runs but not which of them have ended meanwhile: it
+// learns that from the first answer of each worker. A plan from the answers of a few
+// workers takes the others for unusable and what ran there for running. It stops runs to
+// make room that is already free elsewhere, and starts units away from their data.
+const (
+	// settleTimeout bounds the time in which a new leader only listens.
+	settleTimeout = 500 * time.Millisecond
+	// settledShare is the share of the workers whose first call must have ended. The
+	// calls to workers that are cut off end only with callTimeout.
+	settledShare = 0.95
+)
+
+// settle reports whether the leader may start and stop runs: its first calls to the
+// workers have ended, or it has waited for settleTimeout. Once true, it stays true.
+// Only the goroutine of run calls it.
+func (l *Leadership) settle() bool {
+	if l.settled {
+		return true
+	}
+	waited := l.cfg.Now().Sub(l.startedAt)
+	contacted, recorded := l.countContacted()
+	l.settled = waited >= settleTimeout || float64(contacted) >= settledShare*float64(recorded)
+	if l.settled {
+		l.log.Info("planning begins", "workers", recorded, "contacted", contacted, "waitedMS", waited.Milliseconds())
+	}
+	return l.settled
+}
+
+// countContacted returns the number of recorded workers, and of those whose first call
+// has ended.
+func (l *Leadership) countContacted() (contacted, recorded int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, a := range l.agents {
+		a.mu.Lock()
+		if a.synced || a.superseded || a.unansweredCalls > 0 {
+			contacted++
+		}
+		a.mu.Unlock()
+	}
+	return contacted, len(l.agents)
+}
--- a/internal/dispatch/workers_test.go
+++ b/internal/dispatch/workers_test.go
@@ -60,6 +60,7 @@
 	failRuns         bool // every run fails
 	stopsAt          map[runKey]time.Time
 	dropHolds        bool // leaves holds unanswered
+	holdDelay        time.Duration
 }
 
 // fakeWorkers implements workerapi.UnitClient.
@@ -212,6 +213,13 @@
 			f.mu.Unlock()
 		}()
 	}
+	f.mu.Lock()
+	var delay time.Duration
+	if w := f.byID[t.ID]; w != nil {
+		delay = w.holdDelay
+	}
+	f.mu.Unlock()
+	time.Sleep(delay)
 	for first := true; ; first = false {
 		f.mu.Lock()
 		w, err := f.reachableWorker(t.ID)
