place: urgent groups keep the room that runs were stopped for

Pattern: a burst of urgent gangs over long units. Stops end one after the other; in each decision between them another urgent gang took the room that the first ones had freed, because it cost nothing more, and the gang that they were stopped for stopped others, once even an urgent one.

Tests without a network: TestUrgentGangsKeepTheirRoom (without the claims 26 gangs of 50 bursts stop more runs than they need, with them none), TestClaimOnLostWorkerIsDropped, TestGuaranteeTakesClaimedRoom.

--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -64,7 +64,7 @@
 	wg        sync.WaitGroup
 	wake      chan struct{}
 	planner   planner
-	settled   bool // see settle; owned by the goroutine of run
+	settled   bool          // see settle; owned by the goroutine of run
 	waitSlots chan struct{} // one element per hold that waits; nil if there is no limit
 
 	mu     sync.Mutex // guards agents
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -35,6 +35,7 @@
 	leadership   *Leadership
 	decisionTime time.Duration // of the last snapshot and decision, without commits
 	waitingSteps map[stepKey]bool
+	claims       map[stepKey][]place.Claim // room that waits for steps, by the last plan
 }
 
 // stepKey identifies a step of one occurrence of a job.
@@ -91,6 +92,7 @@
 	began := time.Now()
 	snap, runs, lost := p.snapshot()
 	plan := place.Decide(snap)
+	p.keepClaims(snap)
 	p.decisionTime = time.Since(began)
 	decideTime.UpdateDuration(began)
 	for worker, ends := range lost {
@@ -111,6 +113,16 @@
 	p.logWaitingSteps(plan.Unplaced, snap)
 }
 
+// keepClaims keeps the room that waits for steps for the next snapshot.
+func (p *planner) keepClaims(s *place.Snapshot) {
+	p.claims = map[stepKey][]place.Claim{}
+	for _, g := range s.Groups {
+		if len(g.Claims) > 0 {
+			p.claims[stepKey{g.Job, g.Occurrence, g.StepIndex}] = g.Claims
+		}
+	}
+}
+
 // reconcileRun sends a start to the worker of a recorded run that has not been started,
 // or a stop if the run was refused, has stalled, or is no longer needed.
 func (p *planner) reconcileRun(r *runInfo) {
@@ -321,6 +333,7 @@
 		Job: j.ID, Occurrence: g.Occurrence, StepIndex: g.Step, Step: st, Service: q.Service, Priority: q.Priority,
 		SinceMS: max(j.AcceptedMS, due), Seq: j.Seq, Total: len(g.Units),
 	}
+	pg.Claims = p.claims[stepKey{j.ID, g.Occurrence, g.Step}]
 	pg.CompleteByMS = q.CompletionTargetMS(pg.SinceMS, j.LengthMS())
 	for i := range g.Units {
 		u := &g.Units[i]
--- a/internal/sched/place/evict.go
+++ b/internal/sched/place/evict.go
@@ -17,10 +17,6 @@
 // errors 0.007).
 const urgencyFactor = 2
 
-// freeAfterStops returns the resources of a worker that are free once the stops
-// in progress have ended.
-func freeAfterStops(w *Worker) batch.Resources { return w.Free.Add(w.Releasing) }
-
 // mayStop reports whether a run may be stopped for a group.
 func mayStop(r *Running, g *Group) bool {
 	if r.Stopping {
@@ -146,8 +142,13 @@
 // that is not a gang, and stops other runs for the rest. If there is not enough
 // for all units, it does so for as many as possible.
 func (d *decision) evictForUnits(g *Group, workers []*Worker, need int) {
-	for ; need > 0; need-- {
-		if evictions, _, ok := cheapestEviction(g, workers, need); ok {
+	need = d.keepClaims(g, need)
+	for possible := need; possible > 0; possible-- {
+		evictions, _, ok := cheapestEviction(g, workers, possible)
+		if !ok && possible == need && d.yieldClaims(g) {
+			evictions, _, ok = cheapestEviction(g, workers, possible)
+		}
+		if ok {
 			d.reserveAndStop(g, evictions)
 			return
 		}
@@ -157,6 +158,21 @@
 // evictForGang does the same for a whole gang, on the set of workers where the
 // least work is lost.
 func (d *decision) evictForGang(g *Group, sets [][]*Worker) {
+	if len(g.Claims) > 0 && d.keepClaims(g, g.Total) == 0 {
+		return
+	}
+	d.releaseClaims(g, g.Claims)
+	g.Claims = nil
+	best := cheapestSet(g, sets)
+	if best == nil && d.yieldClaims(g) {
+		best = cheapestSet(g, sets)
+	}
+	d.reserveAndStop(g, best)
+}
+
+// cheapestSet returns the evictions for a whole gang on the set of workers where the
+// least work is lost, or nil if it fits on none.
+func cheapestSet(g *Group, sets [][]*Worker) []*eviction {
 	var best []*eviction
 	bestCost := int64(-1)
 	for _, set := range sets {
@@ -168,17 +184,17 @@
 			break
 		}
 	}
-	d.reserveAndStop(g, best)
+	return best
 }
 
-// reserveAndStop reserves the resources for a group that waits for stops, and
-// orders the stops.
+// reserveAndStop claims the space for a group that waits for stops, and orders
+// the stops.
 func (d *decision) reserveAndStop(g *Group, evictions []*eviction) {
 	for _, e := range evictions {
 		if e.units == 0 {
 			continue
 		}
-		d.reserve(g, e.worker, e.units)
+		d.claim(g, e.worker, e.units)
 		for _, r := range runsByCost(e.worker)[:e.considered] {
 			if mayStop(r, g) {
 				d.stop(r, g.Job)
--- a/internal/sched/place/place.go
+++ b/internal/sched/place/place.go
@@ -84,6 +84,9 @@
 	Total        int
 	Avoid        map[string]bool // workers on which a unit of it has failed
 	UnitsOn      map[string]int  // number of its units that run or are reserved, by worker
+	// Claims is the space that waits for its units: in a snapshot that of the last plan,
+	// after Decide that of this one.
+	Claims []Claim
 }
 
 // Placement is a unit and its worker.
@@ -137,6 +140,7 @@
 	// Free capacity only shrinks within a decision, so later groups need not
 	// search again.
 	exhausted map[needKey]bool
+	byID      map[string]*Worker // set if a group has claims
 }
 
 // needKey identifies the conditions under which a unit fits on a worker.
@@ -152,6 +156,7 @@
 	d := &decision{snapshot: s, racks: map[string]*rack{}, gangs: map[string][]*Running{}, exhausted: map[needKey]bool{}}
 	d.prepare()
 	slices.SortStableFunc(s.Groups, s.compareGroups)
+	d.holdClaims()
 	for _, g := range s.Groups {
 		d.placeGroup(g)
 	}
@@ -221,6 +226,7 @@
 // placeGroup starts the units that fit, and stops other runs for urgent groups.
 func (d *decision) placeGroup(g *Group) {
 	key := keyOf(g)
+	d.releaseClaims(g, g.Claims)
 	if d.exhausted[key] && g.Priority > 0 && !g.Step.Gang {
 		d.plan.Unplaced = append(d.plan.Unplaced, g)
 		return
@@ -232,6 +238,7 @@
 	}
 	left := d.placeUnits(g, workers)
 	if len(left) == 0 {
+		g.Claims = nil
 		return
 	}
 	d.plan.Unplaced = append(d.plan.Unplaced, g)
@@ -395,12 +402,14 @@
 // placeGang places all units or none.
 func (d *decision) placeGang(g *Group, workers []*Worker) {
 	if len(g.Waiting) < g.Total {
+		g.Claims = nil
 		return // units of the last run have not ended yet
 	}
 	sets := d.gangSets(g, workers)
 	for _, set := range sets {
 		if d.fits(g, set, func(w *Worker) batch.Resources { return w.Free }) {
 			d.startUnits(g, set, g.Waiting)
+			g.Claims = nil
 			return
 		}
 	}
