timeofday: stored times come from the leader and ignore short jumps

Cause, found by searching every use of the time of day: jobs were stamped with the clock of the entry instance, and the leader compared that with its own. A jump of seconds reordered jobs, made them late or early, and changed which runs seemed to lose least; an entry whose clock is ten minutes ahead would have dropped all final jobs. Leases, heartbeats and tokens use the steady time and need no change.

Change: the leader sets the times of submissions and cancellations. Its time of day is a steady time that counts suspension, plus the median of its differences to the machine's clock over 17 s (internal/timeofday), so that jumps of up to 8 s have no effect.

--- a/internal/batch/command.go
+++ b/internal/batch/command.go
@@ -34,14 +34,14 @@
 	Call Call   `cbor:"1,keyasint"`
 	ID   string `cbor:"2,keyasint"`
 	Spec Spec   `cbor:"3,keyasint"`
-	AtMS int64  `cbor:"4,keyasint"` // Unix ms
+	AtMS int64  `cbor:"4,keyasint"` // Unix ms; set by the leader
 }
 
 // Cancel cancels a job. Its result is a Verdict.
 type Cancel struct {
 	Call Call   `cbor:"1,keyasint"`
 	ID   string `cbor:"2,keyasint"`
-	AtMS int64  `cbor:"3,keyasint"` // Unix ms
+	AtMS int64  `cbor:"3,keyasint"` // Unix ms; set by the leader
 }
 
 // Start records a run of a unit before it is started on a worker.
--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -40,8 +40,12 @@
 	// MaxWaitingHolds is the maximum number of holds that may wait for an end at the same
 	// time. Each of them occupies a connection. 0 means no limit.
 	MaxWaitingHolds int
-	// Now returns the current time; nil means time.Now. Tests replace it.
+	// Now returns the current time; nil means time.Now. Tests replace it. Only differences
+	// between its results are used.
 	Now func() time.Time
+	// TimeOfDayMS returns the time of day for times that are stored, Unix ms; nil means that
+	// of Now. It must not follow short jumps of the time of day.
+	TimeOfDayMS func() int64
 }
 
 // proposeTimeout bounds the wait for one commit. A healthy group commits within
@@ -79,6 +83,9 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	if cfg.TimeOfDayMS == nil {
+		cfg.TimeOfDayMS = func() int64 { return cfg.Now().UnixMilli() }
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Leadership{
 		cfg: cfg, log: cfg.Log.WithName("dispatch").WithValues("epoch", cfg.Epoch), startedAt: cfg.Now(),
@@ -226,7 +233,7 @@
 	if len(ends) == 0 {
 		return true
 	}
-	atMS := l.cfg.Now().UnixMilli()
+	atMS := l.cfg.TimeOfDayMS()
 	_, err := l.propose(&batch.Command{Ends: &batch.Ends{Ends: ends, AtMS: atMS}})
 	if err != nil {
 		if l.ctx.Err() == nil {
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -193,7 +193,7 @@
 // was removed or has another incarnation.
 func (p *planner) snapshot() (*place.Snapshot, []runInfo, map[string][]batch.End) {
 	now := p.leadership.cfg.Now()
-	s := &place.Snapshot{NowMS: now.UnixMilli()}
+	s := &place.Snapshot{NowMS: p.leadership.cfg.TimeOfDayMS()}
 	workers := map[string]*place.Worker{}
 	var runs []runInfo
 	lost := map[string][]batch.End{}
@@ -369,7 +369,7 @@
 	if r.step.Gang {
 		run.Gang = r.key.unit.Job + "." + strconv.Itoa(r.key.unit.Occurrence) + "." + strconv.Itoa(r.key.unit.Step)
 	}
-	run.LostMS = max(p.leadership.cfg.Now().UnixMilli()-r.unit.RecordedMS, 0)
+	run.LostMS = max(p.leadership.cfg.TimeOfDayMS()-r.unit.RecordedMS, 0)
 	run.LeftMS = max(r.step.EstimateMS-run.LostMS, minRemainingMS)
 	if a := p.leadership.agent(r.unit.Worker); a != nil {
 		stopping, left := a.estimateRemaining(r.key, p.leadership.cfg.Now())
@@ -487,7 +487,7 @@
 	if len(starts) == 0 {
 		return
 	}
-	cmd := &batch.Starts{AtMS: p.leadership.cfg.Now().UnixMilli()}
+	cmd := &batch.Starts{AtMS: p.leadership.cfg.TimeOfDayMS()}
 	nextRun := map[*place.Group]int{}
 	var placed []*place.Group
 	p.leadership.cfg.Machine.View(func(v *batch.View) {
--- a/internal/httpapi/region.go
+++ b/internal/httpapi/region.go
@@ -94,7 +94,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), leaderTimeout)
 	defer cancel()
-	rep, err := a.Router.Submit(ctx, &batch.Submit{Call: callFromRequest(r), ID: id, Spec: spec, AtMS: time.Now().UnixMilli()})
+	rep, err := a.Router.Submit(ctx, &batch.Submit{Call: callFromRequest(r), ID: id, Spec: spec})
 	if a.okOrRefuse(w, r, rep, err) {
 		writeJSON(w, http.StatusOK, a.jobView(r, rep))
 	}
@@ -113,7 +113,7 @@
 func (a *RegionAPI) cancel(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithTimeout(r.Context(), leaderTimeout)
 	defer cancel()
-	rep, err := a.Router.Cancel(ctx, &batch.Cancel{Call: callFromRequest(r), ID: chi.URLParam(r, "id"), AtMS: time.Now().UnixMilli()})
+	rep, err := a.Router.Cancel(ctx, &batch.Cancel{Call: callFromRequest(r), ID: chi.URLParam(r, "id")})
 	if a.okOrRefuse(w, r, rep, err) {
 		a.getJob(w, r)
 	}
--- a/internal/region/control.go
+++ b/internal/region/control.go
@@ -17,6 +17,7 @@
 	"teaselpaddle.example/teaselpaddle/internal/dispatch"
 	"teaselpaddle.example/teaselpaddle/internal/link"
 	"teaselpaddle.example/teaselpaddle/internal/replica"
+	"teaselpaddle.example/teaselpaddle/internal/timeofday"
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
 
@@ -54,6 +55,7 @@
 	group      *replica.Replica
 	router     *Router
 	heartbeats dispatch.Heartbeats
+	clock      *timeofday.Clock
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -70,7 +72,7 @@
 // OpenControl starts a member of the group. router is the router of this instance.
 func OpenControl(cfg ControlConfig, router *Router) (*Control, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &Control{cfg: cfg, log: cfg.Log.WithName("control"), router: router, ctx: ctx, cancel: cancel}
+	c := &Control{cfg: cfg, log: cfg.Log.WithName("control"), router: router, clock: timeofday.New(), ctx: ctx, cancel: cancel}
 	c.machine = batch.New(c.stateChanged)
 	var specs []replica.InstanceSpec
 	if cfg.Form && slices.Contains(cfg.Seeds, cfg.Self) {
@@ -93,6 +95,7 @@
 	cfg.Peers.Handle(link.KindRequest, func(ctx context.Context, _ string, body []byte) ([]byte, error) {
 		return codec.Marshal(c.handleRequest(ctx, body))
 	})
+	c.wg.Go(func() { c.clock.Run(ctx) })
 	c.wg.Add(1)
 	go c.run()
 	return c, nil
@@ -152,7 +155,7 @@
 	}
 	l := dispatch.Open(dispatch.Config{
 		Machine: c.machine, Group: c.group, Client: c.cfg.Client, MaxLease: c.cfg.MaxLease, MaxWaitingHolds: c.cfg.MaxWaitingHolds,
-		Log: c.cfg.Log, Epoch: result.(uint64), Heartbeats: &c.heartbeats,
+		Log: c.cfg.Log, Epoch: result.(uint64), Heartbeats: &c.heartbeats, TimeOfDayMS: c.clock.NowMS,
 	})
 	c.mu.Lock()
 	c.leadership = l
--- a/internal/region/handle.go
+++ b/internal/region/handle.go
@@ -32,12 +32,16 @@
 	}
 	switch {
 	case req.Submit != nil:
+		// The clock of an entry instance may be wrong; times that are compared later all come
+		// from the leader.
+		req.Submit.AtMS = c.clock.NowMS()
 		c.commit(ctx, rep, &batch.Command{Submit: req.Submit})
 		c.logVerdict("submission judged", req.Submit.ID, &req.Submit.Call, rep, st.Term)
 		if rep.Verdict == batch.OK && !rep.NotLeader && !rep.OutcomeUnknown {
 			c.logRecordedJob(req.Submit.ID)
 		}
 	case req.Cancel != nil:
+		req.Cancel.AtMS = c.clock.NowMS()
 		c.commit(ctx, rep, &batch.Command{Cancel: req.Cancel})
 		c.logVerdict("cancellation judged", req.Cancel.ID, &req.Cancel.Call, rep, st.Term)
 	case req.Publish != nil:
