dispatch: runs that cannot complete are stopped before their worker leaves

Pattern: many workers announced as leaving at short notice.

Change: the least time until a worker leaves, from its status reports, reaches the plan.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -510,3 +510,28 @@
 		a.setWorkerRecord(w)
 	}
 }
+
+// A worker announces that it leaves soon. Guards against a run that is lost with it: its
+// unit would start elsewhere only after the lease has expired.
+func TestRunMovesBeforeItsWorkerLeaves(t *testing.T) {
+	f := newFakeWorkers(t, 5*time.Second, "w1")
+	b := newTestBed(t, f)
+	long := unitStep(1, 8)
+	long.EstimateMS = 5000
+	b.submit("/b/", "j1", long)
+	ref := batch.UnitRef{Job: "j1"}
+	b.waitFor(time.Second, "started", f.startedOnce(ref))
+	f.mu.Lock()
+	f.byID["w2"] = newFakeWorker(1)
+	f.mu.Unlock()
+	b.announce("w2", 1)
+	w := b.leadership.agent("w1").workerRecord()
+	w.Draining = true
+	b.apply(&batch.Command{Worker: &batch.WorkerChange{Worker: w}})
+	b.heartbeats.RecordLeaving("w1", 1, time.Now().Add(time.Second))
+	b.waitFor(900*time.Millisecond, "started elsewhere", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.starts[ref]) == 2 && f.starts[ref][1] == "w2"
+	})
+}
--- a/internal/dispatch/heartbeats.go
+++ b/internal/dispatch/heartbeats.go
@@ -19,6 +19,7 @@
 
 type heartbeat struct {
 	lastSeen    time.Time
+	leavesAt    time.Time // when the worker may leave; zero if it has not told
 	incarnation int64
 }
 
@@ -39,11 +40,40 @@
 	if s.byWorker == nil {
 		s.byWorker = map[string]heartbeat{}
 	}
-	if incarnation >= s.byWorker[id].incarnation {
+	cur := s.byWorker[id]
+	switch {
+	case incarnation == cur.incarnation:
+		cur.lastSeen = at
+		s.byWorker[id] = cur
+	case incarnation > cur.incarnation:
 		s.byWorker[id] = heartbeat{lastSeen: at, incarnation: incarnation}
 	}
 }
 
+// RecordLeaving stores the time from which on a recorded incarnation of a worker may
+// leave, and everything that it runs with it.
+func (b *Heartbeats) RecordLeaving(id string, incarnation int64, at time.Time) {
+	s := &b.shards[b.shardIndex(id)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if cur := s.byWorker[id]; cur.incarnation == incarnation {
+		cur.leavesAt = at
+		s.byWorker[id] = cur
+	}
+}
+
+// LeavesAt returns the time from which on an incarnation of a worker may leave, or the
+// zero time if it has not told.
+func (b *Heartbeats) LeavesAt(id string, incarnation int64) time.Time {
+	s := &b.shards[b.shardIndex(id)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if cur := s.byWorker[id]; cur.incarnation == incarnation {
+		return cur.leavesAt
+	}
+	return time.Time{}
+}
+
 // LastSeen returns the time of the last announcement by an incarnation of a worker, or
 // the zero time if there was none.
 func (b *Heartbeats) LastSeen(id string, incarnation int64) time.Time {
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -109,6 +109,14 @@
 			a.stop(runKey{r.Ref, r.Run})
 		}
 	}
+	for _, r := range plan.Evacuated {
+		if a := p.leadership.agent(r.Worker); a != nil {
+			p.leadership.log.Info("run stopped because its worker leaves", "job", r.Ref.Job, "unit", r.Ref, "run", r.Run, "worker", r.Worker,
+				"gang", r.Gang != "", "checkpoints", r.Checkpoints, "leftMS", r.LeftMS, "lostMS", r.LostMS)
+			telemetry.Count("teaselpaddle_evacuations_total")
+			a.stop(runKey{r.Ref, r.Run})
+		}
+	}
 	p.commitStarts(plan.Starts)
 	p.logWaitingSteps(plan.Unplaced, snap)
 }
@@ -244,8 +252,11 @@
 		}
 	})
 	for id, w := range workers {
-		if p.assessWorker(id, w, now) {
+		switch {
+		case p.assessWorker(id, w, now):
 			s.Workers = append(s.Workers, w)
+		case p.assessLeaving(id, w, now):
+			s.Leaving = append(s.Leaving, w)
 		}
 	}
 	return s, runs, lost
@@ -364,7 +375,8 @@
 func (p *planner) addRunning(w *place.Worker, r *runInfo, guaranteed bool) {
 	w.Free = w.Free.Sub(r.step.Need)
 	run := &place.Running{
-		Ref: r.key.unit, Run: r.key.run, Worker: r.unit.Worker, Need: r.step.Need, Priority: r.priority, Guaranteed: guaranteed, Stopping: r.jobFinal,
+		Ref: r.key.unit, Run: r.key.run, Worker: r.unit.Worker, Need: r.step.Need, Priority: r.priority, Guaranteed: guaranteed,
+		Checkpoints: r.step.Checkpoints, Stopping: r.jobFinal,
 	}
 	if r.step.Gang {
 		run.Gang = r.key.unit.Job + "." + strconv.Itoa(r.key.unit.Occurrence) + "." + strconv.Itoa(r.key.unit.Step)
@@ -429,6 +441,22 @@
 		now.Sub(lastSeen) < maxSilence && len(a.pendingFences) == 0
 }
 
+// assessLeaving reports whether a worker drains and has told when it leaves, and sets the
+// time until then.
+func (p *planner) assessLeaving(id string, w *place.Worker, now time.Time) bool {
+	a := p.leadership.agent(id)
+	if a == nil {
+		return false
+	}
+	record := a.workerRecord()
+	leavesAt := p.leadership.cfg.Heartbeats.LeavesAt(id, record.Incarnation)
+	if !record.Draining || leavesAt.IsZero() {
+		return false
+	}
+	w.LeavesInMS = leavesAt.Sub(now).Milliseconds()
+	return true
+}
+
 func (p *planner) isRecorded(w *place.Worker, k runKey) bool {
 	for _, r := range w.Running {
 		if r.Ref == k.unit && r.Run == k.run {
--- a/internal/region/handle.go
+++ b/internal/region/handle.go
@@ -200,7 +200,11 @@
 		}
 		return
 	}
-	c.heartbeats.Record(w.ID, w.Incarnation, time.Now())
+	now := time.Now()
+	c.heartbeats.Record(w.ID, w.Incarnation, now)
+	if w.Draining && a.RemainingMS > 0 {
+		c.heartbeats.RecordLeaving(w.ID, w.Incarnation, now.Add(time.Duration(a.RemainingMS)*time.Millisecond))
+	}
 	if upToDate {
 		return
 	}
--- a/internal/region/message.go
+++ b/internal/region/message.go
@@ -42,6 +42,9 @@
 type Announcement struct {
 	Worker  batch.Worker `cbor:"1,keyasint"`
 	Leaving bool         `cbor:"2,keyasint,omitempty"` // the worker is shutting down
+	// RemainingMS is the least time for which a draining worker still runs, ms; 0 if it does
+	// not tell.
+	RemainingMS int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Reply answers a request.
--- a/internal/sched/place/place.go
+++ b/internal/sched/place/place.go
@@ -14,6 +14,8 @@
 type Snapshot struct {
 	NowMS   int64 // Unix ms
 	Workers []*Worker
+	// Leaving are workers that have told when they leave. Nothing is placed on them.
+	Leaving []*Worker
 	Groups  []*Group
 }
 
@@ -32,6 +34,8 @@
 	// Slow is set if the worker was seen to work slowly; it is used last.
 	Slow    bool
 	Running []*Running
+	// LeavesInMS is the least time until a worker of Snapshot.Leaving leaves, ms.
+	LeavesInMS int64
 
 	// Set by Decide.
 	rack         *rack
@@ -59,8 +63,10 @@
 	Guaranteed bool
 	LostMS     int64 // work since the last checkpoint, ms
 	LeftMS     int64 // estimated time until it ends, ms
-	Stopping   bool
-	For        string // job that it is stopped for; set by Decide
+	// Checkpoints is set if the run saves its work when it is stopped.
+	Checkpoints bool
+	Stopping    bool
+	For         string // job that it is stopped for; set by Decide
 
 	// Set by Decide.
 	onWorker *Worker
@@ -100,7 +106,10 @@
 // consecutive; those of a gang are complete.
 type Plan struct {
 	Starts []Placement
-	Stops  []*Running
+	Stops  []*Running // to make room
+	// Evacuated are the runs to stop because their worker, or that of another unit of
+	// their gang, leaves.
+	Evacuated []*Running
 	// Unplaced are the groups that wait because units of them cannot be placed.
 	Unplaced []*Group
 }
@@ -155,6 +164,7 @@
 func Decide(s *Snapshot) Plan {
 	d := &decision{snapshot: s, racks: map[string]*rack{}, gangs: map[string][]*Running{}, exhausted: map[needKey]bool{}}
 	d.prepare()
+	d.evacuate()
 	slices.SortStableFunc(s.Groups, s.compareGroups)
 	d.holdClaims()
 	for _, g := range s.Groups {
@@ -185,6 +195,14 @@
 			}
 		}
 	}
+	for _, w := range d.snapshot.Leaving {
+		for _, r := range w.Running {
+			r.onWorker = w
+			if r.Gang != "" {
+				d.gangs[r.Gang] = append(d.gangs[r.Gang], r)
+			}
+		}
+	}
 	used := func(f, a int64) float64 { return 1 - float64(f)/float64(max(a, 1)) }
 	d.idle = max(used(free.Accelerators, all.Accelerators), used(free.CPU, all.CPU), used(free.MemoryMB, all.MemoryMB)) < idleShare
 	for _, w := range d.snapshot.Workers {
