region: a request is refused at once while no leader can be found

Pattern: the control instances are cut in two for seconds.

Change: when no leader has answered for 2.5 s, a request makes one round over the instances and is refused as not run. Retry-After is half of the time without a leader, 1 to 4 s, and up to 1 s more at random, so that callers are still there when the leader is, and do not all return at once. During an election requests wait as before.

Test: TestLostLeaderIsToldAtOnce (fails before: three seconds instead of one round).

--- a/internal/httpapi/region.go
+++ b/internal/httpapi/region.go
@@ -257,7 +257,7 @@
 	case errors.As(err, &u) && u.MayHaveRun && r.Method != http.MethodGet:
 		ref = model.Refuse(model.ReasonOutcomeUnknown, "no leader has confirmed the request")
 	default:
-		ref = model.Refuse(model.ReasonNoLeader, "no leader can be reached")
+		ref = model.Refuse(model.ReasonNoLeader, "no leader can be reached").WithRetryAfter(a.Router.RetryAfter())
 	}
 	if err != nil {
 		a.Log.Info("request not answered by a leader", "method", r.Method, "path", r.URL.Path, "error", err.Error())
--- a/internal/region/readiness.go
+++ b/internal/region/readiness.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -22,6 +23,26 @@
 // negative until a leader has answered.
 var leaderHeardGauge = metrics.GetOrCreateGauge("teaselpaddle_leader_heard_seconds", nil)
 
+// leaderLost reports whether a leader has answered once, but none within maxReadyAge.
+func (r *Router) leaderLost() bool { return !r.LastLeaderAnswer().IsZero() && !r.Ready() }
+
+// Limits on the time after which a refused caller is told to come back.
+const (
+	minRetryAfter = time.Second
+	maxRetryAfter = 4 * time.Second
+)
+
+// RetryAfter returns the time after which a caller that was refused for want of a leader
+// should come back. Half of the time without a leader so far is about when the chance that
+// there is one again has grown enough to ask; the random part spreads the returns.
+func (r *Router) RetryAfter() time.Duration {
+	if !r.leaderLost() {
+		return minRetryAfter
+	}
+	d := min(max(r.LeaderAge()/2, minRetryAfter), maxRetryAfter)
+	return d + rand.N(time.Second)
+}
+
 // Ready reports whether a leader has answered this instance within maxReadyAge.
 func (r *Router) Ready() bool { return time.Since(r.LastLeaderAnswer()) <= maxReadyAge }
 
--- a/internal/region/router.go
+++ b/internal/region/router.go
@@ -153,12 +153,17 @@
 // forward sends a request to the known leader, then to every other instance in turn,
 // until the leader answers or ctx ends. A leader that an instance names is tried next,
 // unless it recently failed to answer.
+//
+// While no leader has answered for so long that this is no ordinary election, there is
+// only one round: the request cannot be expected to be served in its time, and its caller
+// is told at once when to come back.
 func (r *Router) forward(ctx context.Context, req *request) (*Reply, error) {
 	body, err := codec.Marshal(req)
 	if err != nil {
 		return nil, &UnavailableError{Cause: err}
 	}
 	failure := &UnavailableError{}
+	oneRound := r.leaderLost()
 	for round := 0; ; round++ {
 		asked := map[string]bool{}
 		for _, c := range r.candidates() {
@@ -175,6 +180,9 @@
 				c = r.recordAttempt(failure, c, rep, err)
 			}
 		}
+		if oneRound && r.leaderLost() {
+			return nil, failure
+		}
 		select {
 		case <-ctx.Done():
 			if failure.Cause == nil {
--- a/internal/region/router_test.go
+++ b/internal/region/router_test.go
@@ -118,3 +118,33 @@
 		is.True(time.Now().Before(end))
 	}
 }
+
+// No leader answers for longer than an election takes: the control instances are cut in
+// two. Guards against requests that are held although they cannot be served, and against
+// callers who all come back at once or far too often.
+func TestLostLeaderIsToldAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := &fakePeers{dead: map[string]bool{}}
+	r := testRouter(f)
+	r.leaderAnsweredAt = time.Now().Add(-time.Second) // an election may be going on
+	is.True(r.Ping(timeoutContext(t, 300*time.Millisecond)) != nil)
+	is.True(len(f.asked) > 3) // more than one round
+	is.Equal(r.RetryAfter(), minRetryAfter)
+
+	r.leaderAnsweredAt = time.Now().Add(-6 * time.Second)
+	f.asked = nil
+	began := time.Now()
+	err := r.Ping(timeoutContext(t, 3*time.Second))
+	is.True(time.Since(began) < 500*time.Millisecond)
+	is.Equal(len(f.asked), 3) // each instance once
+	var u *UnavailableError
+	is.True(errors.As(err, &u))
+	is.True(!u.MayHaveRun)
+	spread := map[time.Duration]bool{}
+	for range 20 {
+		d := r.RetryAfter()
+		is.True(d >= 3*time.Second && d <= maxRetryAfter+time.Second)
+		spread[d.Truncate(100*time.Millisecond)] = true
+	}
+	is.True(len(spread) > 3)
+}
