--- a/internal/replica/net_test.go
+++ b/internal/replica/net_test.go
@@ -113,7 +113,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.applied = nil
-	for data = data[1:]; len(data) >= 8; data = data[8:] {
+	for data = data[1 : len(data)-r.padding]; len(data) >= 8; data = data[8:] {
 		r.applied = append(r.applied, binary.LittleEndian.Uint64(data))
 	}
 	return nil
