--- a/internal/replica/net_test.go
+++ b/internal/replica/net_test.go
@@ -208,13 +208,6 @@
 	z.net.isolated[name] = isolated
 }
 
-// setDrop loses the messages that drop selects; nil for none.
-func (z *zone) setDrop(drop func(*raft.Message) bool) {
-	z.net.mu.Lock()
-	defer z.net.mu.Unlock()
-	z.net.drop = drop
-}
-
 // waitFor polls until ok returns true, and fails the test after 10 s.
 func (z *zone) waitFor(what string, ok func() bool) {
 	z.t.Helper()
