dispatch: ends are acknowledged only to the incarnation that reported them

Cause: a worker that restarts under its id numbers its ends from 1 again. Each hold repeated the number of the last committed end, also to a worker that had stopped answering. A run that the next incarnation had carried out from a retried start and ended as done was so acknowledged unseen, recorded as lost and started again. Change: a hold acknowledges nothing that is already acknowledged, and nothing after an unanswered call until a later report shows the same incarnation.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -69,6 +69,9 @@
 	leaseUntilMS     int64     // latest lease end that was sent, on the worker's clock
 	lastAnswer       time.Time
 	unansweredCalls  int // calls without an answer since the last answer
+	// lastUnanswered is when a call last went unanswered. The worker may have restarted
+	// then; a report to a hold sent later shows whether it did.
+	lastUnanswered   time.Time
 	suspendedUntil   time.Time
 	orders           map[runKey]*order
 	reportedRuns     map[runKey]workerapi.UnitRun
@@ -309,12 +312,24 @@
 	return a.workerNowMS(now) > a.leaseUntilMS+leaseSlack.Milliseconds()
 }
 
+// endsToAck returns the number of the last end that the next hold acknowledges, or 0 for
+// none. A worker may restart under its id and numbers its ends from 1 again, so a number
+// of this incarnation would make the next one forget ends that were never reported. Hence
+// nothing is acknowledged twice, nor while the worker may have restarted. The caller
+// holds mu.
+func (a *agent) endsToAck() int64 {
+	if a.lastCommittedEnd == a.lastAckedEnd || !a.lastUnanswered.IsZero() {
+		return 0
+	}
+	return a.lastCommittedEnd
+}
+
 // hold sends a hold, which extends the lease, and processes the report. It returns
 // false if the call should not be repeated at once.
 func (a *agent) hold(wait time.Duration) bool {
 	now := a.leadership.cfg.Now()
 	a.mu.Lock()
-	h := workerapi.UnitHold{UntilMS: a.extendLease(now), Epoch: a.leadership.cfg.Epoch, AckedEnds: a.lastCommittedEnd, WaitMS: wait.Milliseconds()}
+	h := workerapi.UnitHold{UntilMS: a.extendLease(now), Epoch: a.leadership.cfg.Epoch, AckedEnds: a.endsToAck(), WaitMS: wait.Milliseconds()}
 	t := a.target()
 	a.mu.Unlock()
 	ctx, cancel := context.WithTimeout(a.ctx, wait+callTimeout)
@@ -349,6 +364,7 @@
 	case errors.As(err, &unhealthy):
 		a.suspendedUntil = now.Add(initialSuspension)
 		a.unansweredCalls++
+		a.lastUnanswered = now
 	case errors.As(err, &refused):
 		a.lastAnswer = now
 		if refused.Reason == workerapi.RefusedStaleEpoch {
@@ -356,6 +372,7 @@
 		}
 	default:
 		a.unansweredCalls++
+		a.lastUnanswered = now
 		if a.unansweredCalls == 1 {
 			a.log.Info("worker does not answer", "error", err.Error(), "answered", !a.lastAnswer.IsZero(),
 				"lastAnswerMS", now.Sub(a.lastContact()).Milliseconds())
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -408,6 +408,48 @@
 	b.waitFor(10*time.Second, "completed", func() bool { return b.state("j1") == batch.Completed })
 }
 
+// A worker restarts under its id while the leader tries to start a run there; the next
+// incarnation carries out the start, and its ends are numbered from 1 again. Guards
+// against a hold that acknowledges that run's end by the number of an end of the earlier
+// incarnation: the worker forgets the end unseen, and the unit is started again. Found by
+// the soak test with seed 526.
+func TestEndOfNextIncarnationIsNotAcknowledgedUnseen(t *testing.T) {
+	f := newFakeWorkers(t, 50*time.Millisecond, "w1")
+	b := newTestBed(t, f)
+	b.submit("/b/", "j1", unitStep(1, 8))
+	b.waitFor(5*time.Second, "completed", func() bool { return b.state("j1") == batch.Completed })
+	f.mu.Lock()
+	f.byID["w1"].dropCalls = true
+	f.mu.Unlock()
+	b.submit("/b/", "j2", unitStep(1, 8))
+	b.waitFor(time.Second, "recorded", func() bool { return b.state("j2") == batch.Running })
+	f.mu.Lock()
+	next := newFakeWorker(2)
+	next.dropHolds = true // else the leader learns of the next incarnation first
+	f.byID["w1"] = next
+	f.mu.Unlock()
+	b.waitFor(time.Second, "the run ended on the next incarnation", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		next.advance()
+		return len(next.ends) == 1
+	})
+	f.mu.Lock()
+	next.dropHolds = false
+	f.mu.Unlock()
+	a := b.leadership.agent("w1")
+	b.waitFor(2*time.Second, "the leader noticed the next incarnation", func() bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return a.superseded
+	})
+	b.announce("w1", 2)
+	b.waitFor(5*time.Second, "completed", func() bool { return b.state("j2") == batch.Completed })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b.is.Equal(f.starts[batch.UnitRef{Job: "j2"}], []string{"w1"})
+}
+
 // The group's disks become slow. Guards against a planner that pauses in proportion to
 // the time of a commit instead of the time of a decision.
 func TestSlowCommitsDoNotSlowPlans(t *testing.T) {
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -27,6 +27,9 @@
 		return false
 	}
 	a.recordAnswer(now)
+	if sent.After(a.lastUnanswered) {
+		a.lastUnanswered = time.Time{}
+	}
 	a.workerClockMS = rep.ClockMS
 	a.clockReadAt = now
 	firstReport := !a.synced
