--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -63,7 +63,7 @@
 		ID: id, Incarnation: incarnation, Address: id, Service: "desk", Rack: "r1",
 		Capacity: batch.Resources{CPU: 8000, MemoryMB: 8000, Accelerators: 8},
 	}}})
-	b.heartbeats.Record(id, incarnation, time.Now().Add(time.Hour))
+	b.heartbeats.Record(id, incarnation, 0, time.Now().Add(time.Hour))
 }
 
 func (b *testBed) apply(c *batch.Command) any {
--- a/internal/dispatch/heartbeats.go
+++ b/internal/dispatch/heartbeats.go
@@ -9,7 +9,8 @@
 // spread.
 const heartbeatShards = 16
 
-// Heartbeats holds the time of each worker's last announcement.
+// Heartbeats holds the time of each worker's last announcement, and how long that was on
+// its way.
 type Heartbeats struct {
 	shards [heartbeatShards]struct {
 		mu       sync.Mutex
@@ -21,6 +22,26 @@
 	lastSeen    time.Time
 	leavesAt    time.Time // when the worker may leave; zero if it has not told
 	incarnation int64
+	clock       clockReading
+}
+
+// clockReading is a reading of a worker's steady clock.
+type clockReading struct {
+	clockMS int64     // 0 if there is none yet
+	by      time.Time // the clock was read at this time at the latest
+}
+
+// latestTime returns the latest time at which the worker's clock can have shown clockMS,
+// or receivedAt if that is earlier or nothing is known.
+func (r clockReading) latestTime(clockMS int64, receivedAt time.Time) time.Time {
+	if r.clockMS == 0 || clockMS == 0 {
+		return receivedAt
+	}
+	passed := time.Duration(float64(clockMS-r.clockMS) / minClockRate * float64(time.Millisecond))
+	if at := r.by.Add(passed); at.Before(receivedAt) {
+		return at
+	}
+	return receivedAt
 }
 
 func (b *Heartbeats) shardIndex(id string) int {
@@ -31,9 +52,11 @@
 	return int(h % heartbeatShards)
 }
 
-// Record stores the time of an announcement by an incarnation of a worker. An
-// announcement of an earlier incarnation is ignored.
-func (b *Heartbeats) Record(id string, incarnation int64, at time.Time) {
+// Record stores the time of an announcement by an incarnation of a worker. clockMS is the
+// worker's clock when it sent the announcement, or 0. Record returns how long the
+// announcement was on its way at least. An announcement of an earlier incarnation is
+// ignored.
+func (b *Heartbeats) Record(id string, incarnation, clockMS int64, receivedAt time.Time) time.Duration {
 	s := &b.shards[b.shardIndex(id)]
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -41,13 +64,19 @@
 		s.byWorker = map[string]heartbeat{}
 	}
 	cur := s.byWorker[id]
-	switch {
-	case incarnation == cur.incarnation:
-		cur.lastSeen = at
-		s.byWorker[id] = cur
-	case incarnation > cur.incarnation:
-		s.byWorker[id] = heartbeat{lastSeen: at, incarnation: incarnation}
+	if incarnation < cur.incarnation {
+		return 0
+	}
+	if incarnation > cur.incarnation {
+		cur = heartbeat{incarnation: incarnation}
+	}
+	sentBy := cur.clock.latestTime(clockMS, receivedAt)
+	cur.lastSeen = receivedAt
+	if clockMS > cur.clock.clockMS {
+		cur.clock = clockReading{clockMS, sentBy}
 	}
+	s.byWorker[id] = cur
+	return receivedAt.Sub(sentBy)
 }
 
 // RecordLeaving stores the time from which on a recorded incarnation of a worker may
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -295,6 +295,17 @@
 	return a.leadership.cfg.Now().Sub(a.lastAnswer)
 }
 
+// sinceAnnouncementMS returns the time since the worker's last announcement, ms, or -1 if
+// there was none.
+func (a *agent) sinceAnnouncementMS() int64 {
+	w := a.workerRecord()
+	at := a.leadership.cfg.Heartbeats.LastSeen(w.ID, w.Incarnation)
+	if at.IsZero() {
+		return -1
+	}
+	return a.leadership.cfg.Now().Sub(at).Milliseconds()
+}
+
 // lowestPriority is the priority of a job whose queue has been removed from the
 // configuration.
 const lowestPriority = 1 << 10
@@ -581,7 +592,8 @@
 		guaranteedStartTime.Update(float64(waited) / 1000)
 	}
 	p.leadership.log.Info("run started", "job", s.Unit.Job, "unit", s.Unit, "run", s.Run, "worker", s.Worker, "life", s.Incarnation,
-		"customer", customer, "accelerators", pg.Step.Need.Accelerators, "priority", pg.Priority, "guaranteed", pg.Guaranteed, "waitedMS", waited, "workerHeardMS", a.timeSinceAnswer().Milliseconds())
+		"customer", customer, "accelerators", pg.Step.Need.Accelerators, "priority", pg.Priority, "guaranteed", pg.Guaranteed, "waitedMS", waited,
+		"workerHeardMS", a.timeSinceAnswer().Milliseconds(), "announcedMS", a.sinceAnnouncementMS())
 	a.start(runKey{s.Unit, s.Run}, pg.Step.Need, payload, checkpoint)
 	a.notify()
 }
--- a/internal/region/message.go
+++ b/internal/region/message.go
@@ -45,6 +45,9 @@
 	// RemainingMS is the least time for which a draining worker still runs, ms; 0 if it does
 	// not tell.
 	RemainingMS int64 `cbor:"3,keyasint,omitempty"`
+	// ClockMS is the worker's steady clock when it sent the announcement, ms; 0 if it does
+	// not tell.
+	ClockMS int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Reply answers a request.
