dispatch: two failing tests for gangs with a member on a lost worker

A late announcement makes a worker that is gone usable, and the other members of a gang are left alone when the loss of one is known.

--- a/internal/dispatch/workers_test.go
+++ b/internal/dispatch/workers_test.go
@@ -55,6 +55,7 @@
 	epoch            uint64
 	leaseUntil       int64
 	dropCalls        bool // leaves all calls unanswered
+	replaced         bool // another worker answers at its address
 	loseStartAnswers int  // number of answers to starts to lose
 	stall            bool // runs make no progress
 	failRuns         bool // every run fails
@@ -119,6 +120,9 @@
 	if w == nil || w.dropCalls {
 		return nil, &workerapi.NoAnswerError{Cause: context.DeadlineExceeded}
 	}
+	if w.replaced {
+		return nil, &workerapi.WrongWorkerError{Worker: id}
+	}
 	w.advance()
 	return w, nil
 }
