dispatch: an announcement is a sign of life at the time when it was sent

Cause: the leader took the arrival of an announcement for a sign of life. One that was held up behind a cut arrived up to 12 s after its worker was gone, and an idle worker is never called, so nothing contradicted it: for 4 s the worker got starts. Change: the worker's clock in announcements and answers tells when an announcement was sent at the latest; that time counts, also for the time that a leaving worker has left. A worker whose announcement is late is asked, and an answer sets its clock right, so a worker that was suspended is used again. An idle worker that did not answer is asked until it does. Workers of the product's own interface send their clock too. Why this works: a late announcement cannot make the sign of life more recent than it was, whatever order and whichever instance it arrives by, and a call is always recent.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -244,7 +244,8 @@
 		}
 	}
 	if active == 0 && len(a.reportedRuns) == 0 && unfinished == 0 {
-		return 0, a.lastCommittedEnd > a.lastAckedEnd && a.leadership.cfg.Now().Sub(a.reportSentAt) >= idleAckDelay
+		acksDue := a.lastCommittedEnd > a.lastAckedEnd && a.leadership.cfg.Now().Sub(a.reportSentAt) >= idleAckDelay
+		return 0, acksDue || a.unansweredCalls > 0 || a.leadership.cfg.Heartbeats.Unconfirmed(a.worker.ID, a.worker.Incarnation)
 	}
 	for _, od := range a.orders {
 		if !od.stopAckedAt.IsZero() && od.stopAckedAt.After(a.reportSentAt) {
--- a/internal/dispatch/heartbeats.go
+++ b/internal/dispatch/heartbeats.go
@@ -9,8 +9,13 @@
 // spread.
 const heartbeatShards = 16
 
-// Heartbeats holds the time of each worker's last announcement, and how long that was on
-// its way.
+// LateAnnouncement is the age from which an announcement counts as late. A worker that
+// gets no answer within a second sends the next one to another instance.
+const LateAnnouncement = time.Second
+
+// Heartbeats holds the last sign of life of each worker. An announcement is a sign of life
+// at the time when it was sent: one that was held up behind a cut may arrive long after its
+// worker is gone.
 type Heartbeats struct {
 	shards [heartbeatShards]struct {
 		mu       sync.Mutex
@@ -19,10 +24,17 @@
 }
 
 type heartbeat struct {
-	lastSeen    time.Time
+	lastSeen    time.Time // the worker lived at this time, or somewhat before
 	leavesAt    time.Time // when the worker may leave; zero if it has not told
 	incarnation int64
 	clock       clockReading
+	unconfirmed bool // the last announcement was late, and the worker has not answered since
+}
+
+func (h *heartbeat) seen(at time.Time) {
+	if at.After(h.lastSeen) {
+		h.lastSeen = at
+	}
 }
 
 // clockReading is a reading of a worker's steady clock.
@@ -52,31 +64,69 @@
 	return int(h % heartbeatShards)
 }
 
-// Record stores the time of an announcement by an incarnation of a worker. clockMS is the
-// worker's clock when it sent the announcement, or 0. Record returns how long the
-// announcement was on its way at least. An announcement of an earlier incarnation is
-// ignored.
-func (b *Heartbeats) Record(id string, incarnation, clockMS int64, receivedAt time.Time) time.Duration {
+// Record stores an announcement by an incarnation of a worker. clockMS is the worker's
+// clock when it sent the announcement, or 0 if that is not known. Record returns the time
+// at which the announcement was sent at the latest. An announcement of an earlier
+// incarnation is ignored.
+func (b *Heartbeats) Record(id string, incarnation, clockMS int64, receivedAt time.Time) time.Time {
+	sentBy := receivedAt
+	b.update(id, incarnation, func(h *heartbeat) {
+		sentBy = h.clock.latestTime(clockMS, receivedAt)
+		h.seen(sentBy)
+		h.unconfirmed = receivedAt.Sub(sentBy) > LateAnnouncement
+		if clockMS > h.clock.clockMS {
+			h.clock = clockReading{clockMS, sentBy}
+		}
+	})
+	return sentBy
+}
+
+// RecordAnswer stores an answer of an incarnation of a worker with its clock. Unlike an
+// announcement, an answer is never older than the call. It therefore also sets the clock
+// right that stood still while the worker was suspended.
+func (b *Heartbeats) RecordAnswer(id string, incarnation, clockMS int64, receivedAt time.Time) {
+	b.update(id, incarnation, func(h *heartbeat) {
+		h.seen(receivedAt)
+		h.unconfirmed = false
+		h.clock = clockReading{clockMS, receivedAt}
+	})
+}
+
+// update calls f with the heartbeat of an incarnation of a worker, unless a later
+// incarnation is known.
+func (b *Heartbeats) update(id string, incarnation int64, f func(*heartbeat)) {
 	s := &b.shards[b.shardIndex(id)]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.byWorker == nil {
 		s.byWorker = map[string]heartbeat{}
 	}
-	cur := s.byWorker[id]
-	if incarnation < cur.incarnation {
-		return 0
+	h := s.byWorker[id]
+	if incarnation < h.incarnation {
+		return
 	}
-	if incarnation > cur.incarnation {
-		cur = heartbeat{incarnation: incarnation}
+	if incarnation > h.incarnation {
+		h = heartbeat{incarnation: incarnation}
 	}
-	sentBy := cur.clock.latestTime(clockMS, receivedAt)
-	cur.lastSeen = receivedAt
-	if clockMS > cur.clock.clockMS {
-		cur.clock = clockReading{clockMS, sentBy}
+	f(&h)
+	s.byWorker[id] = h
+}
+
+// Unconfirmed reports whether the last announcement of an incarnation of a worker was
+// late, so that only an answer can tell whether the worker lives.
+func (b *Heartbeats) Unconfirmed(id string, incarnation int64) bool {
+	return b.get(id, incarnation).unconfirmed
+}
+
+// get returns the heartbeat of an incarnation of a worker, or the zero value.
+func (b *Heartbeats) get(id string, incarnation int64) heartbeat {
+	s := &b.shards[b.shardIndex(id)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if h := s.byWorker[id]; h.incarnation == incarnation {
+		return h
 	}
-	s.byWorker[id] = cur
-	return receivedAt.Sub(sentBy)
+	return heartbeat{}
 }
 
 // RecordLeaving stores the time from which on a recorded incarnation of a worker may
@@ -94,25 +144,13 @@
 // LeavesAt returns the time from which on an incarnation of a worker may leave, or the
 // zero time if it has not told.
 func (b *Heartbeats) LeavesAt(id string, incarnation int64) time.Time {
-	s := &b.shards[b.shardIndex(id)]
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if cur := s.byWorker[id]; cur.incarnation == incarnation {
-		return cur.leavesAt
-	}
-	return time.Time{}
+	return b.get(id, incarnation).leavesAt
 }
 
-// LastSeen returns the time of the last announcement by an incarnation of a worker, or
-// the zero time if there was none.
+// LastSeen returns the time of the last sign of life of an incarnation of a worker, or the
+// zero time if there was none.
 func (b *Heartbeats) LastSeen(id string, incarnation int64) time.Time {
-	s := &b.shards[b.shardIndex(id)]
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if got := s.byWorker[id]; got.incarnation == incarnation {
-		return got.lastSeen
-	}
-	return time.Time{}
+	return b.get(id, incarnation).lastSeen
 }
 
 // Forget removes a worker.
--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -35,7 +35,7 @@
 	MaxLease time.Duration
 	Log      logr.Logger
 	Epoch    uint64
-	// Heartbeats holds the times of the workers' last announcements.
+	// Heartbeats holds the workers' last signs of life.
 	Heartbeats *Heartbeats
 	// MaxWaitingHolds is the maximum number of holds that may wait for an end at the same
 	// time. Each of them occupies a connection. 0 means no limit.
--- a/internal/dispatch/lost_test.go
+++ b/internal/dispatch/lost_test.go
@@ -1,10 +1,14 @@
 package dispatch
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"teaselpaddle.example/teaselpaddle/internal/batch"
+	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
 
 func wholeWorkerGang(units int) batch.Step {
@@ -64,3 +68,54 @@
 		return len(f.byID["w1"].running) == 1 && len(f.byID["w3"].running) == 1
 	})
 }
+
+// A worker is suspended for ten seconds, and its clock stands still meanwhile: all of its
+// announcements look late after that. Guards against a worker that gets no more runs
+// although it lives.
+func TestSuspendedWorkerIsAskedAndUsedAgain(t *testing.T) {
+	f := newFakeWorkers(t, 50*time.Millisecond, "w1")
+	b := newTestBed(t, f)
+	b.waitForFirstReports("w1")
+	f.mu.Lock()
+	clock := f.byID["w1"].clock()
+	f.mu.Unlock()
+	b.heartbeats.Forget("w1")
+	b.heartbeats.Record("w1", 1, clock+1, b.now())
+	b.timeShift.Store(int64(10 * time.Second))
+	b.heartbeats.Record("w1", 1, clock+100, b.now())
+	b.submit("/b/", "j1", unitStep(1, 8))
+	b.waitFor(idleCheckInterval+time.Second, "completed", func() bool { return b.state("j1") == batch.Completed })
+}
+
+// Guards against an idle worker that stays unusable after a call to it went unanswered once.
+func TestIdleWorkerIsAskedUntilItAnswers(t *testing.T) {
+	f := newFakeWorkers(t, 50*time.Millisecond, "w1")
+	b := newTestBed(t, f)
+	b.waitForFirstReports("w1")
+	a := b.leadership.agent("w1")
+	a.recordCallError(&workerapi.NoAnswerError{Cause: context.DeadlineExceeded})
+	b.submit("/b/", "j1", unitStep(1, 8))
+	b.waitFor(idleCheckInterval+time.Second, "completed", func() bool { return b.state("j1") == batch.Completed })
+}
+
+// Guards against wrong ages of announcements: a worker's clock runs up to 2% slow, reports
+// overtake each other, and a restarted worker counts from 0.
+func TestAgeOfAnnouncements(t *testing.T) {
+	is := is.New(t)
+	var h Heartbeats
+	start := time.Now()
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	is.Equal(h.Record("w", 1, 5000, at(0)), at(0))
+	is.Equal(h.Record("w", 1, 5000+9800, at(10)), at(10)) // on time, by a slow clock
+	is.Equal(h.Record("w", 1, 5000+9800+490, at(18)), at(10.5))
+	is.Equal(h.LastSeen("w", 1), at(10.5))
+	is.True(h.Unconfirmed("w", 1))
+	is.Equal(h.Record("w", 1, 5000, at(18)), at(0)) // overtaken by the others
+	is.Equal(h.LastSeen("w", 1), at(10.5))
+	h.RecordAnswer("w", 1, 30000, at(20))
+	is.True(!h.Unconfirmed("w", 1))
+	is.Equal(h.LastSeen("w", 1), at(20))
+	is.Equal(h.Record("w", 2, 100, at(21)), at(21)) // another incarnation
+	h.Record("w", 1, 31000, at(22))
+	is.Equal(h.LastSeen("w", 2), at(21))
+}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -32,6 +32,7 @@
 	}
 	a.workerClockMS = rep.ClockMS
 	a.clockReadAt = now
+	a.leadership.cfg.Heartbeats.RecordAnswer(a.worker.ID, a.worker.Incarnation, rep.ClockMS, now)
 	firstReport := !a.synced
 	listed := map[runKey]bool{}
 	reported := map[runKey]workerapi.UnitRun{}
--- a/internal/httpapi/region.go
+++ b/internal/httpapi/region.go
@@ -13,6 +13,7 @@
 	"teaselpaddle.example/teaselpaddle/internal/batch"
 	"teaselpaddle.example/teaselpaddle/internal/model"
 	"teaselpaddle.example/teaselpaddle/internal/region"
+	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
 
 // HeaderAPIKey is the request header that carries a customer's API key.
@@ -197,11 +198,12 @@
 // a leave means that it is committed.
 func (a *RegionAPI) announce(leaving bool) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		var wk batch.Worker
-		if err := decode(w, r, &wk); err != nil {
+		var body workerapi.UnitAnnouncement
+		if err := decode(w, r, &body); err != nil {
 			writeError(w, err)
 			return
 		}
+		wk := body.Worker
 		ref := firstRefusal(checkName("name", wk.ID), checkName("service", wk.Service))
 		if ref == nil && wk.Incarnation < 1 {
 			ref = model.RefuseField("life", "must be the Unix time of the worker's start in ms, not %d", wk.Incarnation)
@@ -212,7 +214,7 @@
 		}
 		ctx, cancel := context.WithTimeout(r.Context(), leaderTimeout)
 		defer cancel()
-		rep, err := a.Router.Announce(ctx, &region.Announcement{Worker: wk, Leaving: leaving})
+		rep, err := a.Router.Announce(ctx, &region.Announcement{Worker: wk, Leaving: leaving, ClockMS: body.ClockMS})
 		if a.okOrRefuse(w, r, rep, err) {
 			w.WriteHeader(http.StatusNoContent)
 		}
--- a/internal/region/handle.go
+++ b/internal/region/handle.go
@@ -10,6 +10,7 @@
 
 	"teaselpaddle.example/teaselpaddle/internal/batch"
 	"teaselpaddle.example/teaselpaddle/internal/codec"
+	"teaselpaddle.example/teaselpaddle/internal/dispatch"
 	"teaselpaddle.example/teaselpaddle/internal/replica"
 	"teaselpaddle.example/teaselpaddle/internal/telemetry"
 )
@@ -179,10 +180,6 @@
 	return out
 }
 
-// lateAnnouncement is the age from which an announcement counts as late. A worker that
-// gets no answer within a second sends the next one to another instance.
-const lateAnnouncement = time.Second
-
 // handleAnnouncement records the heartbeat of a worker and commits its record if it is
 // new or has changed, or its removal if it leaves.
 func (c *Control) handleAnnouncement(ctx context.Context, rep *Reply, a *Announcement) {
@@ -206,13 +203,14 @@
 		return
 	}
 	now := time.Now()
-	if age := c.heartbeats.Record(w.ID, w.Incarnation, a.ClockMS, now); age > lateAnnouncement {
+	sentBy := c.heartbeats.Record(w.ID, w.Incarnation, a.ClockMS, now)
+	if age := now.Sub(sentBy); age > dispatch.LateAnnouncement {
 		telemetry.Count("teaselpaddle_late_announcements_total")
 		c.log.Info("announcement arrived late", "worker", w.ID, "life", w.Incarnation, "clockMS", a.ClockMS, "ageMS", age.Milliseconds(),
 			"recorded", !unrecorded)
 	}
 	if w.Draining && a.RemainingMS > 0 {
-		c.heartbeats.RecordLeaving(w.ID, w.Incarnation, now.Add(time.Duration(a.RemainingMS)*time.Millisecond))
+		c.heartbeats.RecordLeaving(w.ID, w.Incarnation, sentBy.Add(time.Duration(a.RemainingMS)*time.Millisecond))
 	}
 	if upToDate {
 		return
--- a/internal/standin/units.go
+++ b/internal/standin/units.go
@@ -250,12 +250,12 @@
 }
 
 // unitAnnouncement returns the announcement of a worker with a service.
-func (w *Worker) unitAnnouncement() *batch.Worker {
-	return &batch.Worker{
+func (w *Worker) unitAnnouncement() *workerapi.UnitAnnouncement {
+	return &workerapi.UnitAnnouncement{ClockMS: w.clockMS(), Worker: batch.Worker{
 		ID: w.opts.Name, Incarnation: w.units.incarnation, Address: w.address, Service: w.opts.Service, Zone: w.opts.Zone, Rack: w.opts.Rack,
 		Capacity: batch.Resources{
 			CPU: int64(w.opts.Cores) * 1000, MemoryMB: int64(w.opts.MemoryMiB), Accelerators: int64(w.opts.Accelerators),
 		},
 		Labels: w.opts.Labels, Draining: w.leaving,
-	}
+	}}
 }
--- a/internal/workerapi/unithttp.go
+++ b/internal/workerapi/unithttp.go
@@ -16,6 +16,14 @@
 	UnitHoldPath  = "/v1/units/hold"
 )
 
+// UnitAnnouncement is the body of the announcement of a worker that runs units.
+type UnitAnnouncement struct {
+	batch.Worker
+	// ClockMS is the worker's steady clock when it sent the announcement, ms; 0 if it does
+	// not tell. It shows how long an announcement was on its way.
+	ClockMS int64 `json:"clock_ms,omitempty"`
+}
+
 // UnitCommand is the body of an order: a UnitStart, a UnitStop or a UnitHold
 // for the named worker. A worker with another name answers with status 421.
 type UnitCommand struct {
