dispatch: a gang that cannot become complete is stopped

Symptom: when one member of a gang was lost or its worker did not answer, the others waited 3 or 4 s until their workers gave up and ended alone (GANG), a guaranteed gang began again only after that (RECLAIM), and the accelerators were idle meanwhile. Cause: nothing acted on the loss of a member. Workers end a gang by themselves only if it was at work. Why this works: whatever keeps a member from beginning, no other member is left to its worker's timeout.

--- a/internal/dispatch/lost_test.go
+++ b/internal/dispatch/lost_test.go
@@ -119,3 +119,23 @@
 	h.Record("w", 1, 31000, at(22))
 	is.Equal(h.LastSeen("w", 2), at(21))
 }
+
+// A worker is lost just before one member of a gang is started there. Guards against the
+// other members waiting for it until they give up, which keeps their workers from other
+// jobs for seconds.
+func TestGangIsStoppedWhenAMemberDoesNotAnswer(t *testing.T) {
+	f := newFakeWorkers(t, 10*time.Second, "w1", "w2")
+	b := newTestBed(t, f)
+	b.waitForFirstReports("w1", "w2")
+	f.mu.Lock()
+	f.byID["w2"].dropCalls = true
+	f.mu.Unlock()
+	b.submit("/u/", "gang", wholeWorkerGang(2))
+	b.waitFor(2*time.Second, "the member that began is stopped", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.byID["w1"].fenced) == 1
+	})
+	b.submit("/b/", "other", unitStep(1, 8))
+	b.waitFor(time.Second, "another job started", f.startedOnce(batch.UnitRef{Job: "other"}))
+}
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -36,6 +36,7 @@
 	decisionTime time.Duration // of the last snapshot and decision, without commits
 	waitingSteps map[stepKey]bool
 	claims       map[stepKey][]place.Claim // room that waits for steps, by the last plan
+	lostMembers  map[stepKey]time.Time     // when a member of a running gang was first found lost
 }
 
 // stepKey identifies a step of one occurrence of a job.
@@ -85,6 +86,8 @@
 	checkpoint string
 	priority   int
 	jobFinal   bool // the job is final, so the run must stop
+	// memberLost is set if the run belongs to a gang of which another run has ended.
+	memberLost bool
 }
 
 // pass makes one plan and carries it out.
@@ -101,6 +104,7 @@
 	for i := range runs {
 		p.reconcileRun(&runs[i])
 	}
+	p.stopIncompleteGangs(runs)
 	for _, r := range plan.Stops {
 		if a := p.leadership.agent(r.Worker); a != nil {
 			p.leadership.log.Info("run stopped to make room", "job", r.Ref.Job, "unit", r.Ref, "run", r.Run, "priority", r.Priority,
@@ -224,6 +228,7 @@
 					continue
 				}
 				pg := p.waitingGroup(j, g, q, s.NowMS)
+				memberLost := j.Step(g).Gang && pg != nil
 				for i := range g.Units {
 					u := &g.Units[i]
 					if u.State != batch.Active {
@@ -240,6 +245,7 @@
 					r := runInfo{
 						key: runKey{ref, u.Run}, step: *j.Step(g), unit: *u, payload: j.Spec.Payload,
 						checkpoint: checkpointOf(g, j.Step(g), u), priority: prio, jobFinal: j.State.Final(),
+						memberLost: memberLost,
 					}
 					runs = append(runs, r)
 					p.addRunning(workers[u.Worker], &r, guaranteed[id])
