workerapi: a start is not tried on one silent connection after the other

After a cut, a start can take 3.0 s to reach a worker that lives: as long as a gang's other members wait for it. Cause: the platform's client shares one transport. Each unanswered call closes only its own connection, and the next attempt waits 0.6 s on the next of four idle ones that are just as dead. The client of the product's own interface already had a pool for each worker for this reason. TestUnresponsiveWorkerDropsOnlyItsOwnConnections checks the idle connections instead of the pools, which are gone: still none to the silent worker and one to the other.

--- a/internal/workerapi/http_test.go
+++ b/internal/workerapi/http_test.go
@@ -44,5 +44,8 @@
 		is.True(errors.As(err, &unreachable))
 	}
 	is.Equal(opened.Load(), int64(1))
-	is.Equal(len(c.clients), 1) // the client of the silent worker was dropped
+	tr := c.http.Transport.(*Transport)
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	is.Equal(len(tr.idle), 1) // no connection to the silent worker is kept
 }
