dispatch: a worker that has missed an announcement is used last

Cause: until 4 s of silence a worker counted like any other. Change: from 2 s on (announcements come every 1.5 s) it is the last choice, like a worker on which a run failed lately.

--- a/internal/dispatch/lost_test.go
+++ b/internal/dispatch/lost_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -139,3 +140,26 @@
 	b.submit("/b/", "other", unitStep(1, 8))
 	b.waitFor(time.Second, "another job started", f.startedOnce(batch.UnitRef{Job: "other"}))
 }
+
+// An idle worker has missed an announcement and may be gone; another one has not. Guards
+// against starts on the first, which may stay unanswered.
+func TestOverdueWorkerIsUsedLast(t *testing.T) {
+	f := newFakeWorkers(t, 50*time.Millisecond, "w1", "w2")
+	b := newTestBed(t, f)
+	b.waitForFirstReports("w1", "w2")
+	b.heartbeats.Forget("w1")
+	b.heartbeats.Record("w1", 1, 0, b.now())
+	b.timeShift.Store(int64(overdueAfter + 100*time.Millisecond))
+	for i := range 4 {
+		id := fmt.Sprint("j", i)
+		b.submit("/b/", id, unitStep(1, 8))
+		b.waitFor(time.Second, "completed", func() bool { return b.state(id) == batch.Completed })
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for unit, workers := range f.starts {
+		if workers[0] != "w2" {
+			t.Errorf("unit %v was started on %v", unit, workers)
+		}
+	}
+}
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -21,6 +21,9 @@
 	// maxSilence is the time without a sign of life after which nothing is started on
 	// a worker. Workers announce themselves about every 1.5 s.
 	maxSilence = 4 * time.Second
+	// overdueAfter is the time without a sign of life after which a worker is used last,
+	// because it has missed an announcement.
+	overdueAfter = 2 * time.Second
 	// removeAfterSilence is the time without a sign of life after which a worker
 	// without runs is removed. It is longer than maxOrderDelay, so no order can reach
 	// the worker after its removal.
@@ -453,7 +456,7 @@
 		p.leadership.removeSilentWorker(a.worker)
 		return false
 	}
-	w.Suspect = now.Before(a.history.suspectUntil)
+	w.Suspect = now.Before(a.history.suspectUntil) || now.Sub(lastSeen) > overdueAfter
 	return a.synced && !a.superseded && !a.worker.Draining && a.unansweredCalls == 0 && now.After(a.suspendedUntil) &&
 		now.Sub(lastSeen) < maxSilence && len(a.pendingFences) == 0
 }
--- a/internal/sched/place/place.go
+++ b/internal/sched/place/place.go
@@ -31,7 +31,8 @@
 	// Releasing is the part of the capacity in use that stops in progress will
 	// free.
 	Releasing batch.Resources
-	// Suspect is set if a run failed or stalled on the worker lately; it is used last.
+	// Suspect is set if a run failed or stalled on the worker lately, or if it has missed an
+	// announcement; it is used last.
 	Suspect bool
 	Running []*Running
 	// LeavesInMS is the least time until a worker of Snapshot.Leaving leaves, ms.
