soak: planned work, lost workers with late reports, and gangs that time out

Its workers restart only under their own id, status reports are never late, and units of an incomplete gang wait forever instead of ending alone. Change: three scenarios. 'mixed' as before, with overlapping restarts of entry instances by series of signals and changes of settings beside the other faults. 'planned' has planned work only; no request that was read may go without a complete response. 'lost-workers' replaces workers by others at their addresses, and the last reports of the lost ones arrive later than any start may go to them; no gang may be left incomplete. Each caller keeps its own open connection to an entry instance until the process is gone. An instance that exits by itself is found when it happens. Stand-in workers end units of gangs 'alone' or 'broken'; crashed ones send no reports.

--- a/Makefile
+++ b/Makefile
@@ -33,11 +33,13 @@
 	go test -tags prove -c -o bin/prove.test ./prove
 	cd prove && ../bin/prove.test -test.run TestProve -test.timeout 40m -proof '$(NAME)' -seed '$(SEED)'
 
-# Soak test of the region's programs under injected faults: make soak SEEDS=1-50 INSTALLATION=few-large.
+# Soak test of the region's programs under injected faults:
+# make soak SEEDS=1-50 INSTALLATION=few-large SCENARIO=planned.
 SEEDS ?= 1-50
 INSTALLATION ?= standard
+SCENARIO ?= mixed
 soak: build
-	go test ./platform/soak -run TestSoak -v -timeout 60m -seeds '$(SEEDS)' -installation '$(INSTALLATION)'
+	go test ./platform/soak -run TestSoak -v -timeout 60m -seeds '$(SEEDS)' -installation '$(INSTALLATION)' -scenario '$(SCENARIO)'
 
 # Scheduler benchmarks; prints lines "BENCH <name> <value> <unit> naive <value>".
 bench:
