--- a/internal/dispatch/lost_test.go
+++ b/internal/dispatch/lost_test.go
@@ -43,15 +43,14 @@
 	b.waitFor(time.Second, "completed on the workers that live", func() bool { return b.state("gang") == batch.Completed })
 }
 
-// The start of one member reaches another worker, which now has the address. Guards
-// against the other members waiting for it until they give up, and against the gang
-// waiting for that.
-func TestGangIsStoppedOnceAMemberIsLost(t *testing.T) {
-	f := newFakeWorkers(t, 10*time.Second, "w1", "w2")
-	b := newTestBed(t, f)
+// startGangOnLostWorker starts a gang of two, of which one member's worker is lost by lose,
+// and waits until the other member is stopped.
+func (b *testBed) startGangOnLostWorker(lose func(w *fakeWorker)) {
+	b.t.Helper()
+	f := b.workers
 	b.waitForFirstReports("w1", "w2")
 	f.mu.Lock()
-	f.byID["w2"].replaced = true
+	lose(f.byID["w2"])
 	f.mu.Unlock()
 	b.submit("/u/", "gang", wholeWorkerGang(2))
 	b.waitFor(2*time.Second, "the member that began is stopped", func() bool {
@@ -59,6 +58,15 @@
 		defer f.mu.Unlock()
 		return len(f.byID["w1"].fenced) == 1
 	})
+}
+
+// The start of one member reaches another worker, which now has the address. Guards
+// against the other members waiting for it until they give up, and against the gang
+// waiting for that.
+func TestGangIsStoppedOnceAMemberIsLost(t *testing.T) {
+	f := newFakeWorkers(t, 10*time.Second, "w1", "w2")
+	b := newTestBed(t, f)
+	b.startGangOnLostWorker(func(w *fakeWorker) { w.replaced = true })
 	f.mu.Lock()
 	f.byID["w3"] = newFakeWorker(1)
 	f.mu.Unlock()
@@ -127,16 +135,7 @@
 func TestGangIsStoppedWhenAMemberDoesNotAnswer(t *testing.T) {
 	f := newFakeWorkers(t, 10*time.Second, "w1", "w2")
 	b := newTestBed(t, f)
-	b.waitForFirstReports("w1", "w2")
-	f.mu.Lock()
-	f.byID["w2"].dropCalls = true
-	f.mu.Unlock()
-	b.submit("/u/", "gang", wholeWorkerGang(2))
-	b.waitFor(2*time.Second, "the member that began is stopped", func() bool {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		return len(f.byID["w1"].fenced) == 1
-	})
+	b.startGangOnLostWorker(func(w *fakeWorker) { w.dropCalls = true })
 	b.submit("/b/", "other", unitStep(1, 8))
 	b.waitFor(time.Second, "another job started", f.startedOnce(batch.UnitRef{Job: "other"}))
 }
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -231,6 +231,7 @@
 					continue
 				}
 				pg := p.waitingGroup(j, g, q, s.NowMS)
+				// The units of a gang start together, so a waiting one has lost its run.
 				memberLost := j.Step(g).Gang && pg != nil
 				for i := range g.Units {
 					u := &g.Units[i]
@@ -304,9 +305,9 @@
 	return a.leadership.cfg.Now().Sub(a.lastAnswer)
 }
 
-// sinceAnnouncementMS returns the time since the worker's last announcement, ms, or -1 if
-// there was none.
-func (a *agent) sinceAnnouncementMS() int64 {
+// sinceLastSeenMS returns the time since the worker's last sign of life, ms, or -1 if there
+// was none.
+func (a *agent) sinceLastSeenMS() int64 {
 	w := a.workerRecord()
 	at := a.leadership.cfg.Heartbeats.LastSeen(w.ID, w.Incarnation)
 	if at.IsZero() {
@@ -602,7 +603,7 @@
 	}
 	p.leadership.log.Info("run started", "job", s.Unit.Job, "unit", s.Unit, "run", s.Run, "worker", s.Worker, "life", s.Incarnation,
 		"customer", customer, "accelerators", pg.Step.Need.Accelerators, "priority", pg.Priority, "guaranteed", pg.Guaranteed, "waitedMS", waited,
-		"workerHeardMS", a.timeSinceAnswer().Milliseconds(), "announcedMS", a.sinceAnnouncementMS())
+		"workerHeardMS", a.timeSinceAnswer().Milliseconds(), "lastSeenMS", a.sinceLastSeenMS())
 	a.start(runKey{s.Unit, s.Run}, pg.Step.Need, payload, checkpoint)
 	a.notify()
 }
--- a/internal/workerapi/transport.go
+++ b/internal/workerapi/transport.go
@@ -17,9 +17,9 @@
 
 // TransportOptions configures a Transport.
 type TransportOptions struct {
-	DialTimeout time.Duration
+	DialTimeout time.Duration // 0 means that only the request's deadline applies
 	IdleTimeout time.Duration // after which an idle connection is closed
-	MaxIdle     int           // idle connections to all workers; 0 means no limit
+	MaxIdle     int           // number of idle connections to all workers; 0 means no limit
 }
 
 // Transport is an http.RoundTripper for calls to workers. When a worker does not answer a
