batch: state of cordoned zones and of measured worker speeds

An operator's order to empty an availability zone had no state, and a measured speed of a worker was lost with its leader. Both are now part of the replicated state: a zone's cordon with a generation, so that a delayed copy of an order has no effect after a later one, and the speed in the worker's record for the life of its incarnation. Starts in a cordoned zone are rejected where they are committed.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -286,6 +286,25 @@
 	Labels      []string  `cbor:"7,keyasint,omitempty" json:"labels,omitempty"`
 	Rack        string    `cbor:"8,keyasint,omitempty" json:"rack,omitempty"`
 	Draining    bool      `cbor:"9,keyasint,omitempty" json:"draining,omitempty"`
+	// Speed is nil until the speed of this incarnation has been measured.
+	Speed *WorkerSpeed `cbor:"10,keyasint,omitempty" json:"speed,omitempty"`
+}
+
+// WorkerSpeed is the measured speed of a worker against the typical worker of the
+// deployment.
+type WorkerSpeed struct {
+	LogMilli     int64 `cbor:"1,keyasint,omitempty" json:"log_milli"`    // natural logarithm of the speed, thousandths
+	SDMilli      int64 `cbor:"2,keyasint,omitempty" json:"sd_milli"`     // its standard deviation, thousandths
+	Observations int   `cbor:"3,keyasint,omitempty" json:"observations"` // number of runs that it was measured on
+}
+
+// ZoneState is the state of an availability zone that an operator has cordoned at least
+// once. Nothing is started on the workers of a cordoned zone.
+type ZoneState struct {
+	Cordoned   bool   `cbor:"1,keyasint,omitempty"`
+	Generation uint64 `cbor:"2,keyasint"`           // number of changes of Cordoned
+	SinceMS    int64  `cbor:"3,keyasint,omitempty"` // when it last changed, Unix ms
+	By         string `cbor:"4,keyasint,omitempty"` // who asked for the last change
 }
 
 // LengthMS returns the estimated duration of the job's longest chain of dependent
--- a/internal/batch/command.go
+++ b/internal/batch/command.go
@@ -14,6 +14,8 @@
 	Starts  *Starts       `cbor:"6,keyasint,omitempty"`
 	Ends    *Ends         `cbor:"7,keyasint,omitempty"`
 	Worker  *WorkerChange `cbor:"8,keyasint,omitempty"`
+	Zone    *ZoneChange   `cbor:"9,keyasint,omitempty"`
+	Speeds  *WorkerSpeeds `cbor:"10,keyasint,omitempty"`
 }
 
 // Lead starts the leadership of an instance under a new epoch. Its result is the
@@ -104,6 +106,29 @@
 	Removed bool   `cbor:"2,keyasint,omitempty"`
 }
 
+// ZoneChange cordons or uncordons an availability zone. Its result is a Verdict.
+type ZoneChange struct {
+	Zone   string `cbor:"1,keyasint"`
+	Cordon bool   `cbor:"2,keyasint,omitempty"`
+	// Generation is the zone's generation on which the change was decided. A change that
+	// was delayed until after another one has no effect.
+	Generation uint64 `cbor:"3,keyasint,omitempty"`
+	AtMS       int64  `cbor:"4,keyasint"`           // Unix ms; set by the leader
+	By         string `cbor:"5,keyasint,omitempty"` // who asked for the change
+}
+
+// WorkerSpeeds records measured speeds of workers, so that a new leader knows them.
+type WorkerSpeeds struct {
+	Speeds []SpeedOfWorker `cbor:"1,keyasint"`
+}
+
+// SpeedOfWorker is the speed of one incarnation of a worker.
+type SpeedOfWorker struct {
+	Worker      string      `cbor:"1,keyasint"`
+	Incarnation int64       `cbor:"2,keyasint"`
+	Speed       WorkerSpeed `cbor:"3,keyasint"`
+}
+
 // Verdict is the outcome of a caller's request.
 type Verdict uint8
 
@@ -116,8 +141,10 @@
 	NoJob
 	IDInUse     // the id is in use by another job, or the version by another configuration
 	QueueClosed // the queue rejects all jobs
+	ZoneChanged // the zone has changed since the order was given
+	UnknownZone
 )
 
-var verdictNames = [...]string{"ok", "no_configuration", "no_such_queue", "unknown_key", "no_such_job", "id_in_use", "not_supported"}
+var verdictNames = [...]string{"ok", "no_configuration", "no_such_queue", "unknown_key", "no_such_job", "id_in_use", "not_supported", "overtaken", "unknown_zone"}
 
 func (v Verdict) String() string { return verdictNames[v] }
--- a/internal/batch/machine.go
+++ b/internal/batch/machine.go
@@ -25,6 +25,8 @@
 	Final   []string           `cbor:"5,keyasint"` // ids of final jobs, in the order in which they ended
 	Workers map[string]*Worker `cbor:"6,keyasint"`
 	NextSeq uint64             `cbor:"7,keyasint"`
+	// Zones holds the availability zones that have been cordoned at least once, by name.
+	Zones map[string]*ZoneState `cbor:"8,keyasint,omitempty"`
 }
 
 // Machine is the state machine of a region's group. It implements
@@ -153,6 +155,10 @@
 		m.recordEnds(c.Ends)
 	case c.Worker != nil:
 		m.changeWorker(c.Worker)
+	case c.Zone != nil:
+		return m.changeZone(c.Zone)
+	case c.Speeds != nil:
+		m.recordSpeeds(c.Speeds)
 	}
 	return nil
 }
@@ -292,7 +298,7 @@
 	for i := range starts {
 		_, gi, u := m.unit(starts[i].Unit)
 		w := m.state.Workers[starts[i].Worker]
-		if gi != g || u.State != Waiting || starts[i].Run <= u.Run || w == nil || w.Incarnation != starts[i].Incarnation || w.Draining {
+		if gi != g || u.State != Waiting || starts[i].Run <= u.Run || w == nil || w.Incarnation != starts[i].Incarnation || w.Draining || m.cordoned(w.Zone) {
 			return false
 		}
 	}
@@ -418,5 +424,8 @@
 	if cur != nil && (w.Incarnation < cur.Incarnation || w.Incarnation == cur.Incarnation && cur.Draining) {
 		return
 	}
+	if cur != nil && cur.Incarnation == w.Incarnation {
+		w.Speed = cur.Speed
+	}
 	m.state.Workers[w.ID] = &w
 }
