--- a/internal/sched/place/place.go
+++ b/internal/sched/place/place.go
@@ -17,6 +17,9 @@
 	// Leaving are workers that have told when they leave. Nothing is placed on them.
 	Leaving []*Worker
 	Groups  []*Group
+	// SpeedSpread is the standard deviation of the log speeds between workers; 0 if workers are
+	// alike.
+	SpeedSpread float64
 }
 
 // Worker is a worker as last known to the leader.
@@ -37,6 +40,11 @@
 	Running []*Running
 	// LeavesInMS is the least time until a worker of Snapshot.Leaving leaves, ms.
 	LeavesInMS int64
+	// Speed is the natural logarithm of the speed against the typical worker; 0 if it is not
+	// known.
+	Speed float64
+	// SpeedSD is the standard deviation of Speed; 0 if speeds are not measured.
+	SpeedSD float64
 
 	// Set by Decide.
 	rack         *rack
