dispatch: measure the speeds of workers from their reports

The model of internal/sched/speed had no input. The leader now passes it the rates of runs, from their starts or first reports and from their ends.

go test -race ./internal/dispatch ./internal/region: ok.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -80,6 +80,10 @@
 	progress           map[runKey]*runProgress
 	history            failureHistory
 	pendingFences      []runKey // runs of earlier incarnations whose starts may still arrive
+
+	// Used only by the goroutine of run.
+	rates       map[runKey]*runRate // runs whose rate is measured
+	ratesReadAt time.Time           // when the last report was read for rates
 }
 
 func (l *Leadership) newAgent(w batch.Worker, fences []runKey) *agent {
@@ -88,8 +92,8 @@
 		leadership: l, log: l.log.WithValues("worker", w.ID, "life", w.Incarnation), ctx: ctx, cancel: cancel,
 		wake: make(chan struct{}, 1), worker: w,
 		orders: map[runKey]*order{}, reportedRuns: map[runKey]workerapi.UnitRun{}, progress: map[runKey]*runProgress{},
-		endFirstReported: map[runKey]time.Time{},
-		pendingFences:    fences,
+		endFirstReported: map[runKey]time.Time{}, rates: map[runKey]*runRate{},
+		pendingFences: fences,
 	}
 	l.wg.Add(1)
 	go a.run()
--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -40,6 +40,9 @@
 	// MaxWaitingHolds is the maximum number of holds that may wait for an end at the same
 	// time. Each of them occupies a connection. 0 means no limit.
 	MaxWaitingHolds int
+	// MeasureSpeeds is set if the workers may differ in speed and their speeds are to be
+	// measured.
+	MeasureSpeeds bool
 	// Now returns the current time; nil means time.Now. Tests replace it. Only differences
 	// between its results are used.
 	Now func() time.Time
@@ -68,6 +71,7 @@
 	wg        sync.WaitGroup
 	wake      chan struct{}
 	planner   planner
+	speeds    *workerSpeeds // nil if speeds are not measured
 	settled   bool          // see settle; owned by the goroutine of run
 	waitSlots chan struct{} // one element per hold that waits; nil if there is no limit
 
@@ -95,6 +99,9 @@
 	if cfg.MaxWaitingHolds > 0 {
 		l.waitSlots = make(chan struct{}, cfg.MaxWaitingHolds)
 	}
+	if cfg.MeasureSpeeds {
+		l.speeds = newWorkerSpeeds(cfg.Machine)
+	}
 	epochGauge.Set(float64(cfg.Epoch))
 	l.log.Info("leadership begun")
 	l.Wake()
@@ -108,6 +115,7 @@
 	l.cancel()
 	l.wg.Wait()
 	epochGauge.Set(0)
+	speedSpreadGauge.Set(0)
 	l.log.Info("leadership ended")
 }
 
@@ -279,3 +287,33 @@
 	}
 	return n
 }
+
+// removeSilentWorker commits the removal of a worker that has been silent for too
+// long, in the background. It does nothing while an earlier call for the worker has not
+// ended: each plan finds the worker silent until the removal is committed, and hundreds
+// of lost workers would otherwise be proposed again in each of them.
+func (l *Leadership) removeSilentWorker(w batch.Worker) {
+	l.removingMu.Lock()
+	defer l.removingMu.Unlock()
+	if l.removing[w.ID] {
+		return
+	}
+	l.removing[w.ID] = true
+	l.wg.Add(1)
+	go func() {
+		defer l.wg.Done()
+		l.commitRemoval(w)
+		l.removingMu.Lock()
+		defer l.removingMu.Unlock()
+		delete(l.removing, w.ID)
+	}()
+}
+
+func (l *Leadership) commitRemoval(w batch.Worker) {
+	if _, err := l.propose(&batch.Command{Worker: &batch.WorkerChange{Worker: w, Removed: true}}); err != nil {
+		l.log.Error(err, "silent worker could not be removed", "worker", w.ID)
+		return
+	}
+	l.cfg.Heartbeats.Forget(w.ID)
+	l.log.Info("silent worker removed", "worker", w.ID, "life", w.Incarnation)
+}
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -95,6 +95,7 @@
 
 // pass makes one plan and carries it out.
 func (p *planner) pass() {
+	p.leadership.updateSpeeds()
 	began := time.Now()
 	snap, runs, lost := p.snapshot()
 	plan := place.Decide(snap)
@@ -208,14 +209,17 @@
 // was removed or has another incarnation.
 func (p *planner) snapshot() (*place.Snapshot, []runInfo, map[string][]batch.End) {
 	now := p.leadership.cfg.Now()
-	s := &place.Snapshot{NowMS: p.leadership.cfg.TimeOfDayMS()}
+	speeds := p.leadership.speeds.current()
+	s := &place.Snapshot{NowMS: p.leadership.cfg.TimeOfDayMS(), SpeedSpread: speeds.spread}
 	workers := map[string]*place.Worker{}
 	var runs []runInfo
 	lost := map[string][]batch.End{}
 	p.leadership.cfg.Machine.View(func(v *batch.View) {
 		for id, w := range v.Workers() {
+			e := speeds.of(id, w.Incarnation)
 			workers[id] = &place.Worker{
 				ID: id, Rack: w.Rack, Service: w.Service, Labels: w.Labels, Capacity: w.Capacity, Free: w.Capacity,
+				Speed: e.Log, SpeedSD: e.SD,
 			}
 		}
 		guaranteed := guaranteedJobs(v)
@@ -501,36 +505,6 @@
 	return st, ok
 }
 
-// removeSilentWorker commits the removal of a worker that has been silent for too
-// long, in the background. It does nothing while an earlier call for the worker has not
-// ended: each plan finds the worker silent until the removal is committed, and hundreds
-// of lost workers would otherwise be proposed again in each of them.
-func (l *Leadership) removeSilentWorker(w batch.Worker) {
-	l.removingMu.Lock()
-	defer l.removingMu.Unlock()
-	if l.removing[w.ID] {
-		return
-	}
-	l.removing[w.ID] = true
-	l.wg.Add(1)
-	go func() {
-		defer l.wg.Done()
-		l.commitRemoval(w)
-		l.removingMu.Lock()
-		defer l.removingMu.Unlock()
-		delete(l.removing, w.ID)
-	}()
-}
-
-func (l *Leadership) commitRemoval(w batch.Worker) {
-	if _, err := l.propose(&batch.Command{Worker: &batch.WorkerChange{Worker: w, Removed: true}}); err != nil {
-		l.log.Error(err, "silent worker could not be removed", "worker", w.ID)
-		return
-	}
-	l.cfg.Heartbeats.Forget(w.ID)
-	l.log.Info("silent worker removed", "worker", w.ID, "life", w.Incarnation)
-}
-
 // commitStarts commits the starts and sends those that were accepted.
 func (p *planner) commitStarts(starts []place.Placement) {
 	if len(starts) == 0 {
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -56,6 +56,7 @@
 		}
 	}
 	a.mu.Unlock()
+	a.observeRates(rep, sent, now)
 
 	if !a.leadership.commitEnds(a.workerRecord().ID, ends) {
 		return false
--- a/internal/region/control.go
+++ b/internal/region/control.go
@@ -43,6 +43,7 @@
 	Client          workerapi.UnitClient
 	MaxLease        time.Duration // longest lease that a worker grants
 	MaxWaitingHolds int           // maximum number of waiting holds, see dispatch.Config; 0 means no limit
+	MeasureSpeeds   bool          // the workers may differ in speed, see dispatch.Config
 	Log             logr.Logger
 }
 
@@ -156,6 +157,7 @@
 	l := dispatch.Open(dispatch.Config{
 		Machine: c.machine, Group: c.group, Client: c.cfg.Client, MaxLease: c.cfg.MaxLease, MaxWaitingHolds: c.cfg.MaxWaitingHolds,
 		Log: c.cfg.Log, Epoch: result.(uint64), Heartbeats: &c.heartbeats, TimeOfDayMS: c.clock.NowMS,
+		MeasureSpeeds: c.cfg.MeasureSpeeds,
 	})
 	c.mu.Lock()
 	c.leadership = l
--- a/internal/region/handle.go
+++ b/internal/region/handle.go
@@ -164,17 +164,23 @@
 				rep.Progress = &p
 			}
 		case req.Workers != nil:
-			rep.Workers = workerViews(v)
+			rep.Workers = c.workerViews(v)
 		}
 	})
 }
 
-func workerViews(v *batch.View) []WorkerView {
+// workerViews returns the workers as the leader knows them, with their latest speeds.
+func (c *Control) workerViews(v *batch.View) []WorkerView {
+	l := c.currentLeadership()
 	out := make([]WorkerView, 0, len(v.Workers()))
 	for id, w := range v.Workers() {
 		runs := 0
 		v.EachActiveUnit(id, func(batch.UnitRef, *batch.Unit) { runs++ })
-		out = append(out, WorkerView{Worker: *w, Runs: runs})
+		wv := WorkerView{Worker: *w, Runs: runs}
+		if l != nil {
+			wv.Worker.Speed = l.Speed(id, w.Incarnation)
+		}
+		out = append(out, wv)
 	}
 	slices.SortFunc(out, func(a, b WorkerView) int { return strings.Compare(a.Worker.ID, b.Worker.ID) })
 	return out
