--- a/internal/cli/batch.go
+++ b/internal/cli/batch.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/http"
 	"net/url"
 	"os"
@@ -212,11 +213,21 @@
 	if e.json {
 		return writeJSON(e.out, list)
 	}
-	t := &table{head: []string{"WORKER", "SERVICE", "ZONE", "RACK", "ACCELERATORS", "RUNS", "DRAINING"}}
+	t := &table{head: []string{"WORKER", "SERVICE", "ZONE", "RACK", "ACCELERATORS", "RUNS", "DRAINING", "SPEED", "DEVIATION"}}
 	for i := range list {
 		w := &list[i]
-		t.row(w.ID, w.Service, w.Zone, w.Rack, w.Capacity.Accelerators, w.Runs, w.Draining)
+		speed, deviation := formatSpeed(w.Speed)
+		t.row(w.ID, w.Service, w.Zone, w.Rack, w.Capacity.Accelerators, w.Runs, w.Draining, speed, deviation)
 	}
 	t.write(e.out)
 	return nil
 }
+
+// formatSpeed returns a measured speed as a multiple of the typical worker's, and its
+// standard deviation in percent. Both are empty if the speed was not measured.
+func formatSpeed(s *batch.WorkerSpeed) (speed, deviation string) {
+	if s == nil {
+		return "", ""
+	}
+	return fmt.Sprintf("%.2f", math.Exp(float64(s.LogMilli)/1000)), fmt.Sprintf("%.0f%%", float64(s.SDMilli)/10)
+}
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -154,7 +154,7 @@
 		{"batch-cancel", single("DELETE /v1/queues/q/jobs/j", 200, `{"id":"j","queue":"q","state":"cancelled","units":{"units":8,"active":2,"done":1,"failed_runs":0}}`), 0, "batch cancel q j --api-key k"},
 		{"batch-pending", single("GET /v1/queues/q", 200, `{"queue":"q","pending":12}`), 0, "batch pending q"},
 		{"batch-publish", single("PUT /v1/config", 200, `{"version":1,"queues":[{"name":"q","service":"s","priority":2,"max_attempts":4,"stretch":3}],"services":[{"name":"s"}],"customers":[{"name":"a","keys":["k"],"guaranteed_accelerators":16}]}`), 0, "batch publish ../../examples/region/config.jsonc"},
-		{"batch-workers", single("GET /v1/workers", 200, `[{"name":"w1","life":1,"address":"127.0.0.1:1","service":"s","availability_zone":"z1","rack":"r1","capacity":{"accelerators":8},"runs":2}]`), 0, "batch workers"},
+		{"batch-workers", single("GET /v1/workers", 200, `[{"name":"w1","life":1,"address":"127.0.0.1:1","service":"s","availability_zone":"z1","rack":"r1","capacity":{"accelerators":8},"runs":2},{"name":"w2","life":1,"address":"127.0.0.1:2","service":"s","capacity":{"accelerators":8},"speed":{"log_milli":-511,"sd_milli":123,"observations":5}}]`), 0, "batch workers"},
 		{"replay", nil, 1, "replay testdata/none.trace"},
 		{"usage", nil, 2, "submit --customer a"},
 		{"no-command", nil, 2, ""},
--- a/internal/daemon/region.go
+++ b/internal/daemon/region.go
@@ -37,7 +37,8 @@
 	if self.Disk {
 		control, err = region.OpenControl(region.ControlConfig{
 			Self: s.Name, Seeds: s.WithDisk(), Form: s.FirstStart, DiskLosses: (len(s.WithDisk()) - 1) / 2, DataFolder: s.DataFolder, Peers: links,
-			Client: workerapi.NewUnitHTTPClient(), MaxLease: time.Duration(s.LeaseSeconds * float64(time.Second)), Log: log,
+			Client: workerapi.NewUnitHTTPClient(), MaxLease: time.Duration(s.LeaseSeconds * float64(time.Second)),
+			MeasureSpeeds: s.WorkerSpeeds == settings.SpeedsMeasured, Log: log,
 		}, router)
 		if err != nil {
 			_ = clientLn.Close()
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -24,6 +24,7 @@
 	heartbeats       *Heartbeats
 	leadership       *Leadership
 	waitingHoldLimit int
+	measureSpeeds    bool
 	timeShift        atomic.Int64 // by which the leader's clock is ahead, ns
 }
 
@@ -56,6 +57,7 @@
 	b.leadership = Open(Config{
 		Machine: b.machine, Group: b.group, Client: b.workers, Epoch: epoch, Heartbeats: b.heartbeats, Log: logr.Discard(),
 		MaxLease: testLease, MaxWaitingHolds: b.waitingHoldLimit, Now: b.now,
+		MeasureSpeeds: b.measureSpeeds,
 	})
 	b.t.Cleanup(b.leadership.Close)
 }
--- a/internal/dispatch/workers_test.go
+++ b/internal/dispatch/workers_test.go
@@ -62,6 +62,7 @@
 	stopsAt          map[runKey]time.Time
 	dropHolds        bool // leaves holds unanswered
 	holdDelay        time.Duration
+	speed            float64 // against which runs take longer or shorter and report progress; 0 means 1 without progress
 }
 
 // fakeWorkers implements workerapi.UnitClient.
@@ -155,6 +156,9 @@
 	if t.ID == f.slowWorker {
 		w.running[k] = time.Now().Add(3 * f.duration)
 	}
+	if w.speed > 0 {
+		w.running[k] = time.Now().Add(f.durationOn(w))
+	}
 	if w.loseStartAnswers > 0 {
 		w.loseStartAnswers--
 		return &workerapi.NoAnswerError{Cause: context.DeadlineExceeded}
@@ -162,6 +166,11 @@
 	return nil
 }
 
+// durationOn returns how long a run takes on a worker with a speed.
+func (f *fakeWorkers) durationOn(w *fakeWorker) time.Duration {
+	return time.Duration(float64(f.duration) / w.speed)
+}
+
 // startedOnce returns a condition that holds if a unit has been started exactly once.
 func (f *fakeWorkers) startedOnce(unit batch.UnitRef) func() bool {
 	return func() bool {
@@ -243,8 +252,12 @@
 		}
 		if len(w.ends) > 0 || time.Now().After(until) {
 			rep := &workerapi.UnitReport{Incarnation: w.incarnation, ClockMS: w.clock()}
-			for k := range w.running {
-				rep.Runs = append(rep.Runs, workerapi.UnitRun{Unit: k.unit, Run: k.run})
+			for k, at := range w.running {
+				r := workerapi.UnitRun{Unit: k.unit, Run: k.run}
+				if w.speed > 0 {
+					r.Percent = int(100 - 100*time.Until(at)/f.durationOn(w))
+				}
+				rep.Runs = append(rep.Runs, r)
 			}
 			rep.Ends = append(rep.Ends, w.ends...)
 			f.mu.Unlock()
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -88,6 +88,12 @@
 	case s.Extent == ExtentZone && s.FirstStart:
 		c.add("first_start", "must not be set with extent %q", s.Extent)
 	}
+	switch {
+	case s.WorkerSpeeds != SpeedsEqual && s.WorkerSpeeds != SpeedsMeasured:
+		c.add("worker_speeds", "must be %q or %q, not %q", SpeedsEqual, SpeedsMeasured, s.WorkerSpeeds)
+	case s.WorkerSpeeds == SpeedsMeasured && s.Extent == ExtentZone:
+		c.add("worker_speeds", "must not be %q with extent %q", SpeedsMeasured, ExtentZone)
+	}
 	if n := len(s.Instances); n < 1 || n > maxInstances {
 		c.add("instances", "must have 1 to %d entries, not %d", maxInstances, n)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -40,6 +40,15 @@
 	ExtentRegion Extent = "region"
 )
 
+// WorkerSpeeds tells how the speeds of workers are determined.
+type WorkerSpeeds string
+
+// Values of Settings.WorkerSpeeds.
+const (
+	SpeedsEqual    WorkerSpeeds = "equal"
+	SpeedsMeasured WorkerSpeeds = "measured"
+)
+
 // Settings are the settings of one daemon. examples/settings describes each key.
 type Settings struct {
 	// Name is the name of this daemon's entry in Instances.
@@ -60,6 +69,9 @@
 	// LeaseSeconds is the duration of a worker's lease: how long the worker runs a task
 	// without contact to the leader; default: 10.
 	LeaseSeconds float64 `json:"lease_seconds,omitempty"`
+	// WorkerSpeeds is equal, if all workers count as equally fast, or measured, if they may
+	// differ in speed; measured requires the extent region; default: equal.
+	WorkerSpeeds WorkerSpeeds `json:"worker_speeds,omitempty"`
 	// TraceFile is the file in which the inputs of the zone's decisions are recorded for
 	// replay; empty records nothing.
 	TraceFile string `json:"trace_file,omitempty"`
@@ -150,7 +162,10 @@
 	if err != nil {
 		return nil, &SyntaxError{Cause: err}
 	}
-	s := &Settings{Extent: ExtentZone, LogLevel: defaultLogLevel, LeaseSeconds: defaultLeaseSeconds, MaxRequests: defaultMaxRequests}
+	s := &Settings{
+		Extent: ExtentZone, LogLevel: defaultLogLevel, LeaseSeconds: defaultLeaseSeconds, MaxRequests: defaultMaxRequests,
+		WorkerSpeeds: SpeedsEqual,
+	}
 	if err := strictjson.Decode(std, s, strictjson.Limits{Nesting: maxNesting, Tokens: maxTokens}); err != nil {
 		return nil, err
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -46,6 +46,8 @@
 		"extent":             {edited(`"name": "a", "inst`, `"name": "a", "extent": "rack", "inst`), []string{`line 1: extent: must be "zone" or "region", not "rack"`}},
 		"no disk in region":  {edited(`"name": "a", "inst`, `"name": "a", "extent": "region", "inst`), []string{`extent: "region" requires an instance with disk set`}},
 		"zone's first start": {edited(`"name": "a", "inst`, `"name": "a", "first_start": true, "inst`), []string{`first_start: must not be set with extent "zone"`}},
+		"worker speeds":      {edited(`"name": "a", "inst`, `"name": "a", "worker_speeds": "slow", "inst`), []string{`worker_speeds: must be "equal" or "measured", not "slow"`}},
+		"zone's speeds":      {edited(`"name": "a", "inst`, `"name": "a", "worker_speeds": "measured", "inst`), []string{`worker_speeds: must not be "measured" with extent "zone"`}},
 		"too large":          {minimal + strings.Repeat(" ", maxFileBytes), []string{"larger than 256 KiB"}},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -56,6 +58,7 @@
 				is.Equal(s.LogLevel, "info")
 				is.Equal(s.LeaseSeconds, 10.0)
 				is.Equal(s.MaxRequests, 1024)
+				is.Equal(s.WorkerSpeeds, SpeedsEqual)
 				return
 			}
 			is.True(err != nil)
