--- a/internal/batch/machine.go
+++ b/internal/batch/machine.go
@@ -424,6 +424,7 @@
 	if cur != nil && (w.Incarnation < cur.Incarnation || w.Incarnation == cur.Incarnation && cur.Draining) {
 		return
 	}
+	w.Speed = nil // measured, so an announcement cannot set it
 	if cur != nil && cur.Incarnation == w.Incarnation {
 		w.Speed = cur.Speed
 	}
--- a/internal/dispatch/observe.go
+++ b/internal/dispatch/observe.go
@@ -11,8 +11,9 @@
 
 const (
 	// minRatePercent is the progress that a run must have made under observation before its
-	// rate is used. Progress is reported in whole percent, so the error is up to a tenth.
-	minRatePercent = 5
+	// rate is used. Progress is reported in whole percent, so the error is up to a twentieth.
+	// A run of 5 s on a worker of 0.6 of the common speed has made it within a second.
+	minRatePercent = 10
 	// maxEndDelayShare is the part of the time that a run took by which its end may have been
 	// before the report of it. A hold that waits returns at the end, so this is the time
 	// before the hold was sent.
