speed: gangs tell the speeds of their workers

Gangs were left out of the measurement because their members work together. The units of other steps deviate by 15 to 30 percent.

Gangs are observations of their own kind now, with a deviation of their own. A member at 100 percent, and the common end, are not used.

--- a/internal/dispatch/observe.go
+++ b/internal/dispatch/observe.go
@@ -22,7 +22,6 @@
 
 // Reasons for which a run is not used to measure its worker's speed.
 const (
-	dropGang         = "gang"           // its members wait for each other
 	dropLongRunning  = "lasting"        // it has no end that progress could refer to
 	dropAwayFromData = "away_from_data" // reading its data takes part of the time
 	dropKnown        = "earlier_leader" // the worker's record may already include it
@@ -33,6 +32,7 @@
 // runRate is a run on a worker whose rate is measured.
 type runRate struct {
 	step        speed.StepKey
+	gang        bool
 	excluded    bool
 	from        time.Time // start of the measurement
 	fromPercent float64   // progress at that time
@@ -62,6 +62,7 @@
 		m := a.rates[k]
 		switch {
 		case m == nil || m.excluded || m.ended:
+		case r.Percent >= 100: // a member of a gang that waits for slower ones; it was done some time ago
 		case suspect:
 			m.restart(r.Percent, now)
 		default:
@@ -79,7 +80,7 @@
 		m.ended = true
 		lateBy := min(sent.Sub(previous), sent.Sub(m.from)).Seconds()
 		switch {
-		case e.How != batch.EndDone:
+		case e.How != batch.EndDone || m.gang: // the members of a gang end together, when the slowest is done
 		case suspect:
 			countDropped(dropSuspect)
 		case lateBy > maxEndDelayShare*now.Sub(m.from).Seconds():
@@ -155,7 +156,7 @@
 // newRate returns the measurement of a run that was reported for the first time. It begins
 // at the start of the run if that is known, and otherwise with the report.
 func (a *agent) newRate(k runKey, st *batch.Step, u *batch.Unit, percent int, now time.Time) *runRate {
-	m := &runRate{step: speed.StepKey{Job: k.unit.Job, Occurrence: k.unit.Occurrence, Step: k.unit.Step}}
+	m := &runRate{step: speed.StepKey{Job: k.unit.Job, Occurrence: k.unit.Occurrence, Step: k.unit.Step}, gang: st.Gang}
 	m.from, m.fromPercent = now, float64(percent)+0.5
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -166,8 +167,6 @@
 	}
 	reason := ""
 	switch {
-	case st.Gang:
-		reason = dropGang
 	case st.LongRunning:
 		reason = dropLongRunning
 	case st.DataRack != "" && st.DataRack != a.worker.Rack:
@@ -200,7 +199,7 @@
 	s := a.leadership.speeds
 	s.mu.Lock()
 	first := s.model.Observe(&speed.Observation{
-		Worker: w.ID, Incarnation: w.Incarnation, Step: m.step, Unit: k.unit.Index, Run: k.run,
+		Worker: w.ID, Incarnation: w.Incarnation, Step: m.step, Gang: m.gang, Unit: k.unit.Index, Run: k.run,
 		Rate: (percent - m.fromPercent) / 100 / elapsed,
 	})
 	s.mu.Unlock()
--- a/internal/dispatch/speeds_test.go
+++ b/internal/dispatch/speeds_test.go
@@ -12,6 +12,7 @@
 	"teaselpaddle.example/teaselpaddle/internal/batch"
 	"teaselpaddle.example/teaselpaddle/internal/codec"
 	"teaselpaddle.example/teaselpaddle/internal/sched/speed"
+	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
 
 // newSpeedTestBed returns a test bed with n workers, of which a third each runs at 0.6, 1.0
@@ -121,27 +122,29 @@
 	b.waitFor(2*time.Second, "all told", b.areTold)
 }
 
-// Guards against rates that do not show the speed of a worker: those of gangs and of runs
-// away from their data.
+// Guards against rates that do not show the speed of a worker: those of runs away from
+// their data, and of members of a gang that wait for slower ones.
 func TestUnsuitableRunsAreNotMeasured(t *testing.T) {
 	b := newSpeedTestBed(t, 6)
 	dropped := func(reason string) uint64 {
 		return metrics.GetOrCreateCounter("teaselpaddle_speed_observations_dropped_total{reason=\"" + reason + "\"}").Get()
 	}
 	observed := metrics.GetOrCreateCounter("teaselpaddle_speed_observations_total")
-	gangs, away, before := dropped(dropGang), dropped(dropAwayFromData), observed.Get()
-	gang := unitStep(4, 2)
-	gang.Gang = true
-	b.submit("/b/", "gang", gang)
+	away, before := dropped(dropAwayFromData), observed.Get()
 	remote := unitStep(4, 2)
 	remote.DataRack = "r2"
 	b.submit("/b/", "remote", remote)
-	b.waitFor(20*time.Second, "completed", func() bool {
-		return b.state("gang") == batch.Completed && b.state("remote") == batch.Completed
-	})
-	b.is.Equal(dropped(dropGang), gangs+4)
+	b.waitFor(20*time.Second, "completed", func() bool { return b.state("remote") == batch.Completed })
 	b.is.Equal(dropped(dropAwayFromData), away+4)
 	b.is.Equal(observed.Get(), before)
+
+	now := time.Now()
+	m := &runRate{gang: true, from: now.Add(-time.Second)}
+	a := &agent{leadership: b.leadership, rates: map[runKey]*runRate{{unit: batch.UnitRef{Job: "gang"}, run: 1}: m}}
+	a.observeRates(&workerapi.UnitReport{Runs: []workerapi.UnitRun{{Unit: batch.UnitRef{Job: "gang"}, Run: 1, Percent: 100}}}, now, now)
+	a.observeRates(&workerapi.UnitReport{Ends: []workerapi.UnitEnd{{Unit: batch.UnitRef{Job: "gang"}, Run: 1, How: batch.EndDone}}}, now, now)
+	b.is.True(m.ended)
+	b.is.Equal(observed.Get(), before)
 }
 
 // Guards against records of speeds that take more than 2 KB per second of the replicated
--- a/internal/sched/speed/fit.go
+++ b/internal/sched/speed/fit.go
@@ -12,7 +12,10 @@
 	// the upper end of what was observed (15 to 30 percent), because a lower value makes
 	// equal workers look different.
 	initialUnitSD = 0.3
-	// initialUnitWeight is the number of runs that initialUnitSD counts for.
+	// initialGangSD is the same for the members of a gang, which share one work. Progress in
+	// whole percent alone deviates by up to a twentieth.
+	initialGangSD = 0.1
+	// initialUnitWeight is the number of runs that initialUnitSD and initialGangSD count for.
 	initialUnitWeight    = 10
 	minUnitSD, maxUnitSD = 0.05, 0.6
 	// groupSD is the deviation that all runs of a step on a worker have in common, from
@@ -43,6 +46,8 @@
 	minPrecision = 1e-6
 )
 
+var initialUnitVar = [stepKinds]float64{plainStep: initialUnitSD * initialUnitSD, gangStep: initialGangSD * initialGangSD}
+
 // gaussian is a normal distribution in information form. The zero value knows nothing.
 type gaussian struct{ precision, sum float64 }
 
@@ -105,12 +110,16 @@
 	nextUnitVar := m.unitVar
 	for range sweepsPerFit {
 		m.updateBeliefs()
-		deviation, weight := initialUnitWeight*initialUnitSD*initialUnitSD, float64(initialUnitWeight)
+		var deviation, weight [stepKinds]float64
 		for _, s := range m.byAge {
 			d, n := m.updateStep(s)
-			deviation, weight = deviation+d, weight+n
+			deviation[s.kind] += d
+			weight[s.kind] += n
+		}
+		for k := range nextUnitVar {
+			v := (deviation[k] + initialUnitWeight*initialUnitVar[k]) / (weight[k] + initialUnitWeight)
+			nextUnitVar[k] = min(max(v, minUnitSD*minUnitSD), maxUnitSD*maxUnitSD)
 		}
-		nextUnitVar = min(max(deviation/weight, minUnitSD*minUnitSD), maxUnitSD*maxUnitSD)
 		m.updateBeliefs()
 		m.updateSpread()
 	}
@@ -148,7 +157,7 @@
 func (m *Model) stepTerm(s *step) gaussian {
 	var sum gaussian
 	for _, g := range s.groups {
-		g.summarize(m.unitVar)
+		g.summarize(m.unitVar[s.kind])
 		sum = sum.add(m.toStep(g))
 	}
 	return sum
@@ -179,21 +188,22 @@
 // term of the step as the other groups show it. weigh returns the sum of the squared
 // deviations of the units and their weight.
 func (m *Model) weigh(g *group, work gaussian) (deviation, weight float64) {
+	unitVar := m.unitVar[g.step.kind]
 	speed := g.worker.belief.without(g.toWorker)
 	outside := fromMean(work.mean()+speed.mean(), work.variance()+speed.variance()+groupSD*groupSD)
 	all := outside
 	for i := range g.values {
-		all = all.add(m.toGroup(&g.values[i]))
+		all = all.add(toGroup(&g.values[i], unitVar))
 	}
 	for i := range g.values {
 		v := &g.values[i]
-		expected := all.without(m.toGroup(v))
+		expected := all.without(toGroup(v, unitVar))
 		all = expected
 		v.weight = 1
 		if !expected.empty() {
-			v.weight = regularProbability(v.log-expected.mean(), expected.variance()+m.unitVar)
+			v.weight = regularProbability(v.log-expected.mean(), expected.variance()+unitVar)
 		}
-		all = all.add(m.toGroup(v))
+		all = all.add(toGroup(v, unitVar))
 	}
 	for i := range g.values {
 		v := &g.values[i]
@@ -205,8 +215,8 @@
 }
 
 // toGroup returns what a value tells about the mean of its group.
-func (m *Model) toGroup(v *value) gaussian {
-	return gaussian{precision: v.weight / m.unitVar, sum: v.weight * v.log / m.unitVar}
+func toGroup(v *value, unitVar float64) gaussian {
+	return gaussian{precision: v.weight / unitVar, sum: v.weight * v.log / unitVar}
 }
 
 // regularProbability returns the probability that a value with the given deviation from its
--- a/internal/sched/speed/speed.go
+++ b/internal/sched/speed/speed.go
@@ -26,6 +26,7 @@
 	Worker      string
 	Incarnation int64
 	Step        StepKey
+	Gang        bool    // the step is a gang
 	Unit, Run   int     // index of the unit in its step, and number of the run
 	Rate        float64 // share of the unit's work per second
 }
@@ -62,7 +63,9 @@
 	steps   map[StepKey]*step
 	byAge   []*step // steps, the oldest first
 
-	unitVar   float64 // variance of the deviation of units
+	// unitVar is the variance of the deviation of units. Members of a gang do equal shares of
+	// one work, so they deviate far less than the units of other steps.
+	unitVar   [stepKinds]float64
 	workerVar float64 // variance between workers, as used by the messages
 	spread    float64 // standard deviation between workers; 0 if they are alike
 	stale     bool    // observations have changed since the last fit
@@ -78,8 +81,18 @@
 	belief              gaussian // of the log speed, including the variance between workers
 }
 
+// stepKind tells gangs from other steps.
+type stepKind int
+
+const (
+	plainStep stepKind = iota
+	gangStep
+	stepKinds
+)
+
 type step struct {
 	key    StepKey
+	kind   stepKind
 	groups []*group
 	open   int // number of values that may still be replaced
 }
@@ -106,7 +119,8 @@
 func New() *Model {
 	return &Model{
 		workers: map[string]*worker{}, steps: map[StepKey]*step{},
-		unitVar: initialUnitSD * initialUnitSD, workerVar: minWorkerVar,
+		unitVar:   initialUnitVar,
+		workerVar: minWorkerVar,
 	}
 }
 
@@ -193,7 +207,7 @@
 		return false
 	}
 	m.stale = true
-	g := m.group(w, o.Step)
+	g := m.group(w, o.Step, o.Gang)
 	if v := g.value(o.Unit, o.Run); v != nil {
 		if v.open {
 			v.log = math.Log(o.Rate)
@@ -225,13 +239,16 @@
 }
 
 // group returns the runs of a step on a worker.
-func (m *Model) group(w *worker, k StepKey) *group {
+func (m *Model) group(w *worker, k StepKey, gang bool) *group {
 	if g := w.byStep[k]; g != nil {
 		return g
 	}
 	s := m.steps[k]
 	if s == nil {
 		s = &step{key: k}
+		if gang {
+			s.kind = gangStep
+		}
 		m.steps[k] = s
 		m.byAge = append(m.byAge, s)
 	}
--- a/internal/sched/speed/speed_test.go
+++ b/internal/sched/speed/speed_test.go
@@ -15,6 +15,7 @@
 	logSpeeds []float64
 	unitSD    float64
 	steps     int
+	gangs     bool        // steps are gangs, whose members do equal work
 	restarts  map[int]int // number of restarts by worker
 }
 
@@ -36,11 +37,16 @@
 	k := StepKey{Job: fmt.Sprint("j", f.steps)}
 	work := f.r.NormFloat64() * 0.9
 	for unit, w := range workers {
-		rate := work + f.logSpeeds[w] + f.r.NormFloat64()*f.unitSD
-		if f.r.IntN(100) < 3 {
-			rate -= math.Log(7)
+		rate := work + f.logSpeeds[w]
+		if f.gangs {
+			rate += f.r.NormFloat64() * 0.03 // progress is reported in whole percent
+		} else {
+			rate += f.r.NormFloat64() * f.unitSD
+			if f.r.IntN(100) < 3 {
+				rate -= math.Log(7)
+			}
 		}
-		m.Observe(&Observation{Worker: id(w), Incarnation: f.incarnation(w), Step: k, Unit: unit, Run: 1, Rate: math.Exp(rate)})
+		m.Observe(&Observation{Worker: id(w), Incarnation: f.incarnation(w), Step: k, Gang: f.gangs, Unit: unit, Run: 1, Rate: math.Exp(rate)})
 		m.Close(id(w), f.incarnation(w), k, unit, 1)
 	}
 }
@@ -206,3 +212,30 @@
 		m.Fit()
 	}
 }
+
+// Guards against gangs that are weighted like other steps: their members do equal work, so
+// one run of each worker in a gang tells its speed.
+func TestOneGangTellsSpeeds(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(5) {
+		f, m := thirds(seed, 351), New()
+		f.gangs = true
+		f.observeEach(m, 1, 1)
+		f.gangs = false
+		m.Fit()
+		right, wrong, _ := f.told(m)
+		is.True(right > 0.95)
+		is.True(wrong < 0.05)
+	}
+}
+
+// Guards against equal workers that count as unequal because of what gangs show.
+func TestGangsOnEqualWorkersShowNoSpread(t *testing.T) {
+	is := is.New(t)
+	f, m := &fleet{r: rand.New(rand.NewPCG(1, 3)), unitSD: 0.3, gangs: true, logSpeeds: make([]float64, 351)}, New()
+	for round := range 10 {
+		f.gangs = round%2 == 0
+		f.observeEach(m, 1, 1)
+		is.Equal(m.Spread(), 0.0)
+	}
+}
