place: stop runs for urgent groups only where waiting does not do

Each urgent gang that finds no room stops runs at once, although most of them would complete in time in the room of runs that end by themselves.

With economical, an urgent group waits in the reserved room of runs that end in time. It stops runs only if that is too late and less work is lost than its own; otherwise it waits for the earliest room. A group with a guarantee waits for a third of its bound of 2.7 s, and no longer than its target allows; then what is lost does not limit the stops. A stopped gang counts once in the lost work. The log line "step waits for room" says why nothing was stopped, and teaselpaddle_preemptions_avoided_total counts it by reason.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -323,6 +323,24 @@
 	return longest
 }
 
+// FollowingMS returns the estimated duration of the longest chain of steps that depend on a
+// step, without the step itself, ms.
+func (j *Job) FollowingMS(step int) int64 {
+	// from holds the duration of the longest chain from the start of each step.
+	from := make([]int64, len(j.Spec.Steps))
+	var following int64
+	for i := len(j.Spec.Steps) - 1; i >= step; i-- {
+		from[i] += j.Spec.Steps[i].EstimateMS
+		for _, d := range j.Spec.Steps[i].DependsOn {
+			from[d] = max(from[d], from[i])
+			if d == step {
+				following = max(following, from[i])
+			}
+		}
+	}
+	return following
+}
+
 // Demand returns the work of all units of the job by the caller's estimates, in each
 // resource multiplied by milliseconds, and the resources that the job uses if all
 // of its units run at the same time.
--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -22,6 +22,7 @@
 	"teaselpaddle.example/teaselpaddle/internal/codec"
 	"teaselpaddle.example/teaselpaddle/internal/replica"
 	"teaselpaddle.example/teaselpaddle/internal/retry"
+	"teaselpaddle.example/teaselpaddle/internal/sched/place"
 	"teaselpaddle.example/teaselpaddle/internal/telemetry"
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
@@ -40,6 +41,8 @@
 	// MaxWaitingHolds is the maximum number of holds that may wait for an end at the same
 	// time. Each of them occupies a connection. 0 means no limit.
 	MaxWaitingHolds int
+	// Preemption tells when runs are stopped for urgent groups.
+	Preemption place.Preemption
 	// Now returns the current time; nil means time.Now. Tests replace it. Only differences
 	// between its results are used.
 	Now func() time.Time
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -37,7 +37,7 @@
 type planner struct {
 	leadership   *Leadership
 	decisionTime time.Duration // of the last snapshot and decision, without commits
-	waitingSteps map[stepKey]bool
+	waitingSteps map[stepKey]place.WaitReason
 	claims       map[stepKey][]place.Claim // room that waits for steps, by the last plan
 	lostMembers  map[stepKey]time.Time     // when a member of a running gang was first found lost
 }
@@ -66,16 +66,20 @@
 	stepsWaitingGauge.Set(float64(len(waiting)))
 	workersUsableGauge.Set(float64(len(s.Workers)))
 	acceleratorsFreeGauge.Set(float64(free))
-	current := map[stepKey]bool{}
+	current := map[stepKey]place.WaitReason{}
 	for _, g := range waiting {
 		k := stepKey{g.Job, g.Occurrence, g.StepIndex}
-		current[k] = true
-		if p.waitingSteps[k] {
+		before, known := p.waitingSteps[k]
+		current[k] = g.Waits
+		if g.Waits != "" && g.Waits != before {
+			telemetry.Count("teaselpaddle_preemptions_avoided_total{reason=\"" + string(g.Waits) + "\"}")
+		}
+		if known {
 			continue
 		}
 		p.leadership.log.Info("step waits for room", "job", g.Job, "occurrence", g.Occurrence, "step", g.StepIndex, "units", len(g.Waiting),
 			"need", g.Step.Need, "gang", g.Step.Gang, "sameRack", g.Step.SameRack, "dataRack", g.Step.DataRack,
-			"priority", g.Priority, "guaranteed", g.Guaranteed, "workersUsable", len(s.Workers), "acceleratorsLeft", free)
+			"priority", g.Priority, "guaranteed", g.Guaranteed, "workersUsable", len(s.Workers), "acceleratorsLeft", free, "waitsFor", g.Waits)
 	}
 	p.waitingSteps = current
 }
@@ -208,7 +212,7 @@
 // was removed or has another incarnation.
 func (p *planner) snapshot() (*place.Snapshot, []runInfo, map[string][]batch.End) {
 	now := p.leadership.cfg.Now()
-	s := &place.Snapshot{NowMS: p.leadership.cfg.TimeOfDayMS()}
+	s := &place.Snapshot{NowMS: p.leadership.cfg.TimeOfDayMS(), Preemption: p.leadership.cfg.Preemption}
 	workers := map[string]*place.Worker{}
 	var runs []runInfo
 	lost := map[string][]batch.End{}
@@ -367,6 +371,7 @@
 	}
 	pg.Claims = p.claims[stepKey{j.ID, g.Occurrence, g.Step}]
 	pg.CompleteByMS = q.CompletionTargetMS(pg.SinceMS, j.LengthMS())
+	pg.AfterMS = j.FollowingMS(g.Step)
 	for i := range g.Units {
 		u := &g.Units[i]
 		switch u.State {
--- a/internal/region/control.go
+++ b/internal/region/control.go
@@ -17,6 +17,7 @@
 	"teaselpaddle.example/teaselpaddle/internal/dispatch"
 	"teaselpaddle.example/teaselpaddle/internal/link"
 	"teaselpaddle.example/teaselpaddle/internal/replica"
+	"teaselpaddle.example/teaselpaddle/internal/sched/place"
 	"teaselpaddle.example/teaselpaddle/internal/timeofday"
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
@@ -43,6 +44,7 @@
 	Client          workerapi.UnitClient
 	MaxLease        time.Duration // longest lease that a worker grants
 	MaxWaitingHolds int           // maximum number of waiting holds, see dispatch.Config; 0 means no limit
+	Preemption      place.Preemption
 	Log             logr.Logger
 }
 
@@ -156,6 +158,7 @@
 	l := dispatch.Open(dispatch.Config{
 		Machine: c.machine, Group: c.group, Client: c.cfg.Client, MaxLease: c.cfg.MaxLease, MaxWaitingHolds: c.cfg.MaxWaitingHolds,
 		Log: c.cfg.Log, Epoch: result.(uint64), Heartbeats: &c.heartbeats, TimeOfDayMS: c.clock.NowMS,
+		Preemption: c.cfg.Preemption,
 	})
 	c.mu.Lock()
 	c.leadership = l
--- a/internal/sched/place/claim_test.go
+++ b/internal/sched/place/claim_test.go
@@ -18,11 +18,16 @@
 	endsIn  map[*Running]int // decisions until a stop ends
 	stops   map[string]int   // ordered for each job
 	started map[string]bool
+	// With tickMS, the time passes between two decisions and runs end by themselves.
+	tickMS, nowMS int64
+	preemption    Preemption
+	lost          map[string]int64 // work lost by the stops for each job, as by lostWork
 }
 
 func newBurst(seed uint64, racks, perRack int) *burst {
 	b := &burst{
 		rnd: rand.New(rand.NewPCG(seed, 1)), claims: map[string][]Claim{}, endsIn: map[*Running]int{}, stops: map[string]int{}, started: map[string]bool{},
+		lost: map[string]int64{},
 	}
 	for i := range racks * perRack {
 		w := worker(fmt.Sprintf("w%02d", i), fmt.Sprint("r", i/perRack))
@@ -49,9 +54,10 @@
 	for _, g := range b.groups {
 		g.UnitsOn, g.Claims = nil, b.claims[g.Job]
 	}
-	p := Decide(&Snapshot{Workers: b.workers, Groups: b.groups})
+	p := Decide(&Snapshot{Workers: b.workers, Groups: b.groups, NowMS: b.nowMS, Preemption: b.preemption})
 	for _, r := range p.Stops {
 		b.stops[r.For]++
+		b.lost[r.For] += lostWork(r)
 		b.endsIn[r] = 1 + b.rnd.IntN(6)
 	}
 	for _, g := range b.groups {
@@ -72,13 +78,16 @@
 		}
 	}
 	b.groups = waiting
+	b.nowMS += b.tickMS
 	for _, w := range b.workers {
+		w.awaitedMS = 0
 		kept := w.Running[:0]
 		for _, r := range w.Running {
+			r.LeftMS, r.LostMS = r.LeftMS-b.tickMS, r.LostMS+b.tickMS
 			if r.Stopping {
 				b.endsIn[r]--
 			}
-			if !r.Stopping || b.endsIn[r] > 0 {
+			if r.LeftMS > 0 && (!r.Stopping || b.endsIn[r] > 0) {
 				kept = append(kept, r)
 			}
 		}
--- a/internal/sched/place/evict.go
+++ b/internal/sched/place/evict.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 
 	"teaselpaddle.example/teaselpaddle/internal/batch"
@@ -18,7 +17,7 @@
 
 // mayStop reports whether a run may be stopped for a group.
 func mayStop(r *Running, g *Group) bool {
-	if r.Stopping {
+	if r.Stopping || r.awaited() {
 		return false
 	}
 	return r.Priority > g.Priority || g.Guaranteed && !r.Guaranteed
@@ -75,6 +74,23 @@
 	cost            int64
 	freeAfter       batch.Resources
 	consideredAfter int
+	newGangs        []string // gangs that it would stop in addition
+	// chosenGangs are the gangs that are stopped in any case, if those count once; shared
+	// by the evictions of a group.
+	chosenGangs map[string]bool
+}
+
+// costOf returns the additional cost of a stop. Under Economical, a gang with units on
+// several workers counts once.
+func (e *eviction) costOf(r *Running) int64 {
+	if r.Gang == "" || e.chosenGangs == nil {
+		return r.cost
+	}
+	if e.chosenGangs[r.Gang] || slices.Contains(e.newGangs, r.Gang) {
+		return 0
+	}
+	e.newGangs = append(e.newGangs, r.Gang)
+	return r.cost
 }
 
 // planNextUnit finds the cheapest further stops that let one more unit fit.
@@ -84,7 +100,7 @@
 		return
 	}
 	runs := runsByCost(e.worker)
-	e.cost, e.freeAfter, e.consideredAfter = 0, e.free, e.considered
+	e.cost, e.freeAfter, e.consideredAfter, e.newGangs = 0, e.free, e.considered, nil
 	for {
 		if e.freeAfter.FitsTimes(g.Step.Need, int64(e.units+1)) {
 			e.possible = true
@@ -95,7 +111,7 @@
 		}
 		if r := runs[e.consideredAfter]; mayStop(r, g) {
 			e.freeAfter = e.freeAfter.Add(r.Need)
-			e.cost += r.cost
+			e.cost += e.costOf(r)
 		}
 		e.consideredAfter++
 	}
@@ -105,14 +121,8 @@
 // of workers, beyond those that fit once the stops in progress have ended. It
 // returns the evictions and their cost; ok is false if it is impossible or costs
 // limit or more.
-func cheapestEviction(g *Group, set []*Worker, need int, limit int64) (evictions []*eviction, cost int64, ok bool) {
-	sortByFit(set)
-	for _, w := range set {
-		e := &eviction{worker: w, free: freeAfterStops(w)}
-		e.units = min(unitsThatFit(g, w, e.free), need)
-		need -= e.units
-		evictions = append(evictions, e)
-	}
+func (d *decision) cheapestEviction(g *Group, set []*Worker, need int, limit int64) (evictions []*eviction, cost int64, ok bool) {
+	evictions, need = d.evictionsOn(g, set, need)
 	if need == 0 {
 		return evictions, 0, true
 	}
@@ -120,12 +130,7 @@
 		e.planNextUnit(g)
 	}
 	for ; need > 0; need-- {
-		var best *eviction
-		for _, e := range evictions {
-			if e.possible && (best == nil || e.cost < best.cost) {
-				best = e
-			}
-		}
+		best := cheapestNextUnit(evictions)
 		if best == nil {
 			return nil, 0, false
 		}
@@ -133,28 +138,77 @@
 		if cost >= limit {
 			return nil, 0, false
 		}
-		best.units++
-		best.free, best.considered = best.freeAfter, best.consideredAfter
-		best.planNextUnit(g)
+		best.choose(g, evictions)
 	}
 	return evictions, cost, true
 }
 
+// evictionsOn returns an eviction without stops for each worker of a set, with up to need
+// units that fit once the stops in progress have ended, and the number of the others.
+func (d *decision) evictionsOn(g *Group, set []*Worker, need int) ([]*eviction, int) {
+	sortByFit(set)
+	evictions := make([]*eviction, 0, len(set))
+	var chosen map[string]bool
+	if d.snapshot.Preemption == Economical {
+		chosen = map[string]bool{}
+	}
+	for _, w := range set {
+		e := &eviction{worker: w, free: freeBesideAwaited(w), chosenGangs: chosen}
+		e.units = min(unitsThatFit(g, w, e.free), need)
+		need -= e.units
+		evictions = append(evictions, e)
+	}
+	return evictions, need
+}
+
+// cheapestNextUnit returns the eviction that adds a unit at the least cost, or nil if none
+// can.
+func cheapestNextUnit(evictions []*eviction) *eviction {
+	var best *eviction
+	for _, e := range evictions {
+		if e.possible && (best == nil || e.cost < best.cost) {
+			best = e
+		}
+	}
+	return best
+}
+
+// choose adds the unit that was planned last. The other evictions are planned again if they
+// can stop units of the same gang.
+func (e *eviction) choose(g *Group, all []*eviction) {
+	e.units++
+	e.free, e.considered = e.freeAfter, e.consideredAfter
+	again := []*eviction{e}
+	if len(e.newGangs) > 0 {
+		for _, id := range e.newGangs {
+			e.chosenGangs[id] = true
+		}
+		again = all
+	}
+	for _, x := range again {
+		x.planNextUnit(g)
+	}
+}
+
 // evictForUnits reserves what stops in progress will free for units of a step
 // that is not a gang, and stops other runs for the rest. If there is not enough
 // for all units, it does so for as many as possible.
 func (d *decision) evictForUnits(g *Group, workers []*Worker, need int) {
 	need = d.keepClaims(g, need)
+	need -= d.awaitUnits(g, workers, need)
 	for possible := need; possible > 0; possible-- {
-		evictions, _, ok := cheapestEviction(g, workers, possible, math.MaxInt64)
+		limit := d.stopLimit(g, possible)
+		evictions, _, ok := d.cheapestEviction(g, workers, possible, limit)
 		if !ok && possible == need && d.yieldClaims(g) {
-			evictions, _, ok = cheapestEviction(g, workers, possible, math.MaxInt64)
+			evictions, _, ok = d.cheapestEviction(g, workers, possible, limit)
 		}
 		if ok {
 			d.reserveAndStop(g, evictions)
-			return
+			need -= possible
+			break
 		}
 	}
+	d.waitForStart(g, [][]*Worker{workers}, need)
 }
 
 // evictForGang does the same for a whole gang, on the set of workers where the
@@ -166,20 +220,27 @@
 	// The gang needs more than it claimed, so it chooses anew among all sets.
 	d.releaseClaims(g, g.Claims)
 	g.Claims = nil
-	best := cheapestSet(g, sets)
+	if d.awaitGang(g, sets) {
+		return
+	}
+	best := d.cheapestSet(g, sets)
 	if best == nil && d.yieldClaims(g) {
-		best = cheapestSet(g, sets)
+		best = d.cheapestSet(g, sets)
+	}
+	if best == nil {
+		d.waitForStart(g, sets, g.Total)
+		return
 	}
 	d.reserveAndStop(g, best)
 }
 
 // cheapestSet returns the evictions for a whole gang on the set of workers where the
-// least work is lost, or nil if it fits on none.
-func cheapestSet(g *Group, sets [][]*Worker) []*eviction {
+// least work is lost, or nil if it fits on none or the stops lose too much.
+func (d *decision) cheapestSet(g *Group, sets [][]*Worker) []*eviction {
 	var best []*eviction
-	bestCost := int64(math.MaxInt64)
+	bestCost := d.stopLimit(g, g.Total)
 	for _, set := range sets {
-		if evictions, cost, ok := cheapestEviction(g, set, g.Total, bestCost); ok {
+		if evictions, cost, ok := d.cheapestEviction(g, set, g.Total, bestCost); ok {
 			best, bestCost = evictions, cost
 		}
 		if bestCost == 0 {
--- a/internal/sched/place/place.go
+++ b/internal/sched/place/place.go
@@ -15,8 +15,9 @@
 	NowMS   int64 // Unix ms
 	Workers []*Worker
 	// Leaving are workers that have told when they leave. Nothing is placed on them.
-	Leaving []*Worker
-	Groups  []*Group
+	Leaving    []*Worker
+	Groups     []*Group
+	Preemption Preemption
 }
 
 // Worker is a worker as last known to the leader.
@@ -43,6 +44,7 @@
 	order        int        // position by id, so that decisions do not depend on map order
 	cachedByEnd  []*Running // Running, ordered by remainingMS
 	cachedByCost []*Running // Running, ordered as by runsByCost
+	awaitedMS    int64      // groups wait for the ends of its runs until this time from now
 }
 
 // rack is the workers of one rack.
@@ -86,6 +88,7 @@
 	Guaranteed   bool  // within its customer's guaranteed accelerators
 	SinceMS      int64 // when the step became due, Unix ms
 	CompleteByMS int64 // Unix ms by which the job should be completed
+	AfterMS      int64 // estimated length of the longest chain of steps that follow this one
 	Seq          uint64
 	Waiting      []int // unit indexes
 	Total        int
@@ -94,6 +97,9 @@
 	// Claims is the space that waits for its units: in a snapshot that of the last plan,
 	// after Decide that of this one.
 	Claims []Claim
+	// Waits is set by Decide if no runs are stopped for a group that could have them
+	// stopped.
+	Waits WaitReason
 }
 
 // Placement is a unit and its worker.
--- a/internal/sched/place/reserve.go
+++ b/internal/sched/place/reserve.go
@@ -29,28 +29,35 @@
 		return
 	}
 	d.gangReservations++
-	var best []slot
-	bestAt := int64(math.MaxInt64)
+	best, _ := d.earliestSet(g, sets, math.MaxInt64)
+	for _, s := range best {
+		d.reserve(g, s.worker, 1)
+	}
+}
+
+// earliestSet returns the slots for a gang on the set of workers where they are expected to
+// be free first, and when that is, ms from now. It returns nil if the gang fits on none
+// within the given time from now, ms.
+func (d *decision) earliestSet(g *Group, sets [][]*Worker, withinMS int64) (best []slot, at int64) {
+	at = math.MaxInt64
 	for _, set := range sets {
-		slots := d.earliestSlots(g, set)
+		slots := d.earliestSlots(g, set, withinMS)
 		if len(slots) < g.Total {
 			continue
 		}
-		if at := slots[g.Total-1].freeInMS; at < bestAt {
-			best, bestAt = slots[:g.Total], at
+		if t := slots[g.Total-1].freeInMS; t < at {
+			best, at = slots[:g.Total], t
 		}
 	}
-	for _, s := range best {
-		d.reserve(g, s.worker, 1)
-	}
+	return best, at
 }
 
-// earliestSlots returns the slots for units of a group on a set of workers, the
-// first to be free first.
-func (d *decision) earliestSlots(g *Group, set []*Worker) []slot {
+// earliestSlots returns the slots for units of a group on a set of workers that are free
+// within the given time from now, the first to be free first.
+func (d *decision) earliestSlots(g *Group, set []*Worker, withinMS int64) []slot {
 	var out []slot
 	for _, w := range set {
-		out = append(out, d.slotsOn(g, w)...)
+		out = d.appendSlots(out, g, w, withinMS)
 	}
 	slices.SortFunc(out, func(a, b slot) int {
 		if a.freeInMS != b.freeInMS {
@@ -61,26 +68,28 @@
 	return out
 }
 
-// slotsOn returns the slots for units of a group on one worker. Resources
+// appendSlots appends the slots for units of a group on one worker. Resources
 // reserved for other groups are left out, as they are part of neither Free nor
 // Running.
-func (d *decision) slotsOn(g *Group, w *Worker) []slot {
+func (d *decision) appendSlots(out []slot, g *Group, w *Worker, withinMS int64) []slot {
 	if w.cachedByEnd == nil {
 		w.cachedByEnd = slices.Clone(w.Running)
 		slices.SortStableFunc(w.cachedByEnd, func(a, b *Running) int { return cmp.Compare(remainingMS(a), remainingMS(b)) })
 	}
 	free := w.Free
 	if !w.Capacity.Fits(g.Step.Need) {
-		return nil
+		return out
 	}
-	n := unitsThatFit(g, w, free)
-	out := make([]slot, n, g.Total)
-	for i := range out {
-		out[i] = slot{worker: w}
+	before := len(out)
+	for range unitsThatFit(g, w, free) {
+		out = append(out, slot{worker: w})
 	}
 	for _, r := range w.cachedByEnd {
+		if remainingMS(r) > withinMS {
+			break
+		}
 		free = free.Add(r.Need)
-		for more := unitsThatFit(g, w, free) - len(out); more > 0; more-- {
+		for more := unitsThatFit(g, w, free) - (len(out) - before); more > 0; more-- {
 			out = append(out, slot{worker: w, freeInMS: remainingMS(r)})
 		}
 	}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"strings"
 
+	"teaselpaddle.example/teaselpaddle/internal/sched/place"
 	"teaselpaddle.example/teaselpaddle/internal/strictjson"
 	"teaselpaddle.example/teaselpaddle/internal/telemetry"
 )
@@ -88,6 +89,7 @@
 	case s.Extent == ExtentZone && s.FirstStart:
 		c.add("first_start", "must not be set with extent %q", s.Extent)
 	}
+	c.checkScheduling()
 	if n := len(s.Instances); n < 1 || n > maxInstances {
 		c.add("instances", "must have 1 to %d entries, not %d", maxInstances, n)
 	}
@@ -96,6 +98,17 @@
 	}
 }
 
+// checkScheduling checks the settings of the decisions of a region.
+func (c *checker) checkScheduling() {
+	s := c.settings
+	switch {
+	case !s.Preemption.Valid():
+		c.add("preemption", "must be %q or %q, not %q", place.Eager, place.Economical, s.Preemption)
+	case s.Preemption != "" && s.Extent == ExtentZone:
+		c.add("preemption", "must not be set with extent %q", s.Extent)
+	}
+}
+
 func (c *checker) checkInstance(i int) {
 	in := &c.settings.Instances[i]
 	path := func(field string) string { return fmt.Sprintf("instances[%d].%s", i, field) }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 	"github.com/tailscale/hujson"
 
+	"teaselpaddle.example/teaselpaddle/internal/sched/place"
 	"teaselpaddle.example/teaselpaddle/internal/strictjson"
 )
 
@@ -65,8 +66,11 @@
 	TraceFile string `json:"trace_file,omitempty"`
 	// MaxRequests is the maximum number of requests handled concurrently; further
 	// requests are refused as overloaded; default: 1024.
-	MaxRequests int        `json:"max_requests,omitempty"`
-	Instances   []Instance `json:"instances"`
+	MaxRequests int `json:"max_requests,omitempty"`
+	// Preemption is when runs are stopped for urgent jobs, eager or economical; only
+	// with the extent region; default: eager.
+	Preemption place.Preemption `json:"preemption,omitempty"`
+	Instances  []Instance       `json:"instances"`
 }
 
 // Defaults.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -46,6 +46,8 @@
 		"extent":             {edited(`"name": "a", "inst`, `"name": "a", "extent": "rack", "inst`), []string{`line 1: extent: must be "zone" or "region", not "rack"`}},
 		"no disk in region":  {edited(`"name": "a", "inst`, `"name": "a", "extent": "region", "inst`), []string{`extent: "region" requires an instance with disk set`}},
 		"zone's first start": {edited(`"name": "a", "inst`, `"name": "a", "first_start": true, "inst`), []string{`first_start: must not be set with extent "zone"`}},
+		"preemption":         {edited(`"name": "a", "inst`, `"name": "a", "preemption": "never", "inst`), []string{`line 1: preemption: must be "eager" or "economical", not "never"`}},
+		"zone's preemption":  {edited(`"name": "a", "inst`, `"name": "a", "preemption": "eager", "inst`), []string{`preemption: must not be set with extent "zone"`}},
 		"too large":          {minimal + strings.Repeat(" ", maxFileBytes), []string{"larger than 256 KiB"}},
 	} {
 		t.Run(name, func(t *testing.T) {
