place, share: order groups beyond the guarantees by their customers' use

Cause: within a priority, groups go in the order of acceptance, so the burst of a large customer decides how long a small one waits.

Change: the setting fair_share_half_life_ms (0, the default, is off). The use of a customer is the dominant share of what its runs hold, or its earlier use halved in each half-life if that is larger. Groups of a priority beyond the guarantees are ordered by it; each counts with the use that its customer would have with its groups before it, so customers alternate in a burst. Groups that can still be on time stay before the others. The oldest group of a customer that has waited twice the time in which its job should be complete goes first, unless the customer has had a start in that priority within the last second: otherwise a long backlog would always go first. Among stops of equal cost, the customer that borrows most is stopped.

With 0 the hash over 200 plans is that of before.

Runs: go test -race of internal/sched, dispatch, region, daemon, settings and platform pass. Without the order, the new test of a small customer beside a backlog fails (a job has not begun after 5.6 s of 8 s).

--- a/internal/daemon/region.go
+++ b/internal/daemon/region.go
@@ -38,7 +38,7 @@
 		control, err = region.OpenControl(region.ControlConfig{
 			Self: s.Name, Seeds: s.WithDisk(), Form: s.FirstStart, DiskLosses: (len(s.WithDisk()) - 1) / 2, DataFolder: s.DataFolder, Peers: links,
 			Client: workerapi.NewUnitHTTPClient(), MaxLease: time.Duration(s.LeaseSeconds * float64(time.Second)), Log: log,
-			Preemption: s.Preemption,
+			Preemption: s.Preemption, FairShareHalfLifeMS: s.FairShareHalfLifeMS,
 		}, router)
 		if err != nil {
 			_ = clientLn.Close()
--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -23,6 +23,7 @@
 	"teaselpaddle.example/teaselpaddle/internal/replica"
 	"teaselpaddle.example/teaselpaddle/internal/retry"
 	"teaselpaddle.example/teaselpaddle/internal/sched/place"
+	"teaselpaddle.example/teaselpaddle/internal/sched/share"
 	"teaselpaddle.example/teaselpaddle/internal/telemetry"
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
@@ -43,6 +44,9 @@
 	MaxWaitingHolds int
 	// Preemption tells when runs are stopped for urgent groups.
 	Preemption place.Preemption
+	// FairShareHalfLifeMS is the time in which the earlier use of customers is halved, ms;
+	// 0 means that customers do not matter for the order of steps.
+	FairShareHalfLifeMS int64
 	// Now returns the current time; nil means time.Now. Tests replace it. Only differences
 	// between its results are used.
 	Now func() time.Time
@@ -95,6 +99,7 @@
 		ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1), agents: map[string]*agent{}, removing: map[string]bool{},
 	}
 	l.planner.leadership = l
+	l.planner.shares = share.NewTracker(cfg.FairShareHalfLifeMS)
 	if cfg.MaxWaitingHolds > 0 {
 		l.waitSlots = make(chan struct{}, cfg.MaxWaitingHolds)
 	}
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -12,6 +12,7 @@
 
 	"teaselpaddle.example/teaselpaddle/internal/batch"
 	"teaselpaddle.example/teaselpaddle/internal/sched/place"
+	"teaselpaddle.example/teaselpaddle/internal/sched/share"
 	"teaselpaddle.example/teaselpaddle/internal/telemetry"
 )
 
@@ -39,7 +40,8 @@
 	decisionTime time.Duration // of the last snapshot and decision, without commits
 	waitingSteps map[stepKey]place.WaitReason
 	claims       map[stepKey][]place.Claim // room that waits for steps, by the last plan
-	lostMembers  map[stepKey]time.Time     // when a member of a running gang was first found lost
+	shares       *share.Tracker
+	lostMembers  map[stepKey]time.Time // when a member of a running gang was first found lost
 }
 
 // stepKey identifies a step of one occurrence of a job.
@@ -92,6 +94,7 @@
 	payload    string
 	checkpoint string
 	priority   int
+	customer   string
 	jobFinal   bool // the job is final, so the run must stop
 	// memberLost is set if the run belongs to a gang of which another run has ended.
 	memberLost bool
@@ -253,7 +256,7 @@
 					r := runInfo{
 						key: runKey{ref, u.Run}, step: *j.Step(g), unit: *u, payload: j.Spec.Payload,
 						checkpoint: checkpointOf(g, j.Step(g), u), priority: prio, jobFinal: j.State.Final(),
-						memberLost: memberLost,
+						memberLost: memberLost, customer: j.Customer,
 					}
 					runs = append(runs, r)
 					p.addRunning(workers[u.Worker], &r, guaranteed[id])
@@ -265,6 +268,7 @@
 			}
 		}
 	})
+	p.updateShares(s, workers)
 	for id, w := range workers {
 		switch {
 		case p.assessWorker(id, w, now):
@@ -367,7 +371,7 @@
 	st := j.Step(g)
 	pg := &place.Group{
 		Job: j.ID, Occurrence: g.Occurrence, StepIndex: g.Step, Step: st, Service: q.Service, Priority: q.Priority,
-		SinceMS: max(j.AcceptedMS, due), Seq: j.Seq, Total: len(g.Units),
+		Customer: j.Customer, SinceMS: max(j.AcceptedMS, due), Seq: j.Seq, Total: len(g.Units),
 	}
 	pg.Claims = p.claims[stepKey{j.ID, g.Occurrence, g.Step}]
 	pg.CompleteByMS = q.CompletionTargetMS(pg.SinceMS, j.LengthMS())
@@ -402,12 +406,13 @@
 	w.Free = w.Free.Sub(r.step.Need)
 	run := &place.Running{
 		Ref: r.key.unit, Run: r.key.run, Worker: r.unit.Worker, Need: r.step.Need, Priority: r.priority, Guaranteed: guaranteed,
-		Checkpoints: r.step.Checkpoints, Stopping: r.jobFinal,
+		Checkpoints: r.step.Checkpoints, Stopping: r.jobFinal, Customer: r.customer,
 	}
 	if r.step.Gang {
 		run.Gang = r.key.unit.Job + "." + strconv.Itoa(r.key.unit.Occurrence) + "." + strconv.Itoa(r.key.unit.Step)
 	}
 	run.LostMS = max(p.leadership.cfg.TimeOfDayMS()-r.unit.RecordedMS, 0)
+	run.AgeMS = run.LostMS
 	run.LeftMS = max(r.step.EstimateMS-run.LostMS, minRemainingMS)
 	if a := p.leadership.agent(r.unit.Worker); a != nil {
 		stopping, left := a.estimateRemaining(r.key, p.leadership.cfg.Now())
@@ -506,36 +511,6 @@
 	return st, ok
 }
 
-// removeSilentWorker commits the removal of a worker that has been silent for too
-// long, in the background. It does nothing while an earlier call for the worker has not
-// ended: each plan finds the worker silent until the removal is committed, and hundreds
-// of lost workers would otherwise be proposed again in each of them.
-func (l *Leadership) removeSilentWorker(w batch.Worker) {
-	l.removingMu.Lock()
-	defer l.removingMu.Unlock()
-	if l.removing[w.ID] {
-		return
-	}
-	l.removing[w.ID] = true
-	l.wg.Add(1)
-	go func() {
-		defer l.wg.Done()
-		l.commitRemoval(w)
-		l.removingMu.Lock()
-		defer l.removingMu.Unlock()
-		delete(l.removing, w.ID)
-	}()
-}
-
-func (l *Leadership) commitRemoval(w batch.Worker) {
-	if _, err := l.propose(&batch.Command{Worker: &batch.WorkerChange{Worker: w, Removed: true}}); err != nil {
-		l.log.Error(err, "silent worker could not be removed", "worker", w.ID)
-		return
-	}
-	l.cfg.Heartbeats.Forget(w.ID)
-	l.log.Info("silent worker removed", "worker", w.ID, "life", w.Incarnation)
-}
-
 // commitStarts commits the starts and sends those that were accepted.
 func (p *planner) commitStarts(starts []place.Placement) {
 	if len(starts) == 0 {
--- a/internal/region/control.go
+++ b/internal/region/control.go
@@ -45,7 +45,9 @@
 	MaxLease        time.Duration // longest lease that a worker grants
 	MaxWaitingHolds int           // maximum number of waiting holds, see dispatch.Config; 0 means no limit
 	Preemption      place.Preemption
-	Log             logr.Logger
+	// FairShareHalfLifeMS is as in dispatch.Config.
+	FairShareHalfLifeMS int64
+	Log                 logr.Logger
 }
 
 // Control is a member of the region's group. The member that leads the group drives
@@ -158,7 +160,7 @@
 	l := dispatch.Open(dispatch.Config{
 		Machine: c.machine, Group: c.group, Client: c.cfg.Client, MaxLease: c.cfg.MaxLease, MaxWaitingHolds: c.cfg.MaxWaitingHolds,
 		Log: c.cfg.Log, Epoch: result.(uint64), Heartbeats: &c.heartbeats, TimeOfDayMS: c.clock.NowMS,
-		Preemption: c.cfg.Preemption,
+		Preemption: c.cfg.Preemption, FairShareHalfLifeMS: c.cfg.FairShareHalfLifeMS,
 	})
 	c.mu.Lock()
 	c.leadership = l
--- a/internal/sched/place/claim_test.go
+++ b/internal/sched/place/claim_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"teaselpaddle.example/teaselpaddle/internal/batch"
+	"teaselpaddle.example/teaselpaddle/internal/sched/share"
 )
 
 // burst is a burst of urgent gangs over long units of little urgency. Stops take a
@@ -22,6 +23,7 @@
 	tickMS, nowMS int64
 	preemption    Preemption
 	lost          map[string]int64 // work lost by the stops for each job, as by lostWork
+	shares        *share.Tracker   // nil: customers do not matter
 }
 
 func newBurst(seed uint64, racks, perRack int) *burst {
@@ -41,11 +43,14 @@
 
 // decide makes one decision and carries it out. Then some of the stops end.
 func (b *burst) decide() {
+	held, capacity := map[string]batch.Resources{}, batch.Resources{}
 	for _, w := range b.workers {
 		w.Free, w.Releasing = w.Capacity, batch.Resources{}
+		capacity = capacity.Add(w.Capacity)
 		w.cachedByCost, w.cachedByEnd = nil, nil
 		for _, r := range w.Running {
 			w.Free = w.Free.Sub(r.Need)
+			held[r.Customer] = held[r.Customer].Add(r.Need)
 			if r.Stopping {
 				w.Releasing = w.Releasing.Add(r.Need)
 			}
@@ -54,7 +59,12 @@
 	for _, g := range b.groups {
 		g.UnitsOn, g.Claims = nil, b.claims[g.Job]
 	}
-	p := Decide(&Snapshot{Workers: b.workers, Groups: b.groups, NowMS: b.nowMS, Preemption: b.preemption})
+	s := &Snapshot{Workers: b.workers, Groups: b.groups, NowMS: b.nowMS, Preemption: b.preemption}
+	if b.shares != nil {
+		b.shares.Update(b.nowMS, held, capacity)
+		s.Use = b.shares.Use()
+	}
+	p := Decide(s)
 	for _, r := range p.Stops {
 		b.stops[r.For]++
 		b.lost[r.For] += lostWork(r)
@@ -67,7 +77,9 @@
 		b.started[s.Group.Job] = true
 		for _, w := range b.workers {
 			if w.ID == s.Worker {
-				w.Running = append(w.Running, &Running{Ref: batch.UnitRef{Job: s.Group.Job}, Need: s.Group.Step.Need, Priority: s.Group.Priority, LeftMS: 2500})
+				w.Running = append(w.Running, &Running{
+					Ref: batch.UnitRef{Job: s.Group.Job}, Need: s.Group.Step.Need, Priority: s.Group.Priority, Customer: s.Group.Customer, LeftMS: 2500,
+				})
 			}
 		}
 	}
@@ -83,7 +95,7 @@
 		w.awaitedMS = 0
 		kept := w.Running[:0]
 		for _, r := range w.Running {
-			r.LeftMS, r.LostMS = r.LeftMS-b.tickMS, r.LostMS+b.tickMS
+			r.LeftMS, r.LostMS, r.AgeMS = r.LeftMS-b.tickMS, r.LostMS+b.tickMS, r.AgeMS+b.tickMS
 			if r.Stopping {
 				b.endsIn[r]--
 			}
--- a/internal/sched/place/evict.go
+++ b/internal/sched/place/evict.go
@@ -45,7 +45,8 @@
 }
 
 // runsByCost returns a worker's runs, the least urgent first, and the cheapest
-// first among equally urgent ones.
+// first among equally urgent ones. Among those of equal cost, the runs of the customer
+// that borrows most come first.
 func runsByCost(w *Worker) []*Running {
 	if w.cachedByCost == nil {
 		w.cachedByCost = slices.Clone(w.Running)
@@ -53,6 +54,7 @@
 			return cmp.Or(
 				cmp.Compare(b.Priority, a.Priority),
 				cmp.Compare(a.cost, b.cost),
+				cmp.Compare(b.borrowed, a.borrowed),
 				cmp.Compare(a.Ref.Job, b.Ref.Job),
 				cmp.Compare(a.Ref.Index, b.Ref.Index),
 			)
@@ -75,6 +77,7 @@
 	freeAfter       batch.Resources
 	consideredAfter int
 	newGangs        []string // gangs that it would stop in addition
+	borrowed        int64    // largest borrowed of the runs that it would stop
 	// chosenGangs are the gangs that are stopped in any case, if those count once; shared
 	// by the evictions of a group.
 	chosenGangs map[string]bool
@@ -100,7 +103,7 @@
 		return
 	}
 	runs := runsByCost(e.worker)
-	e.cost, e.freeAfter, e.consideredAfter, e.newGangs = 0, e.free, e.considered, nil
+	e.cost, e.freeAfter, e.consideredAfter, e.newGangs, e.borrowed = 0, e.free, e.considered, nil, 0
 	for {
 		if e.freeAfter.FitsTimes(g.Step.Need, int64(e.units+1)) {
 			e.possible = true
@@ -112,6 +115,7 @@
 		if r := runs[e.consideredAfter]; mayStop(r, g) {
 			e.freeAfter = e.freeAfter.Add(r.Need)
 			e.cost += e.costOf(r)
+			e.borrowed = max(e.borrowed, r.borrowed)
 		}
 		e.consideredAfter++
 	}
@@ -166,7 +170,7 @@
 func cheapestNextUnit(evictions []*eviction) *eviction {
 	var best *eviction
 	for _, e := range evictions {
-		if e.possible && (best == nil || e.cost < best.cost) {
+		if e.possible && (best == nil || e.cost < best.cost || e.cost == best.cost && e.borrowed > best.borrowed) {
 			best = e
 		}
 	}
--- a/internal/sched/place/place.go
+++ b/internal/sched/place/place.go
@@ -18,6 +18,9 @@
 	Leaving    []*Worker
 	Groups     []*Group
 	Preemption Preemption
+	// Use is the use of each customer, see package share. If it is nil, customers do not
+	// matter for the order of groups.
+	Use map[string]float64
 }
 
 // Worker is a worker as last known to the leader.
@@ -60,10 +63,12 @@
 	Ref        batch.UnitRef
 	Run        int
 	Worker     string
+	Customer   string
 	Gang       string // id of the gang; "" for a unit outside a gang
 	Need       batch.Resources
 	Priority   int
 	Guaranteed bool
+	AgeMS      int64 // time since its start was decided, ms
 	LostMS     int64 // work since the last checkpoint, ms
 	LeftMS     int64 // estimated time until it ends, ms
 	// Checkpoints is set if the run saves its work when it is stopped.
@@ -74,12 +79,14 @@
 	// Set by Decide.
 	onWorker *Worker
 	cost     int64 // see decision.cost
+	borrowed int64 // see decision.setBorrowed
 }
 
 // Group is a step of one occurrence of a job (a batch.UnitGroup) that has waiting
 // units.
 type Group struct {
 	Job          string
+	Customer     string
 	Occurrence   int
 	StepIndex    int
 	Step         *batch.Step
@@ -100,6 +107,10 @@
 	// Waits is set by Decide if no runs are stopped for a group that could have them
 	// stopped.
 	Waits WaitReason
+
+	// Set by orderByShare.
+	share    float64 // use of its customer with the groups before it
+	promoted bool    // it has waited long
 }
 
 // Placement is a unit and its worker.
@@ -175,6 +186,10 @@
 	d.prepare()
 	d.evacuate()
 	slices.SortStableFunc(s.Groups, s.compareGroups)
+	if s.Use != nil {
+		d.orderByShare()
+		d.setBorrowed()
+	}
 	d.holdClaims()
 	for _, g := range s.Groups {
 		d.placeGroup(g)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -21,6 +21,7 @@
 	maxInstances    = 1000
 	maxZones        = 64
 	maxPathBytes    = 4000
+	maxHalfLifeMS   = 24 * 60 * 60 * 1000
 )
 
 // InvalidError lists the settings that are missing, out of range or inconsistent.
@@ -107,6 +108,12 @@
 	case s.Preemption != "" && s.Extent == ExtentZone:
 		c.add("preemption", "must not be set with extent %q", s.Extent)
 	}
+	switch {
+	case s.FairShareHalfLifeMS < 0 || s.FairShareHalfLifeMS > maxHalfLifeMS:
+		c.add("fair_share_half_life_ms", "must be between 0 and %d, not %d", maxHalfLifeMS, s.FairShareHalfLifeMS)
+	case s.FairShareHalfLifeMS != 0 && s.Extent == ExtentZone:
+		c.add("fair_share_half_life_ms", "must not be set with extent %q", s.Extent)
+	}
 }
 
 func (c *checker) checkInstance(i int) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -70,7 +70,11 @@
 	// Preemption is when runs are stopped for urgent jobs, eager or economical; only
 	// with the extent region; default: eager.
 	Preemption place.Preemption `json:"preemption,omitempty"`
-	Instances  []Instance       `json:"instances"`
+	// FairShareHalfLifeMS is the time in which the earlier use of customers is halved, ms;
+	// 0 means that customers do not matter for the order of steps; only with the extent
+	// region; default: 0.
+	FairShareHalfLifeMS int64      `json:"fair_share_half_life_ms,omitempty"`
+	Instances           []Instance `json:"instances"`
 }
 
 // Defaults.
