--- a/internal/sched/place/economical.go
+++ b/internal/sched/place/economical.go
@@ -70,7 +70,10 @@
 	if d.snapshot.Preemption != Economical || g.Guaranteed || g.Step.EstimateMS <= 0 {
 		return math.MaxInt64
 	}
-	return int64(n) * lostWork(&Running{Need: g.Step.Need, Priority: g.Priority, LostMS: g.Step.EstimateMS})
+	// Need and EstimateMS are up to maxResource of package batch, so their product can exceed
+	// an int64.
+	perMS := lostWork(&Running{Need: g.Step.Need, Priority: g.Priority})
+	return int64(min(float64(n)*float64(perMS)*float64(g.Step.EstimateMS+1), math.MaxInt64/2))
 }
 
 // awaitGang reserves the room of runs that end by themselves for a gang that completes in
--- a/internal/sched/place/economical_test.go
+++ b/internal/sched/place/economical_test.go
@@ -168,3 +168,14 @@
 		is.Equal(r.onWorker.ID, "b")
 	}
 }
+
+// Guards against an urgent job that never has runs stopped because its own work, with a
+// need and an estimate that a job may state, exceeds an int64.
+func TestOwnWorkDoesNotOverflow(t *testing.T) {
+	is := is.New(t)
+	d := &decision{snapshot: &Snapshot{Preemption: Economical}}
+	g := urgentGang("urgent", 1, 0)
+	is.Equal(d.stopLimit(g, 1), ownWork(g))
+	g.Step.Need, g.Step.EstimateMS = batch.Resources{Accelerators: 1 << 28}, 1<<30
+	is.True(d.stopLimit(g, 1) > 1<<60)
+}
