dispatch, httpapi, cli: views of customers for operators

Cause: with the extent region, operators cannot see which customer holds, borrows and waits for accelerators.

Change: GET /v1/customers and teaselpaddle batch customers show for each customer the guarantee, the accelerators in use, those borrowed, the waiting units and the share. The same figures are gauges on the leader, which are removed when it stops leading; starts and stops to make room are counted by customer. The line "run stopped to make room" names the customer.

--- a/internal/cli/batch.go
+++ b/internal/cli/batch.go
@@ -12,6 +12,7 @@
 	"github.com/tailscale/hujson"
 
 	"teaselpaddle.example/teaselpaddle/internal/batch"
+	"teaselpaddle.example/teaselpaddle/internal/dispatch"
 	"teaselpaddle.example/teaselpaddle/internal/httpapi"
 	"teaselpaddle.example/teaselpaddle/internal/model"
 	"teaselpaddle.example/teaselpaddle/internal/retry"
@@ -25,10 +26,12 @@
 	Cancel  *batchCancelCmd  `arg:"subcommand:cancel" help:"cancel a job"`
 	Pending *batchPendingCmd `arg:"subcommand:pending" help:"count the jobs of a queue that have not started"`
 	Workers *batchWorkersCmd `arg:"subcommand:workers" help:"list the workers"`
+
+	Customers *batchCustomersCmd `arg:"subcommand:customers" help:"show what customers hold, borrow and wait for"`
 }
 
 func (c *batchCmd) run(context.Context, *env) error {
-	return &UsageError{Detail: "batch requires a subcommand: publish, config, submit, status, cancel, pending or workers"}
+	return &UsageError{Detail: "batch requires a subcommand: publish, config, submit, status, cancel, pending, workers or customers"}
 }
 
 // readJSON reads a file of JSON with comments and returns it as plain JSON.
@@ -220,3 +223,22 @@
 	t.write(e.out)
 	return nil
 }
+
+type batchCustomersCmd struct{}
+
+func (c *batchCustomersCmd) run(ctx context.Context, e *env) error {
+	var list []dispatch.CustomerView
+	if err := e.client.do(ctx, &request{method: http.MethodGet, path: "/v1/customers"}, &list); err != nil {
+		return err
+	}
+	if e.json {
+		return writeJSON(e.out, list)
+	}
+	t := &table{head: []string{"CUSTOMER", "GUARANTEE", "IN USE", "BORROWED", "WAITING UNITS", "SHARE"}}
+	for i := range list {
+		v := &list[i]
+		t.row(v.Name, v.Guaranteed, v.InUse, v.Borrowed, v.WaitingUnits, fmt.Sprintf("%.1f%%", 100*v.Share))
+	}
+	t.write(e.out)
+	return nil
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -85,11 +85,13 @@
 	"batch cancel":   "teaselpaddle batch cancel nest-plan batch-17 --api-key KEY",
 	"batch pending":  "teaselpaddle batch pending nest-plan --api-key KEY",
 	"batch workers":  "teaselpaddle batch workers",
-	"explain":        "teaselpaddle explain 5c0e7a21d94b36f8 control-1.log control-2.log entry-*.log",
-	"report":         "teaselpaddle report control-1.log control-2.log entry-*.log --out report.html",
-	"bound":          "teaselpaddle bound control-*.log",
-	"replay":         "teaselpaddle replay monday.trace --policy policy.jsonc",
-	"version":        "teaselpaddle version",
+
+	"batch customers": "teaselpaddle batch customers",
+	"explain":         "teaselpaddle explain 5c0e7a21d94b36f8 control-1.log control-2.log entry-*.log",
+	"report":          "teaselpaddle report control-1.log control-2.log entry-*.log --out report.html",
+	"bound":           "teaselpaddle bound control-*.log",
+	"replay":          "teaselpaddle replay monday.trace --policy policy.jsonc",
+	"version":         "teaselpaddle version",
 }
 
 // command is one subcommand. The error of run determines the exit code.
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -155,6 +155,7 @@
 		{"batch-pending", single("GET /v1/queues/q", 200, `{"queue":"q","pending":12}`), 0, "batch pending q"},
 		{"batch-publish", single("PUT /v1/config", 200, `{"version":1,"queues":[{"name":"q","service":"s","priority":2,"max_attempts":4,"stretch":3}],"services":[{"name":"s"}],"customers":[{"name":"a","keys":["k"],"guaranteed_accelerators":16}]}`), 0, "batch publish ../../examples/region/config.jsonc"},
 		{"batch-workers", single("GET /v1/workers", 200, `[{"name":"w1","life":1,"address":"127.0.0.1:1","service":"s","availability_zone":"z1","rack":"r1","capacity":{"accelerators":8},"runs":2}]`), 0, "batch workers"},
+		{"batch-customers", single("GET /v1/customers", 200, `[{"name":"","waiting_units":2},{"name":"water-utility","guaranteed_accelerators":16,"accelerators_in_use":24,"borrowed_accelerators":8,"waiting_units":3,"share":0.25}]`), 0, "batch customers"},
 		{"replay", nil, 1, "replay testdata/none.trace"},
 		{"usage", nil, 2, "submit --customer a"},
 		{"no-command", nil, 2, ""},
--- a/internal/daemon/region_test.go
+++ b/internal/daemon/region_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -17,6 +18,7 @@
 	"github.com/matryer/is"
 	"github.com/tailscale/hujson"
 
+	"teaselpaddle.example/teaselpaddle/internal/dispatch"
 	"teaselpaddle.example/teaselpaddle/internal/httpapi"
 	"teaselpaddle.example/teaselpaddle/internal/model"
 	"teaselpaddle.example/teaselpaddle/internal/settings"
@@ -158,6 +160,14 @@
 	endless := []byte(`{"payload": "never-end", "steps": [{"count": 2, "need": {"accelerators": 1}, "lasting": true}]}`)
 	is.Equal(d.call("PUT", job("two"), key, endless, nil), http.StatusOK)
 	d.waitFor("start", func() bool { return d.call("GET", job("two"), key, nil, &j) == http.StatusOK && j.Units.Active == 2 })
+	holds := dispatch.CustomerView{Name: "water-utility", Guaranteed: 16, InUse: 2}
+	d.waitFor("view of customers", func() bool {
+		var list []dispatch.CustomerView
+		return d.call("GET", "/v1/customers", "", nil, &list) == http.StatusOK && slices.ContainsFunc(list, func(c dispatch.CustomerView) bool {
+			holds.Share = c.Share
+			return c == holds && c.Share > 0
+		})
+	})
 	is.Equal(d.call("DELETE", job("two"), key, nil, &j), http.StatusOK)
 	is.Equal(j.State, "cancelled")
 	d.waitFor("stop", func() bool { return d.call("GET", job("two"), key, nil, &j) == http.StatusOK && j.Units.Active == 0 })
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -12,6 +12,7 @@
 
 	"teaselpaddle.example/teaselpaddle/internal/batch"
 	"teaselpaddle.example/teaselpaddle/internal/codec"
+	"teaselpaddle.example/teaselpaddle/internal/sched/place"
 )
 
 // testBed is a state machine with fake workers, two queues and a leader.
@@ -24,6 +25,7 @@
 	heartbeats       *Heartbeats
 	leadership       *Leadership
 	waitingHoldLimit int
+	preemption       place.Preemption
 	timeShift        atomic.Int64 // by which the leader's clock is ahead, ns
 }
 
@@ -55,7 +57,7 @@
 	epoch := b.apply(&batch.Command{Lead: &batch.Lead{Instance: "test"}}).(uint64)
 	b.leadership = Open(Config{
 		Machine: b.machine, Group: b.group, Client: b.workers, Epoch: epoch, Heartbeats: b.heartbeats, Log: logr.Discard(),
-		MaxLease: testLease, MaxWaitingHolds: b.waitingHoldLimit, Now: b.now,
+		MaxLease: testLease, MaxWaitingHolds: b.waitingHoldLimit, Now: b.now, Preemption: b.preemption,
 	})
 	b.t.Cleanup(b.leadership.Close)
 }
--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -78,6 +79,9 @@
 	settled   bool          // see settle; owned by the goroutine of run
 	waitSlots chan struct{} // one element per hold that waits; nil if there is no limit
 
+	customers       atomic.Pointer[[]CustomerView]
+	customerMetrics *metrics.Set
+
 	mu     sync.Mutex // guards agents
 	agents map[string]*agent
 
@@ -97,6 +101,7 @@
 	l := &Leadership{
 		cfg: cfg, log: cfg.Log.WithName("dispatch").WithValues("epoch", cfg.Epoch), startedAt: cfg.Now(),
 		ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1), agents: map[string]*agent{}, removing: map[string]bool{},
+		customerMetrics: newCustomerMetrics(),
 	}
 	l.planner.leadership = l
 	l.planner.shares = share.NewTracker(cfg.FairShareHalfLifeMS)
@@ -115,6 +120,7 @@
 func (l *Leadership) Close() {
 	l.cancel()
 	l.wg.Wait()
+	metrics.UnregisterSet(l.customerMetrics, true)
 	epochGauge.Set(0)
 	l.log.Info("leadership ended")
 }
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -41,6 +41,8 @@
 	waitingSteps map[stepKey]place.WaitReason
 	claims       map[stepKey][]place.Claim // room that waits for steps, by the last plan
 	shares       *share.Tracker
+	held         map[string]holding    // by customer, in the last snapshot
+	customersAt  time.Time             // last call of customerViews
 	lostMembers  map[stepKey]time.Time // when a member of a running gang was first found lost
 }
 
@@ -118,8 +120,9 @@
 	for _, r := range plan.Stops {
 		if a := p.leadership.agent(r.Worker); a != nil {
 			p.leadership.log.Info("run stopped to make room", "job", r.Ref.Job, "unit", r.Ref, "run", r.Run, "priority", r.Priority,
-				"for", r.For, "lostMS", r.LostMS)
+				"for", r.For, "lostMS", r.LostMS, "customer", r.Customer)
 			telemetry.Count("teaselpaddle_preemptions_total")
+			countCustomer("preemptions_total", r.Customer)
 			a.stop(runKey{r.Ref, r.Run})
 		}
 	}
@@ -133,6 +136,7 @@
 	}
 	p.commitStarts(plan.Starts)
 	p.logWaitingSteps(plan.Unplaced, snap)
+	p.publishCustomers(snap)
 }
 
 // keepClaims keeps the room that waits for steps for the next snapshot.
@@ -577,6 +581,7 @@
 		return // the next pass ends or stops the run
 	}
 	waited := atMS - pg.SinceMS
+	countCustomer("starts_total", customer)
 	queueWaitTime.Update(float64(waited) / 1000)
 	if pg.Guaranteed {
 		guaranteedStartTime.Update(float64(waited) / 1000)
--- a/internal/httpapi/region.go
+++ b/internal/httpapi/region.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"teaselpaddle.example/teaselpaddle/internal/batch"
+	"teaselpaddle.example/teaselpaddle/internal/dispatch"
 	"teaselpaddle.example/teaselpaddle/internal/model"
 	"teaselpaddle.example/teaselpaddle/internal/region"
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
@@ -66,6 +67,7 @@
 		r.Put("/v1/config", a.publish)
 		r.Get("/v1/config", a.getConfig)
 		r.Get("/v1/workers", a.listWorkers)
+		r.Get("/v1/customers", a.listCustomers)
 	})
 	r.Group(func(r chi.Router) {
 		r.Use(limitConcurrency(maxWorkerRequests))
@@ -194,6 +196,16 @@
 	writeJSON(w, http.StatusOK, out)
 }
 
+func (a *RegionAPI) listCustomers(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), leaderTimeout)
+	defer cancel()
+	rep, err := a.Router.Customers(ctx)
+	if !a.okOrRefuse(w, r, rep, err) {
+		return
+	}
+	writeJSON(w, http.StatusOK, append([]dispatch.CustomerView{}, rep.Customers...))
+}
+
 // announce returns a handler for workers' announcements. The answer to a drain or
 // a leave means that it is committed.
 func (a *RegionAPI) announce(leaving bool) http.HandlerFunc {
--- a/internal/region/handle.go
+++ b/internal/region/handle.go
@@ -131,6 +131,10 @@
 		rep.NotLeader = true
 		return
 	}
+	if req.Customers != nil {
+		c.readCustomers(rep)
+		return
+	}
 	c.machine.View(func(v *batch.View) {
 		switch {
 		case req.Config != nil:
@@ -169,6 +173,18 @@
 	})
 }
 
+// readCustomers answers with the customers. A leader that has not made a plan yet cannot
+// tell what they hold, and says that it does not lead, so the request is tried again.
+func (c *Control) readCustomers(rep *Reply) {
+	l := c.currentLeadership()
+	if l == nil {
+		rep.NotLeader = true
+		return
+	}
+	rep.Customers = l.Customers()
+	rep.NotLeader = rep.Customers == nil
+}
+
 func workerViews(v *batch.View) []WorkerView {
 	out := make([]WorkerView, 0, len(v.Workers()))
 	for id, w := range v.Workers() {
--- a/internal/region/message.go
+++ b/internal/region/message.go
@@ -6,6 +6,7 @@
 
 import (
 	"teaselpaddle.example/teaselpaddle/internal/batch"
+	"teaselpaddle.example/teaselpaddle/internal/dispatch"
 )
 
 // request is a request to the group's leader. Exactly one field is set. Every request
@@ -20,6 +21,8 @@
 	Announce *Announcement `cbor:"7,keyasint,omitempty"`
 	Ping     *struct{}     `cbor:"8,keyasint,omitempty"`
 	Workers  *struct{}     `cbor:"9,keyasint,omitempty"`
+	// Customers requests the customers as the leader's last plans found them.
+	Customers *struct{} `cbor:"14,keyasint,omitempty"`
 }
 
 // JobQuery requests the state of a job.
@@ -69,4 +72,6 @@
 	Document []byte          `cbor:"8,keyasint,omitempty"`
 	Progress *batch.Progress `cbor:"9,keyasint,omitempty"`
 	Workers  []WorkerView    `cbor:"10,keyasint,omitempty"` // sorted by id
+
+	Customers []dispatch.CustomerView `cbor:"14,keyasint,omitempty"` // sorted by name
 }
--- a/internal/region/router.go
+++ b/internal/region/router.go
@@ -139,6 +139,11 @@
 	return r.forward(ctx, &request{Workers: &struct{}{}})
 }
 
+// Customers returns what the customers hold and wait for.
+func (r *Router) Customers(ctx context.Context) (*Reply, error) {
+	return r.forward(ctx, &request{Customers: &struct{}{}})
+}
+
 // Announce forwards a worker's announcement.
 func (r *Router) Announce(ctx context.Context, a *Announcement) (*Reply, error) {
 	return r.forward(ctx, &request{Announce: a})
