place: urgent groups that wait do not use up the reservations of other gangs

Change: urgent groups have a number of their own. The property test of whole gangs now draws both settings as well, and ends of runs, estimates and completion times.

Runs: go test -race ./internal/sched/place passes, and the property test with 20,000 checks.

--- a/internal/sched/place/economical.go
+++ b/internal/sched/place/economical.go
@@ -121,10 +121,12 @@
 		return
 	}
 	g.Waits = StopsTooCostly
-	if d.gangReservations == maxGangReservations {
+	// Urgent groups have a number of their own. A long queue of them would otherwise leave
+	// no reservation to less urgent gangs, whose workers small units would then take.
+	if d.urgentWaits == maxGangReservations {
 		return
 	}
-	d.gangReservations++
+	d.urgentWaits++
 	if g.Step.Gang {
 		slots, _ := d.earliestSet(g, sets, math.MaxInt64)
 		d.awaitSlots(g, slots)
--- a/internal/sched/place/place.go
+++ b/internal/sched/place/place.go
@@ -163,6 +163,7 @@
 	racks            map[string]*rack
 	gangs            map[string][]*Running
 	gangReservations int // gangs with a reservation so far
+	urgentWaits      int // calls of waitForStart that reserved room so far
 	// exhausted holds the needs of which not one more unit fits on any worker.
 	// Free capacity only shrinks within a decision, so later groups need not
 	// search again.
--- a/internal/sched/place/place_test.go
+++ b/internal/sched/place/place_test.go
@@ -89,7 +89,7 @@
 		for i := range rapid.IntRange(1, 6).Draw(t, "workers") {
 			w := worker(fmt.Sprint("w", i), fmt.Sprint("r", i%2))
 			for range rapid.IntRange(0, 8).Draw(t, "running") {
-				addRun(w, "old", small, rapid.IntRange(0, 2).Draw(t, "prio"), 100)
+				addRun(w, "old", small, rapid.IntRange(0, 2).Draw(t, "prio"), rapid.Int64Range(0, 3000).Draw(t, "left"))
 			}
 			workers = append(workers, w)
 		}
@@ -100,9 +100,17 @@
 			g.Step.Gang = rapid.Bool().Draw(t, "gang")
 			g.Step.SameRack = rapid.Bool().Draw(t, "rack")
 			g.Guaranteed = g.Priority == 0 && rapid.Bool().Draw(t, "sure")
+			g.Customer = rapid.SampledFrom([]string{"a", "b"}).Draw(t, "customer")
+			g.Step.EstimateMS = rapid.Int64Range(0, 5000).Draw(t, "estimate")
+			g.CompleteByMS = rapid.Int64Range(0, 40000).Draw(t, "by")
 			groups = append(groups, g)
 		}
-		p := Decide(&Snapshot{Workers: workers, Groups: groups, NowMS: rapid.Int64Range(0, 20000).Draw(t, "now")})
+		s := &Snapshot{Workers: workers, Groups: groups, NowMS: rapid.Int64Range(0, 20000).Draw(t, "now")}
+		s.Preemption = rapid.SampledFrom([]Preemption{Eager, Economical}).Draw(t, "preemption")
+		if rapid.Bool().Draw(t, "shares") {
+			s.Use = map[string]float64{"a": 0.5}
+		}
+		p := Decide(s)
 		used := map[string]batch.Resources{}
 		for _, w := range workers {
 			for _, r := range w.Running {
