--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -12,6 +12,7 @@
 
 	"teaselpaddle.example/teaselpaddle/internal/batch"
 	"teaselpaddle.example/teaselpaddle/internal/codec"
+	"teaselpaddle.example/teaselpaddle/internal/sched/place"
 )
 
 // testBed is a state machine with fake workers, two queues and a leader.
@@ -25,6 +26,7 @@
 	leadership       *Leadership
 	waitingHoldLimit int
 	measureSpeeds    bool
+	preemption       place.Preemption
 	timeShift        atomic.Int64 // by which the leader's clock is ahead, ns
 }
 
@@ -58,6 +60,7 @@
 		Machine: b.machine, Group: b.group, Client: b.workers, Epoch: epoch, Heartbeats: b.heartbeats, Log: logr.Discard(),
 		MaxLease: testLease, MaxWaitingHolds: b.waitingHoldLimit, Now: b.now,
 		MeasureSpeeds: b.measureSpeeds,
+		Preemption:    b.preemption,
 	})
 	b.t.Cleanup(b.leadership.Close)
 }
--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -22,6 +23,8 @@
 	"teaselpaddle.example/teaselpaddle/internal/codec"
 	"teaselpaddle.example/teaselpaddle/internal/replica"
 	"teaselpaddle.example/teaselpaddle/internal/retry"
+	"teaselpaddle.example/teaselpaddle/internal/sched/place"
+	"teaselpaddle.example/teaselpaddle/internal/sched/share"
 	"teaselpaddle.example/teaselpaddle/internal/telemetry"
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
@@ -43,6 +46,11 @@
 	// MeasureSpeeds is set if the workers may differ in speed and their speeds are to be
 	// measured.
 	MeasureSpeeds bool
+	// Preemption tells when runs are stopped for urgent groups.
+	Preemption place.Preemption
+	// FairShareHalfLifeMS is the time in which the earlier use of customers is halved, ms;
+	// 0 means that customers do not matter for the order of steps.
+	FairShareHalfLifeMS int64
 	// Now returns the current time; nil means time.Now. Tests replace it. Only differences
 	// between its results are used.
 	Now func() time.Time
@@ -75,6 +83,9 @@
 	settled   bool          // see settle; owned by the goroutine of run
 	waitSlots chan struct{} // one element per hold that waits; nil if there is no limit
 
+	customers       atomic.Pointer[[]CustomerView]
+	customerMetrics *metrics.Set
+
 	mu     sync.Mutex // guards agents
 	agents map[string]*agent
 
@@ -94,8 +105,10 @@
 	l := &Leadership{
 		cfg: cfg, log: cfg.Log.WithName("dispatch").WithValues("epoch", cfg.Epoch), startedAt: cfg.Now(),
 		ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1), agents: map[string]*agent{}, removing: map[string]bool{},
+		customerMetrics: newCustomerMetrics(),
 	}
 	l.planner.leadership = l
+	l.planner.shares = share.NewTracker(cfg.FairShareHalfLifeMS)
 	if cfg.MaxWaitingHolds > 0 {
 		l.waitSlots = make(chan struct{}, cfg.MaxWaitingHolds)
 	}
@@ -114,6 +127,7 @@
 func (l *Leadership) Close() {
 	l.cancel()
 	l.wg.Wait()
+	metrics.UnregisterSet(l.customerMetrics, true)
 	epochGauge.Set(0)
 	speedSpreadGauge.Set(0)
 	l.log.Info("leadership ended")
@@ -287,33 +301,3 @@
 	}
 	return n
 }
-
-// removeSilentWorker commits the removal of a worker that has been silent for too
-// long, in the background. It does nothing while an earlier call for the worker has not
-// ended: each plan finds the worker silent until the removal is committed, and hundreds
-// of lost workers would otherwise be proposed again in each of them.
-func (l *Leadership) removeSilentWorker(w batch.Worker) {
-	l.removingMu.Lock()
-	defer l.removingMu.Unlock()
-	if l.removing[w.ID] {
-		return
-	}
-	l.removing[w.ID] = true
-	l.wg.Add(1)
-	go func() {
-		defer l.wg.Done()
-		l.commitRemoval(w)
-		l.removingMu.Lock()
-		defer l.removingMu.Unlock()
-		delete(l.removing, w.ID)
-	}()
-}
-
-func (l *Leadership) commitRemoval(w batch.Worker) {
-	if _, err := l.propose(&batch.Command{Worker: &batch.WorkerChange{Worker: w, Removed: true}}); err != nil {
-		l.log.Error(err, "silent worker could not be removed", "worker", w.ID)
-		return
-	}
-	l.cfg.Heartbeats.Forget(w.ID)
-	l.log.Info("silent worker removed", "worker", w.ID, "life", w.Incarnation)
-}
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -12,6 +12,7 @@
 
 	"teaselpaddle.example/teaselpaddle/internal/batch"
 	"teaselpaddle.example/teaselpaddle/internal/sched/place"
+	"teaselpaddle.example/teaselpaddle/internal/sched/share"
 	"teaselpaddle.example/teaselpaddle/internal/telemetry"
 )
 
@@ -37,9 +38,12 @@
 type planner struct {
 	leadership   *Leadership
 	decisionTime time.Duration // of the last snapshot and decision, without commits
-	waitingSteps map[stepKey]bool
+	waitingSteps map[stepKey]place.WaitReason
 	claims       map[stepKey][]place.Claim // room that waits for steps, by the last plan
-	lostMembers  map[stepKey]time.Time     // when a member of a running gang was first found lost
+	shares       *share.Tracker
+	held         map[string]holding    // by customer, in the last snapshot
+	customersAt  time.Time             // last call of customerViews
+	lostMembers  map[stepKey]time.Time // when a member of a running gang was first found lost
 }
 
 // stepKey identifies a step of one occurrence of a job.
@@ -66,16 +70,20 @@
 	stepsWaitingGauge.Set(float64(len(waiting)))
 	workersUsableGauge.Set(float64(len(s.Workers)))
 	acceleratorsFreeGauge.Set(float64(free))
-	current := map[stepKey]bool{}
+	current := map[stepKey]place.WaitReason{}
 	for _, g := range waiting {
 		k := stepKey{g.Job, g.Occurrence, g.StepIndex}
-		current[k] = true
-		if p.waitingSteps[k] {
+		before, known := p.waitingSteps[k]
+		current[k] = g.Waits
+		if g.Waits != "" && g.Waits != before {
+			telemetry.Count("teaselpaddle_preemptions_avoided_total{reason=\"" + string(g.Waits) + "\"}")
+		}
+		if known {
 			continue
 		}
 		p.leadership.log.Info("step waits for room", "job", g.Job, "occurrence", g.Occurrence, "step", g.StepIndex, "units", len(g.Waiting),
 			"need", g.Step.Need, "gang", g.Step.Gang, "sameRack", g.Step.SameRack, "dataRack", g.Step.DataRack,
-			"priority", g.Priority, "guaranteed", g.Guaranteed, "workersUsable", len(s.Workers), "acceleratorsLeft", free)
+			"priority", g.Priority, "guaranteed", g.Guaranteed, "workersUsable", len(s.Workers), "acceleratorsLeft", free, "waitsFor", g.Waits)
 	}
 	p.waitingSteps = current
 }
@@ -88,6 +96,7 @@
 	payload    string
 	checkpoint string
 	priority   int
+	customer   string
 	jobFinal   bool // the job is final, so the run must stop
 	// memberLost is set if the run belongs to a gang of which another run has ended.
 	memberLost bool
@@ -112,8 +121,9 @@
 	for _, r := range plan.Stops {
 		if a := p.leadership.agent(r.Worker); a != nil {
 			p.leadership.log.Info("run stopped to make room", "job", r.Ref.Job, "unit", r.Ref, "run", r.Run, "priority", r.Priority,
-				"for", r.For, "lostMS", r.LostMS)
+				"for", r.For, "lostMS", r.LostMS, "customer", r.Customer)
 			telemetry.Count("teaselpaddle_preemptions_total")
+			countCustomer("preemptions_total", r.Customer)
 			a.stop(runKey{r.Ref, r.Run})
 		}
 	}
@@ -127,6 +137,7 @@
 	}
 	p.commitStarts(plan.Starts)
 	p.logWaitingSteps(plan.Unplaced, snap)
+	p.publishCustomers(snap)
 }
 
 // keepClaims keeps the room that waits for steps for the next snapshot.
@@ -210,7 +221,9 @@
 func (p *planner) snapshot() (*place.Snapshot, []runInfo, map[string][]batch.End) {
 	now := p.leadership.cfg.Now()
 	speeds := p.leadership.speeds.current()
-	s := &place.Snapshot{NowMS: p.leadership.cfg.TimeOfDayMS(), SpeedSpread: speeds.spread}
+	s := &place.Snapshot{
+		NowMS: p.leadership.cfg.TimeOfDayMS(), SpeedSpread: speeds.spread, Preemption: p.leadership.cfg.Preemption,
+	}
 	workers := map[string]*place.Worker{}
 	var runs []runInfo
 	lost := map[string][]batch.End{}
@@ -253,7 +266,7 @@
 					r := runInfo{
 						key: runKey{ref, u.Run}, step: *j.Step(g), unit: *u, payload: j.Spec.Payload,
 						checkpoint: checkpointOf(g, j.Step(g), u), priority: prio, jobFinal: j.State.Final(),
-						memberLost: memberLost,
+						memberLost: memberLost, customer: j.Customer,
 					}
 					runs = append(runs, r)
 					p.addRunning(workers[u.Worker], &r, guaranteed[id])
@@ -265,6 +278,7 @@
 			}
 		}
 	})
+	p.updateShares(s, workers)
 	for id, w := range workers {
 		switch {
 		case p.assessWorker(id, w, now):
@@ -367,10 +381,11 @@
 	st := j.Step(g)
 	pg := &place.Group{
 		Job: j.ID, Occurrence: g.Occurrence, StepIndex: g.Step, Step: st, Service: q.Service, Priority: q.Priority,
-		SinceMS: max(j.AcceptedMS, due), Seq: j.Seq, Total: len(g.Units),
+		Customer: j.Customer, SinceMS: max(j.AcceptedMS, due), Seq: j.Seq, Total: len(g.Units),
 	}
 	pg.Claims = p.claims[stepKey{j.ID, g.Occurrence, g.Step}]
 	pg.CompleteByMS = q.CompletionTargetMS(pg.SinceMS, j.LengthMS())
+	pg.AfterMS = j.FollowingMS(g.Step)
 	for i := range g.Units {
 		u := &g.Units[i]
 		switch u.State {
@@ -401,12 +416,13 @@
 	w.Free = w.Free.Sub(r.step.Need)
 	run := &place.Running{
 		Ref: r.key.unit, Run: r.key.run, Worker: r.unit.Worker, Need: r.step.Need, Priority: r.priority, Guaranteed: guaranteed,
-		Checkpoints: r.step.Checkpoints, Stopping: r.jobFinal,
+		Checkpoints: r.step.Checkpoints, Stopping: r.jobFinal, Customer: r.customer,
 	}
 	if r.step.Gang {
 		run.Gang = r.key.unit.Job + "." + strconv.Itoa(r.key.unit.Occurrence) + "." + strconv.Itoa(r.key.unit.Step)
 	}
 	run.LostMS = max(p.leadership.cfg.TimeOfDayMS()-r.unit.RecordedMS, 0)
+	run.AgeMS = run.LostMS
 	run.LeftMS = max(r.step.EstimateMS-run.LostMS, minRemainingMS)
 	if a := p.leadership.agent(r.unit.Worker); a != nil {
 		stopping, left := a.estimateRemaining(r.key, p.leadership.cfg.Now())
@@ -571,6 +587,7 @@
 		return // the next pass ends or stops the run
 	}
 	waited := atMS - pg.SinceMS
+	countCustomer("starts_total", customer)
 	queueWaitTime.Update(float64(waited) / 1000)
 	if pg.Guaranteed {
 		guaranteedStartTime.Update(float64(waited) / 1000)
--- a/internal/region/control.go
+++ b/internal/region/control.go
@@ -17,6 +17,7 @@
 	"teaselpaddle.example/teaselpaddle/internal/dispatch"
 	"teaselpaddle.example/teaselpaddle/internal/link"
 	"teaselpaddle.example/teaselpaddle/internal/replica"
+	"teaselpaddle.example/teaselpaddle/internal/sched/place"
 	"teaselpaddle.example/teaselpaddle/internal/timeofday"
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
@@ -44,7 +45,10 @@
 	MaxLease        time.Duration // longest lease that a worker grants
 	MaxWaitingHolds int           // maximum number of waiting holds, see dispatch.Config; 0 means no limit
 	MeasureSpeeds   bool          // the workers may differ in speed, see dispatch.Config
-	Log             logr.Logger
+	Preemption      place.Preemption
+	// FairShareHalfLifeMS is as in dispatch.Config.
+	FairShareHalfLifeMS int64
+	Log                 logr.Logger
 }
 
 // Control is a member of the region's group. The member that leads the group drives
@@ -158,6 +162,7 @@
 		Machine: c.machine, Group: c.group, Client: c.cfg.Client, MaxLease: c.cfg.MaxLease, MaxWaitingHolds: c.cfg.MaxWaitingHolds,
 		Log: c.cfg.Log, Epoch: result.(uint64), Heartbeats: &c.heartbeats, TimeOfDayMS: c.clock.NowMS,
 		MeasureSpeeds: c.cfg.MeasureSpeeds,
+		Preemption:    c.cfg.Preemption, FairShareHalfLifeMS: c.cfg.FairShareHalfLifeMS,
 	})
 	c.mu.Lock()
 	c.leadership = l
--- a/internal/sched/place/place.go
+++ b/internal/sched/place/place.go
@@ -15,8 +15,12 @@
 	NowMS   int64 // Unix ms
 	Workers []*Worker
 	// Leaving are workers that have told when they leave. Nothing is placed on them.
-	Leaving []*Worker
-	Groups  []*Group
+	Leaving    []*Worker
+	Groups     []*Group
+	Preemption Preemption
+	// Use is the use of each customer, see package share. If it is nil, customers do not
+	// matter for the order of groups.
+	Use map[string]float64
 	// SpeedSpread is the standard deviation of the log speeds between workers; 0 if workers are
 	// alike.
 	SpeedSpread float64
@@ -51,6 +55,7 @@
 	order        int        // position by id, so that decisions do not depend on map order
 	cachedByEnd  []*Running // Running, ordered by remainingMS
 	cachedByCost []*Running // Running, ordered as by runsByCost
+	awaitedMS    int64      // groups wait for the ends of its runs until this time from now
 }
 
 // rack is the workers of one rack.
@@ -66,10 +71,12 @@
 	Ref        batch.UnitRef
 	Run        int
 	Worker     string
+	Customer   string
 	Gang       string // id of the gang; "" for a unit outside a gang
 	Need       batch.Resources
 	Priority   int
 	Guaranteed bool
+	AgeMS      int64 // time since its start was decided, ms
 	LostMS     int64 // work since the last checkpoint, ms
 	LeftMS     int64 // estimated time until it ends, ms
 	// Checkpoints is set if the run saves its work when it is stopped.
@@ -80,12 +87,14 @@
 	// Set by Decide.
 	onWorker *Worker
 	cost     int64 // see decision.cost
+	borrowed int64 // see decision.setBorrowed
 }
 
 // Group is a step of one occurrence of a job (a batch.UnitGroup) that has waiting
 // units.
 type Group struct {
 	Job          string
+	Customer     string
 	Occurrence   int
 	StepIndex    int
 	Step         *batch.Step
@@ -94,6 +103,7 @@
 	Guaranteed   bool  // within its customer's guaranteed accelerators
 	SinceMS      int64 // when the step became due, Unix ms
 	CompleteByMS int64 // Unix ms by which the job should be completed
+	AfterMS      int64 // estimated length of the longest chain of steps that follow this one
 	Seq          uint64
 	Waiting      []int // unit indexes
 	Total        int
@@ -102,6 +112,13 @@
 	// Claims is the space that waits for its units: in a snapshot that of the last plan,
 	// after Decide that of this one.
 	Claims []Claim
+	// Waits is set by Decide if no runs are stopped for a group that could have them
+	// stopped.
+	Waits WaitReason
+
+	// Set by orderByShare.
+	share    float64 // use of its customer with the groups before it
+	promoted bool    // it has waited long
 }
 
 // Placement is a unit and its worker.
@@ -154,6 +171,7 @@
 	racks            map[string]*rack
 	gangs            map[string][]*Running
 	gangReservations int // gangs with a reservation so far
+	urgentWaits      int // calls of waitForStart that reserved room so far
 	// exhausted holds the needs of which not one more unit fits on any worker.
 	// Free capacity only shrinks within a decision, so later groups need not
 	// search again.
@@ -177,6 +195,10 @@
 	d.prepare()
 	d.evacuate()
 	slices.SortStableFunc(s.Groups, s.compareGroups)
+	if s.Use != nil {
+		d.orderByShare()
+		d.setBorrowed()
+	}
 	d.holdClaims()
 	for _, g := range s.Groups {
 		d.placeGroup(g)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"strings"
 
+	"teaselpaddle.example/teaselpaddle/internal/sched/place"
 	"teaselpaddle.example/teaselpaddle/internal/strictjson"
 	"teaselpaddle.example/teaselpaddle/internal/telemetry"
 )
@@ -20,6 +21,7 @@
 	maxInstances    = 1000
 	maxZones        = 64
 	maxPathBytes    = 4000
+	maxHalfLifeMS   = 24 * 60 * 60 * 1000
 )
 
 // InvalidError lists the settings that are missing, out of range or inconsistent.
@@ -94,6 +96,7 @@
 	case s.WorkerSpeeds == SpeedsMeasured && s.Extent == ExtentZone:
 		c.add("worker_speeds", "must not be %q with extent %q", SpeedsMeasured, ExtentZone)
 	}
+	c.checkScheduling()
 	if n := len(s.Instances); n < 1 || n > maxInstances {
 		c.add("instances", "must have 1 to %d entries, not %d", maxInstances, n)
 	}
@@ -102,6 +105,23 @@
 	}
 }
 
+// checkScheduling checks the settings of the decisions of a region.
+func (c *checker) checkScheduling() {
+	s := c.settings
+	switch {
+	case !s.Preemption.Valid():
+		c.add("preemption", "must be %q or %q, not %q", place.Eager, place.Economical, s.Preemption)
+	case s.Preemption != "" && s.Extent == ExtentZone:
+		c.add("preemption", "must not be set with extent %q", s.Extent)
+	}
+	switch {
+	case s.FairShareHalfLifeMS < 0 || s.FairShareHalfLifeMS > maxHalfLifeMS:
+		c.add("fair_share_half_life_ms", "must be between 0 and %d, not %d", maxHalfLifeMS, s.FairShareHalfLifeMS)
+	case s.FairShareHalfLifeMS != 0 && s.Extent == ExtentZone:
+		c.add("fair_share_half_life_ms", "must not be set with extent %q", s.Extent)
+	}
+}
+
 func (c *checker) checkInstance(i int) {
 	in := &c.settings.Instances[i]
 	path := func(field string) string { return fmt.Sprintf("instances[%d].%s", i, field) }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 	"github.com/tailscale/hujson"
 
+	"teaselpaddle.example/teaselpaddle/internal/sched/place"
 	"teaselpaddle.example/teaselpaddle/internal/strictjson"
 )
 
@@ -77,8 +78,15 @@
 	TraceFile string `json:"trace_file,omitempty"`
 	// MaxRequests is the maximum number of requests handled concurrently; further
 	// requests are refused as overloaded; default: 1024.
-	MaxRequests int        `json:"max_requests,omitempty"`
-	Instances   []Instance `json:"instances"`
+	MaxRequests int `json:"max_requests,omitempty"`
+	// Preemption is when runs are stopped for urgent jobs, eager or economical; only
+	// with the extent region; default: eager.
+	Preemption place.Preemption `json:"preemption,omitempty"`
+	// FairShareHalfLifeMS is the time in which the earlier use of customers is halved, ms;
+	// 0 means that customers do not matter for the order of steps; only with the extent
+	// region; default: 0.
+	FairShareHalfLifeMS int64      `json:"fair_share_half_life_ms,omitempty"`
+	Instances           []Instance `json:"instances"`
 }
 
 // Defaults.
