place: leave out the workers of cordoned zones

Cause: an operator who cordons an availability zone expects that nothing more is started there. The planner knew nothing of zones.

Nothing is placed, claimed or reserved on them, no run is stopped there to make room, and their room does not count as free. Their runs are still members of gangs, so a stop of a gang stops them. While zones are cordoned, guarantees may exceed the room that is left: younger guaranteed groups yield their claims to older ones, and a guaranteed gang that cannot even be placed by stops reserves room, so that smaller, younger ones do not take each worker that becomes free.

--- a/internal/sched/place/claim.go
+++ b/internal/sched/place/claim.go
@@ -87,14 +87,17 @@
 }
 
 // yieldClaims drops the claims of groups without a guarantee for one that has it and
-// finds no room beside them. It reports whether there were any.
+// finds no room beside them. It reports whether there were any. While zones are cordoned,
+// the guarantees may exceed the room that is left, so younger guaranteed groups yield to
+// older ones as well.
 func (d *decision) yieldClaims(g *Group) bool {
 	yielded := false
 	if !g.Guaranteed {
 		return false
 	}
 	for _, other := range d.snapshot.Groups {
-		if other != g && !other.Guaranteed && len(other.Claims) > 0 {
+		yields := !other.Guaranteed || len(d.snapshot.Cordoned) > 0 && other.Seq > g.Seq
+		if other != g && yields && len(other.Claims) > 0 {
 			d.releaseClaims(other, other.Claims)
 			other.Claims = nil
 			yielded = true
--- a/internal/sched/place/evict.go
+++ b/internal/sched/place/evict.go
@@ -170,6 +170,12 @@
 	if best == nil && d.yieldClaims(g) {
 		best = cheapestSet(g, sets)
 	}
+	if best == nil && g.Guaranteed && len(d.snapshot.Cordoned) > 0 {
+		// Guaranteed runs fill the room beside the cordoned zones. Without a reservation,
+		// younger guaranteed groups that need less would take each worker that becomes free.
+		d.reserveForGang(g, sets)
+		return
+	}
 	d.reserveAndStop(g, best)
 }
 
--- a/internal/sched/place/place.go
+++ b/internal/sched/place/place.go
@@ -16,7 +16,11 @@
 	Workers []*Worker
 	// Leaving are workers that have told when they leave. Nothing is placed on them.
 	Leaving []*Worker
-	Groups  []*Group
+	// Cordoned are the workers in cordoned availability zones. Nothing is placed, claimed or
+	// reserved on them, and no run is stopped there to make room. Their runs are members of
+	// gangs like all others.
+	Cordoned []*Worker
+	Groups   []*Group
 }
 
 // Worker is a worker as last known to the leader.
@@ -31,8 +35,8 @@
 	// Releasing is the part of the capacity in use that stops in progress will
 	// free.
 	Releasing batch.Resources
-	// Suspect is set if a run failed or stalled on the worker lately, or if it has missed an
-	// announcement; it is used last.
+	// Suspect is set if a run failed or stalled on the worker lately, if it has missed an
+	// announcement, or if it is still cold; it is used last.
 	Suspect bool
 	Running []*Running
 	// LeavesInMS is the least time until a worker of Snapshot.Leaving leaves, ms.
@@ -191,20 +195,13 @@
 		w.rack.total += w.Capacity.Accelerators
 		all = all.Add(w.Capacity)
 		free = free.Add(w.Free)
-		for _, r := range w.Running {
-			r.onWorker = w
-			if r.Gang != "" {
-				d.gangs[r.Gang] = append(d.gangs[r.Gang], r)
-			}
-		}
+		d.indexRuns(w)
 	}
 	for _, w := range d.snapshot.Leaving {
-		for _, r := range w.Running {
-			r.onWorker = w
-			if r.Gang != "" {
-				d.gangs[r.Gang] = append(d.gangs[r.Gang], r)
-			}
-		}
+		d.indexRuns(w)
+	}
+	for _, w := range d.snapshot.Cordoned {
+		d.indexRuns(w)
 	}
 	used := func(f, a int64) float64 { return 1 - float64(f)/float64(max(a, 1)) }
 	d.idle = max(used(free.Accelerators, all.Accelerators), used(free.CPU, all.CPU), used(free.MemoryMB, all.MemoryMB)) < idleShare
@@ -215,6 +212,16 @@
 	}
 }
 
+// indexRuns adds the runs of a worker to their gangs.
+func (d *decision) indexRuns(w *Worker) {
+	for _, r := range w.Running {
+		r.onWorker = w
+		if r.Gang != "" {
+			d.gangs[r.Gang] = append(d.gangs[r.Gang], r)
+		}
+	}
+}
+
 // compareGroups orders guaranteed groups first, then by priority; within a
 // priority the groups that can still be on time come first, the oldest of them
 // first.
