region, platform: decode how long a worker is still cold

Cause: workers that return to service are cold for a while and announce for how long (cold_remaining_ms), which was dropped.

Change: Announcement.ColdMS, kept as a time in dispatch.Heartbeats and counted from when the announcement was sent. It is not replicated: each worker repeats it about every 1.5 s.

Runs: go test -race ./platform ./internal/region passes.

--- a/internal/dispatch/heartbeats.go
+++ b/internal/dispatch/heartbeats.go
@@ -26,6 +26,7 @@
 type heartbeat struct {
 	lastSeen    time.Time // the worker lived at this time, or somewhat before
 	leavesAt    time.Time // when the worker may leave; zero if it has not told
+	coldUntil   time.Time // when the worker is warm; zero if it has not told that it is cold
 	incarnation int64
 	clock       clockReading
 	unconfirmed bool // the last announcement was late, and the worker has not answered since
@@ -147,6 +148,18 @@
 	return b.get(id, incarnation).leavesAt
 }
 
+// RecordCold stores the time until which an incarnation of a worker is cold. A time that
+// has passed says that it is warm.
+func (b *Heartbeats) RecordCold(id string, incarnation int64, until time.Time) {
+	b.update(id, incarnation, func(h *heartbeat) { h.coldUntil = until })
+}
+
+// ColdUntil returns the time until which an incarnation of a worker is cold, or the zero
+// time if it has not told.
+func (b *Heartbeats) ColdUntil(id string, incarnation int64) time.Time {
+	return b.get(id, incarnation).coldUntil
+}
+
 // LastSeen returns the time of the last sign of life of an incarnation of a worker, or the
 // zero time if there was none.
 func (b *Heartbeats) LastSeen(id string, incarnation int64) time.Time {
--- a/internal/region/handle.go
+++ b/internal/region/handle.go
@@ -209,6 +209,7 @@
 		c.log.Info("announcement arrived late", "worker", w.ID, "life", w.Incarnation, "clockMS", a.ClockMS, "ageMS", age.Milliseconds(),
 			"recorded", !unrecorded)
 	}
+	c.heartbeats.RecordCold(w.ID, w.Incarnation, sentBy.Add(time.Duration(a.ColdMS)*time.Millisecond))
 	if w.Draining && a.RemainingMS > 0 {
 		c.heartbeats.RecordLeaving(w.ID, w.Incarnation, sentBy.Add(time.Duration(a.RemainingMS)*time.Millisecond))
 	}
--- a/internal/region/message.go
+++ b/internal/region/message.go
@@ -48,6 +48,9 @@
 	// ClockMS is the worker's steady clock when it sent the announcement, ms; 0 if it does
 	// not tell.
 	ClockMS int64 `cbor:"4,keyasint,omitempty"`
+	// ColdMS is the time for which the worker is still cold, ms; 0 if it is warm or does not
+	// tell.
+	ColdMS int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Reply answers a request.
