dispatch: start nothing in cordoned zones

Cause: the state machine rejects starts in cordoned zones, but the planner placed units there again and again while other workers were free, and sent starts again that were recorded before the cordon and not answered.

A recorded run there that neither an answer nor a report shows as started is fenced by a stop, and a gang with such a member is stopped as a whole. No start message, first or repeated, is sent to a worker in a cordoned zone. Runs that have started continue. The log line of a waiting step has the number of cordoned workers (workersCordoned) and is repeated once when a zone is cordoned while the step waits. Cold workers are used last.

--- /dev/null
+++ b/internal/dispatch/cordon.go
@@ -0,0 +1,45 @@
+package dispatch
+
+import (
+	"teaselpaddle.example/teaselpaddle/internal/batch"
+	"teaselpaddle.example/teaselpaddle/internal/telemetry"
+)
+
+// An operator cordons an availability zone to empty it: what runs there continues, and
+// nothing more is started. A run that was recorded but not started when the zone was
+// cordoned is fenced by a stop, after which its unit waits for room elsewhere. A leader that
+// was replaced cannot start anything that it decided before the cordon: it sends a start
+// only after its commit, which fails under an old epoch, and the workers refuse its
+// repeated messages once they have seen the new one.
+
+// zoneCordoned reports whether the worker is in a cordoned zone. The caller must not hold
+// mu: the state machine may be locked by a reader that waits for it.
+func (a *agent) zoneCordoned() bool {
+	zone := a.workerRecord().Zone
+	cordoned := false
+	a.leadership.cfg.Machine.View(func(v *batch.View) { cordoned = v.Cordoned(zone) })
+	return cordoned
+}
+
+// notStarted reports whether neither an answer nor a report shows that the worker has
+// begun a recorded run, and no stop was sent for it. Before the worker's first report to
+// this leader that is not known of runs that an earlier leader recorded.
+func (a *agent) notStarted(k runKey) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if _, reported := a.reportedRuns[k]; reported || a.superseded {
+		return false
+	}
+	od := a.orders[k]
+	if od == nil {
+		return a.synced
+	}
+	return od.startAckedAt.IsZero() && od.stopSentAt.IsZero()
+}
+
+// fenceCordoned stops a run that has not been started in a cordoned zone.
+func (a *agent) fenceCordoned(k runKey) {
+	a.log.Info("run fenced because its zone is cordoned", "job", k.unit.Job, "unit", k.unit, "run", k.run)
+	telemetry.Count("teaselpaddle_cordon_fences_total")
+	a.stop(k)
+}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -24,13 +24,14 @@
 	heartbeats       *Heartbeats
 	leadership       *Leadership
 	waitingHoldLimit int
+	log              logr.Logger
 	timeShift        atomic.Int64 // by which the leader's clock is ahead, ns
 }
 
 const testLease = 400 * time.Millisecond
 
 func newTestBed(t *testing.T, workers *fakeWorkers) *testBed {
-	b := &testBed{is: is.New(t), t: t, workers: workers, heartbeats: &Heartbeats{}}
+	b := &testBed{is: is.New(t), t: t, workers: workers, heartbeats: &Heartbeats{}, log: logr.Discard()}
 	b.machine = batch.New(func() {
 		if b.leadership != nil {
 			b.leadership.Wake()
@@ -54,7 +55,7 @@
 func (b *testBed) open() {
 	epoch := b.apply(&batch.Command{Lead: &batch.Lead{Instance: "test"}}).(uint64)
 	b.leadership = Open(Config{
-		Machine: b.machine, Group: b.group, Client: b.workers, Epoch: epoch, Heartbeats: b.heartbeats, Log: logr.Discard(),
+		Machine: b.machine, Group: b.group, Client: b.workers, Epoch: epoch, Heartbeats: b.heartbeats, Log: b.log,
 		MaxLease: testLease, MaxWaitingHolds: b.waitingHoldLimit, Now: b.now,
 	})
 	b.t.Cleanup(b.leadership.Close)
@@ -83,9 +84,12 @@
 	})
 }
 
-func (b *testBed) announce(id string, incarnation int64) {
+func (b *testBed) announce(id string, incarnation int64) { b.announceIn("", id, incarnation) }
+
+// announceIn announces a worker in an availability zone.
+func (b *testBed) announceIn(zone, id string, incarnation int64) {
 	b.apply(&batch.Command{Worker: &batch.WorkerChange{Worker: batch.Worker{
-		ID: id, Incarnation: incarnation, Address: id, Service: "desk", Rack: "r1",
+		ID: id, Incarnation: incarnation, Address: id, Service: "desk", Rack: "r1", Zone: zone,
 		Capacity: batch.Resources{CPU: 8000, MemoryMB: 8000, Accelerators: 8},
 	}}})
 	b.heartbeats.Record(id, incarnation, 0, time.Now().Add(time.Hour))
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -19,8 +19,8 @@
 	memberStartTimeout = 2*callTimeout + retryInterval
 )
 
-// stopIncompleteGangs stops the runs of gangs that have lost a member or have one that
-// does not begin.
+// stopIncompleteGangs stops the runs of gangs that have lost a member, have one that does
+// not begin, or one that was fenced in a cordoned zone.
 func (p *planner) stopIncompleteGangs(runs []runInfo) {
 	now := p.leadership.cfg.Now()
 	gangs := map[stepKey][]*runInfo{}
@@ -46,6 +46,10 @@
 			if a := p.leadership.agent(r.unit.Worker); a != nil && a.startOverdue(r.key, now) {
 				reason = "not_answering"
 			}
+			if r.fenced {
+				reason = "cordoned"
+				break
+			}
 		}
 		if reason != "" {
 			p.stopMembers(members, reason, now)
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -36,8 +36,8 @@
 // the leadership uses it.
 type planner struct {
 	leadership   *Leadership
-	decisionTime time.Duration // of the last snapshot and decision, without commits
-	waitingSteps map[stepKey]bool
+	decisionTime time.Duration             // of the last snapshot and decision, without commits
+	waitingSteps map[stepKey]bool          // steps that wait for room; true if the log names cordoned workers
 	claims       map[stepKey][]place.Claim // room that waits for steps, by the last plan
 	lostMembers  map[stepKey]time.Time     // when a member of a running gang was first found lost
 }
@@ -56,30 +56,6 @@
 	guaranteedStartTime   = metrics.GetOrCreateHistogram("teaselpaddle_guaranteed_start_seconds")
 )
 
-// logWaitingSteps logs each step once when it begins to wait for capacity, with its
-// requirements, and updates the gauges.
-func (p *planner) logWaitingSteps(waiting []*place.Group, s *place.Snapshot) {
-	var free int64
-	for _, w := range s.Workers {
-		free += max(w.Free.Accelerators, 0)
-	}
-	stepsWaitingGauge.Set(float64(len(waiting)))
-	workersUsableGauge.Set(float64(len(s.Workers)))
-	acceleratorsFreeGauge.Set(float64(free))
-	current := map[stepKey]bool{}
-	for _, g := range waiting {
-		k := stepKey{g.Job, g.Occurrence, g.StepIndex}
-		current[k] = true
-		if p.waitingSteps[k] {
-			continue
-		}
-		p.leadership.log.Info("step waits for room", "job", g.Job, "occurrence", g.Occurrence, "step", g.StepIndex, "units", len(g.Waiting),
-			"need", g.Step.Need, "gang", g.Step.Gang, "sameRack", g.Step.SameRack, "dataRack", g.Step.DataRack,
-			"priority", g.Priority, "guaranteed", g.Guaranteed, "workersUsable", len(s.Workers), "acceleratorsLeft", free)
-	}
-	p.waitingSteps = current
-}
-
 // runInfo is an active run with the parts of its job that a start needs.
 type runInfo struct {
 	key        runKey
@@ -91,6 +67,8 @@
 	jobFinal   bool // the job is final, so the run must stop
 	// memberLost is set if the run belongs to a gang of which another run has ended.
 	memberLost bool
+	cordoned   bool // its worker is in a cordoned zone
+	fenced     bool // it had not been started when its zone was cordoned; set by reconcileRun
 }
 
 // pass makes one plan and carries it out.
@@ -139,7 +117,8 @@
 }
 
 // reconcileRun sends a start to the worker of a recorded run that has not been started,
-// or a stop if the run was refused, has stalled, or is no longer needed.
+// or a stop if the run was refused, has stalled, is no longer needed, or has not been
+// started in a cordoned zone.
 func (p *planner) reconcileRun(r *runInfo) {
 	a := p.leadership.agent(r.unit.Worker)
 	if a == nil || a.workerRecord().Incarnation != r.unit.Incarnation {
@@ -149,6 +128,11 @@
 		a.stop(r.key)
 		return
 	}
+	if r.cordoned && a.notStarted(r.key) {
+		r.fenced = true
+		a.fenceCordoned(r.key)
+		return
+	}
 	if a.needsStart(r.key) {
 		a.start(r.key, r.step.Need, r.payload, r.checkpoint)
 	}
@@ -212,8 +196,10 @@
 	workers := map[string]*place.Worker{}
 	var runs []runInfo
 	lost := map[string][]batch.End{}
+	cordoned := map[string]bool{} // by worker
 	p.leadership.cfg.Machine.View(func(v *batch.View) {
 		for id, w := range v.Workers() {
+			cordoned[id] = v.Cordoned(w.Zone)
 			workers[id] = &place.Worker{
 				ID: id, Rack: w.Rack, Service: w.Service, Labels: w.Labels, Capacity: w.Capacity, Free: w.Capacity,
 			}
@@ -249,7 +235,7 @@
 					r := runInfo{
 						key: runKey{ref, u.Run}, step: *j.Step(g), unit: *u, payload: j.Spec.Payload,
 						checkpoint: checkpointOf(g, j.Step(g), u), priority: prio, jobFinal: j.State.Final(),
-						memberLost: memberLost,
+						memberLost: memberLost, cordoned: cordoned[u.Worker],
 					}
 					runs = append(runs, r)
 					p.addRunning(workers[u.Worker], &r, guaranteed[id])
@@ -262,11 +248,14 @@
 		}
 	})
 	for id, w := range workers {
+		usable := p.assessWorker(id, w, now)
 		switch {
-		case p.assessWorker(id, w, now):
+		case usable && !cordoned[id]:
 			s.Workers = append(s.Workers, w)
 		case p.assessLeaving(id, w, now):
 			s.Leaving = append(s.Leaving, w)
+		case cordoned[id]:
+			s.Cordoned = append(s.Cordoned, w)
 		}
 	}
 	return s, runs, lost
@@ -429,6 +418,7 @@
 	}
 	incarnation := a.workerRecord().Incarnation
 	lastSeen := p.leadership.cfg.Heartbeats.LastSeen(id, incarnation)
+	cold := now.Before(p.leadership.cfg.Heartbeats.ColdUntil(id, incarnation))
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	// A worker can have runs without an active record: those of a gang that is done,
@@ -457,7 +447,7 @@
 		p.leadership.removeSilentWorker(a.worker)
 		return false
 	}
-	w.Suspect = now.Before(a.history.suspectUntil) || now.Sub(lastSeen) > overdueAfter
+	w.Suspect = now.Before(a.history.suspectUntil) || now.Sub(lastSeen) > overdueAfter || cold
 	return a.synced && !a.superseded && !a.worker.Draining && a.unansweredCalls == 0 && now.After(a.suspendedUntil) &&
 		now.Sub(lastSeen) < maxSilence && len(a.pendingFences) == 0
 }
@@ -501,36 +491,6 @@
 	return st, ok
 }
 
-// removeSilentWorker commits the removal of a worker that has been silent for too
-// long, in the background. It does nothing while an earlier call for the worker has not
-// ended: each plan finds the worker silent until the removal is committed, and hundreds
-// of lost workers would otherwise be proposed again in each of them.
-func (l *Leadership) removeSilentWorker(w batch.Worker) {
-	l.removingMu.Lock()
-	defer l.removingMu.Unlock()
-	if l.removing[w.ID] {
-		return
-	}
-	l.removing[w.ID] = true
-	l.wg.Add(1)
-	go func() {
-		defer l.wg.Done()
-		l.commitRemoval(w)
-		l.removingMu.Lock()
-		defer l.removingMu.Unlock()
-		delete(l.removing, w.ID)
-	}()
-}
-
-func (l *Leadership) commitRemoval(w batch.Worker) {
-	if _, err := l.propose(&batch.Command{Worker: &batch.WorkerChange{Worker: w, Removed: true}}); err != nil {
-		l.log.Error(err, "silent worker could not be removed", "worker", w.ID)
-		return
-	}
-	l.cfg.Heartbeats.Forget(w.ID)
-	l.log.Info("silent worker removed", "worker", w.ID, "life", w.Incarnation)
-}
-
 // commitStarts commits the starts and sends those that were accepted.
 func (p *planner) commitStarts(starts []place.Placement) {
 	if len(starts) == 0 {
@@ -585,7 +545,8 @@
 	ok := false
 	p.leadership.cfg.Machine.View(func(v *batch.View) {
 		j := v.LiveJobs()[s.Unit.Job]
-		if j == nil || j.State.Final() {
+		w := v.Workers()[s.Worker]
+		if j == nil || j.State.Final() || w == nil || v.Cordoned(w.Zone) {
 			return
 		}
 		g := j.UnitGroup(s.Unit.Occurrence, s.Unit.Step)
@@ -594,7 +555,7 @@
 	})
 	a := p.leadership.agent(s.Worker)
 	if a == nil || !ok {
-		return // the next pass ends or stops the run
+		return // the next pass ends, stops or fences the run
 	}
 	waited := atMS - pg.SinceMS
 	queueWaitTime.Update(float64(waited) / 1000)
--- a/internal/dispatch/workers_test.go
+++ b/internal/dispatch/workers_test.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"teaselpaddle.example/teaselpaddle/internal/batch"
+	"teaselpaddle.example/teaselpaddle/internal/codec"
 	"teaselpaddle.example/teaselpaddle/internal/replica"
 	"teaselpaddle.example/teaselpaddle/internal/retry"
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
@@ -26,10 +27,15 @@
 	commitDelay atomic.Int64 // before each entry is applied, ns
 	resultDelay atomic.Int64 // between applying an entry and returning its result, ns
 	proposals   atomic.Int64 // number of entries proposed
+	cutOff      atomic.Bool  // rejects the entries of its leader
 }
 
 func (g *localGroup) Propose(_ context.Context, entry []byte) (any, error) {
 	g.proposals.Add(1)
+	var c batch.Command
+	if g.cutOff.Load() && codec.Unmarshal(entry, &c) == nil && c.Epoch > 0 {
+		return nil, &replica.NotLeaderError{}
+	}
 	time.Sleep(time.Duration(g.commitDelay.Load()))
 	g.mu.Lock()
 	g.index++
