dispatch: silence of a worker is no stall of its runs

Cause: a worker that was suspended for two seconds, and so for less than its lease, had its runs stopped as stalled by the first report after that: their progress was older than the stall timeout.

Change: the time between two reports in which a call went unanswered does not count as time without progress.

--- a/internal/dispatch/cordon_test.go
+++ b/internal/dispatch/cordon_test.go
@@ -244,7 +244,7 @@
 	// The cut: entries of the old leader fail, and those of others do not reach it.
 	b.group.cutOff.Store(true)
 	b.submit("/b/", "decided", unitStep(1, 8))
-	next := &testBed{is: b.is, t: t, workers: b.workers, heartbeats: b.heartbeats}
+	next := &testBed{is: b.is, t: t, workers: b.workers, heartbeats: b.heartbeats, lease: b.lease}
 	next.machine = batch.New(func() {
 		if next.leadership != nil {
 			next.leadership.Wake()
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -25,13 +25,14 @@
 	leadership       *Leadership
 	waitingHoldLimit int
 	log              logr.Logger
+	lease            time.Duration
 	timeShift        atomic.Int64 // by which the leader's clock is ahead, ns
 }
 
 const testLease = 400 * time.Millisecond
 
 func newTestBed(t *testing.T, workers *fakeWorkers) *testBed {
-	b := &testBed{is: is.New(t), t: t, workers: workers, heartbeats: &Heartbeats{}, log: logr.Discard()}
+	b := &testBed{is: is.New(t), t: t, workers: workers, heartbeats: &Heartbeats{}, log: logr.Discard(), lease: testLease}
 	b.machine = batch.New(func() {
 		if b.leadership != nil {
 			b.leadership.Wake()
@@ -56,7 +57,7 @@
 	epoch := b.apply(&batch.Command{Lead: &batch.Lead{Instance: "test"}}).(uint64)
 	b.leadership = Open(Config{
 		Machine: b.machine, Group: b.group, Client: b.workers, Epoch: epoch, Heartbeats: b.heartbeats, Log: b.log,
-		MaxLease: testLease, MaxWaitingHolds: b.waitingHoldLimit, Now: b.now,
+		MaxLease: b.lease, MaxWaitingHolds: b.waitingHoldLimit, Now: b.now,
 	})
 	b.t.Cleanup(b.leadership.Close)
 }
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -81,7 +81,7 @@
 	}
 	limit := time.Duration(estimateMS) * time.Millisecond * stallTimeoutPercent / 100
 	limit = min(max(limit, minStallTimeout), maxStallTimeout)
-	if a.reportSentAt.Sub(p.advancedAt) < limit {
+	if a.reportSentAt.Sub(p.advancedAt)-p.silence < limit {
 		return false
 	}
 	a.history.suspectUntil = now.Add(suspectTime)
@@ -94,19 +94,34 @@
 	firstSeenAt  time.Time
 	percent      int
 	advancedAt   time.Time
+	// silence is the time since advancedAt in which the worker did not answer. It does not
+	// count as time without progress, because the worker may have been suspended.
+	silence time.Duration
 }
 
-// updateProgress records the progress of the reported runs. The caller holds mu.
-func (a *agent) updateProgress(reported map[runKey]workerapi.UnitRun, now time.Time) {
+// silenceBefore returns the time since the last report if a call has gone unanswered
+// since then, else 0. The caller holds mu.
+func (a *agent) silenceBefore(now time.Time) time.Duration {
+	if a.mayHaveRestartedAt.IsZero() || a.clockReadAt.IsZero() {
+		return 0
+	}
+	return now.Sub(a.clockReadAt)
+}
+
+// updateProgress records the progress of the reported runs. silence is the time before
+// the report in which the worker did not answer. The caller holds mu.
+func (a *agent) updateProgress(reported map[runKey]workerapi.UnitRun, now time.Time, silence time.Duration) {
 	for k, r := range reported {
 		p := a.progress[k]
 		if p == nil {
 			a.progress[k] = &runProgress{firstPercent: r.Percent, firstSeenAt: now, percent: r.Percent, advancedAt: now}
 			continue
 		}
+		p.silence += silence
 		if r.Percent > p.percent {
 			p.percent = r.Percent
 			p.advancedAt = now
+			p.silence = 0
 		}
 	}
 	for k := range a.progress {
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -26,6 +26,7 @@
 		a.leadership.Wake()
 		return false
 	}
+	silence := a.silenceBefore(now)
 	a.recordAnswer(now)
 	if sent.After(a.mayHaveRestartedAt) {
 		a.mayHaveRestartedAt = time.Time{}
@@ -47,7 +48,7 @@
 		}
 		ends = append(ends, batch.End{Unit: k.unit, Run: k.run, How: batch.EndLost, Checkpoint: a.reportedRuns[k].Checkpoint})
 	}
-	a.updateProgress(reported, now)
+	a.updateProgress(reported, now, silence)
 	a.recordOutcomes(ends, now)
 	for i := range ends {
 		k := runKey{ends[i].Unit, ends[i].Run}
