dispatch: a leader that may have been replaced extends no lease

Cause: a leader that was paused for seconds extended leases and sent recorded starts when it went on, before it noticed that it had been replaced. A worker that only the old leader reached would have kept its runs beyond the time after which the next leader counts their lease as expired (one maximum lease and 3 s), and a start recorded before a cordon could have been sent after it.

Change: each commit under the leader's epoch, and otherwise a confirmed read every half second, shows that it was the leader when that began. Leases are extended and starts are sent only within 2 s of that.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -288,12 +288,13 @@
 // clock, and records it as sent. Before the worker's clock is known, it returns 0,
 // which extends nothing. While the worker does not answer, it repeats the last
 // lease end: any call may still arrive, so with later lease ends the lease could
-// never be known to have expired. The caller holds mu.
+// never be known to have expired. It does so too while it is not certain that this is
+// still the leader. The caller holds mu.
 func (a *agent) extendLease(now time.Time) int64 {
 	if a.clockReadAt.IsZero() {
 		return 0
 	}
-	if a.unansweredCalls > 0 {
+	if a.unansweredCalls > 0 || !a.leadership.confirmed() {
 		return a.leaseUntilMS
 	}
 	until := a.workerNowMS(now) + a.leadership.cfg.MaxLease.Milliseconds()
--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -70,6 +71,8 @@
 	planner   planner
 	settled   bool          // see settle; owned by the goroutine of run
 	waitSlots chan struct{} // one element per hold that waits; nil if there is no limit
+	// confirmedAt is the latest time at which this was certainly the leader, see confirm.go.
+	confirmedAt atomic.Pointer[time.Time]
 
 	mu     sync.Mutex // guards agents
 	agents map[string]*agent
@@ -98,8 +101,9 @@
 	epochGauge.Set(float64(cfg.Epoch))
 	l.log.Info("leadership begun")
 	l.Wake()
-	l.wg.Add(1)
+	l.wg.Add(2)
 	go l.run()
+	go l.keepConfirmed()
 	return l
 }
 
@@ -216,7 +220,7 @@
 	}
 	ctx, cancel := context.WithTimeout(l.ctx, proposeTimeout)
 	defer cancel()
-	began := time.Now()
+	began, begunAt := time.Now(), l.cfg.Now()
 	result, err := l.cfg.Group.Propose(ctx, entry)
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -225,6 +229,7 @@
 	if failed, ok := result.(error); ok {
 		return nil, failed
 	}
+	l.recordConfirmed(begunAt)
 	return result, nil
 }
 
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -67,8 +67,8 @@
 
 func (a *agent) sendStart(k runKey, od *order, payload, checkpoint string) {
 	for tries := 0; a.ctx.Err() == nil; tries++ {
-		if a.zoneCordoned() {
-			return // the next pass fences the run
+		if !a.leadership.waitConfirmed(a.ctx) || a.zoneCordoned() {
+			return // in a cordoned zone, the next pass fences the run
 		}
 		a.mu.Lock()
 		if !od.stopSentAt.IsZero() || a.superseded || tries > 0 && a.leaseExpired(a.leadership.cfg.Now()) {
--- a/internal/dispatch/reported_test.go
+++ b/internal/dispatch/reported_test.go
@@ -39,3 +39,38 @@
 	b.is.Equal(len(f.byID["w1"].fenced), 0)
 	b.is.Equal(f.starts[k.unit], []string{"w1"})
 }
+
+// Guards against a leader that was paused, is cut off, and acts on a leadership that it may
+// have lost meanwhile: it would extend leases beyond the time after which the next leader
+// counts them as expired, and send a start that it had recorded before the pause.
+func TestPausedLeaderExtendsNoLeaseAndStartsNothing(t *testing.T) {
+	f := newFakeWorkers(t, 10*time.Second, "w1", "w2")
+	b := newTestBed(t, f)
+	b.leadership.Close()
+	b.lease = 10 * time.Second
+	b.open()
+	b.waitForFirstReports("w1", "w2")
+	b.submit("/b/", "j1", unitStep(1, 8))
+	b.waitFor(time.Second, "started", f.startedOnce(batch.UnitRef{Job: "j1"}))
+	b.group.resultDelay.Store(int64(200 * time.Millisecond))
+	b.submit("/b/", "j2", unitStep(1, 8))
+	b.waitFor(time.Second, "recorded", func() bool { return b.state("j2") == batch.Running })
+	b.group.cutOff.Store(true)
+	b.timeShift.Store(int64(maxUnconfirmed))
+	time.Sleep(50 * time.Millisecond) // for holds that were on their way
+	leases := func() (until []int64) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for _, id := range []string{"w1", "w2"} {
+			until = append(until, f.byID[id].leaseUntil)
+		}
+		return until
+	}
+	before := leases()
+	b.leadership.agent("w1").notify()
+	time.Sleep(3 * time.Second / 2) // for the next holds, and for the delayed result
+	b.is.Equal(leases(), before)
+	b.is.Equal(f.startedOn(batch.UnitRef{Job: "j2"}), "[]")
+	b.group.cutOff.Store(false)
+	b.waitFor(2*time.Second, "started once the leadership is confirmed", f.startedOnce(batch.UnitRef{Job: "j2"}))
+}
--- a/internal/dispatch/workers_test.go
+++ b/internal/dispatch/workers_test.go
@@ -44,7 +44,13 @@
 	time.Sleep(time.Duration(g.resultDelay.Load()))
 	return result, nil
 }
-func (g *localGroup) ReadIndex(context.Context) error   { return nil }
+
+func (g *localGroup) ReadIndex(context.Context) error {
+	if g.cutOff.Load() {
+		return &replica.NotLeaderError{}
+	}
+	return nil
+}
 func (g *localGroup) WaitDurable(context.Context) error { return nil }
 func (g *localGroup) Transfer(context.Context) error    { return nil }
 func (g *localGroup) Status() replica.Status            { return replica.Status{Leads: true} }
