dispatch: tests of two active leaders and of lost reports of ends

Both cover faults that operators of similar systems have reported: orders sent twice during a handover, and work that runs again after an answer was lost. Neither occurs here: workers take a repeated start of a run for the same one, refuse ended runs, and repeat an end until it is acknowledged.

--- a/internal/dispatch/reported_test.go
+++ b/internal/dispatch/reported_test.go
@@ -74,3 +74,41 @@
 	b.group.cutOff.Store(false)
 	b.waitFor(2*time.Second, "started once the leadership is confirmed", f.startedOnce(batch.UnitRef{Job: "j2"}))
 }
+
+// During a handover two leaders are active for a moment. Guards against a run that both of
+// them start, and against a stop by the next leader of what the first has just started.
+func TestTwoActiveLeadersStartEachRunOnce(t *testing.T) {
+	f := newFakeWorkers(t, 100*time.Millisecond, "w1", "w2")
+	f.byID["w1"].loseStartAnswers, f.byID["w2"].loseStartAnswers = 1, 1 // orders that both send
+	b := newTestBed(t, f)
+	b.waitForFirstReports("w1", "w2")
+	b.submit("/b/", "j1", unitStep(8, 4))
+	b.waitFor(time.Second, "the first leader starts runs", func() bool { return b.state("j1") == batch.Running })
+	first := b.leadership
+	b.open()
+	first.Wake()
+	b.submit("/b/", "j2", unitStep(4, 4))
+	b.waitFor(5*time.Second, "completed", func() bool { return b.state("j1") == batch.Completed && b.state("j2") == batch.Completed })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b.is.Equal(len(f.starts), 12)
+	for _, workers := range f.starts {
+		b.is.Equal(len(workers), 1) // each unit ran once
+	}
+}
+
+// Guards against a second run of a unit whose end was reported in answers that were lost.
+func TestLostEndReportStartsNoSecondRun(t *testing.T) {
+	f := newFakeWorkers(t, 100*time.Millisecond, "w1", "w2")
+	b := newTestBed(t, f)
+	b.submit("/b/", "j1", unitStep(1, 8))
+	ref := batch.UnitRef{Job: "j1"}
+	b.waitFor(2*time.Second, "started", f.startedOnce(ref))
+	f.mu.Lock()
+	for _, w := range f.byID {
+		w.loseHoldAnswers = 2
+	}
+	f.mu.Unlock()
+	b.waitFor(5*time.Second, "completed", func() bool { return b.state("j1") == batch.Completed })
+	b.is.True(f.startedOnce(ref)())
+}
--- a/internal/dispatch/workers_test.go
+++ b/internal/dispatch/workers_test.go
@@ -73,6 +73,7 @@
 	failRuns         bool // every run fails
 	stopsAt          map[runKey]time.Time
 	dropHolds        bool // leaves holds unanswered
+	loseHoldAnswers  int  // number of answers to holds to lose
 	holdDelay        time.Duration
 }
 
@@ -259,8 +260,12 @@
 				rep.Runs = append(rep.Runs, workerapi.UnitRun{Unit: k.unit, Run: k.run})
 			}
 			rep.Ends = append(rep.Ends, w.ends...)
+			if w.loseHoldAnswers > 0 {
+				w.loseHoldAnswers--
+				rep, err = nil, &workerapi.NoAnswerError{Cause: context.DeadlineExceeded}
+			}
 			f.mu.Unlock()
-			return rep, nil
+			return rep, err
 		}
 		f.mu.Unlock()
 		if !retry.Sleep(ctx, 5*time.Millisecond) {
