region: a malformed request ends no control instance

Cause: the leader wrote jobs and configurations of other instances to the log without a check. One with a negative count or a dependency that does not exist made every control instance panic while it applied the entry, and again after each restart. A panic in a request that came over a link ended the process as well.

Change: the leader checks what a request would write to the log, and a panic in a request is logged and counted, and its outcome reported as unknown.

--- a/internal/region/control.go
+++ b/internal/region/control.go
@@ -91,9 +91,9 @@
 		return nil, errors.Annotate(err, "open region group")
 	}
 	c.group = g
-	router.Local = c.handleRequest
+	router.Local = c.serveRequest
 	cfg.Peers.Handle(link.KindRequest, func(ctx context.Context, _ string, body []byte) ([]byte, error) {
-		return codec.Marshal(c.handleRequest(ctx, body))
+		return codec.Marshal(c.serveRequest(ctx, body))
 	})
 	c.wg.Go(func() { c.clock.Run(ctx) })
 	c.wg.Add(1)
--- a/internal/region/handle.go
+++ b/internal/region/handle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"slices"
 	"strings"
 	"time"
@@ -15,6 +16,31 @@
 	"teaselpaddle.example/teaselpaddle/internal/telemetry"
 )
 
+// serveRequest carries out a request. An unexpected error in one request does not end the
+// process; the outcome of the request is then unknown.
+func (c *Control) serveRequest(ctx context.Context, body []byte) (rep *Reply) {
+	defer func() {
+		if v := recover(); v != nil {
+			telemetry.Count("teaselpaddle_request_panics_total")
+			c.log.Info("request panicked", "panic", v, "stack", string(debug.Stack()))
+			rep = &Reply{OutcomeUnknown: true}
+		}
+	}()
+	return c.handleRequest(ctx, body)
+}
+
+// check validates what a request would write to the log. The instance that sent it has
+// done so before, but what is in the log must not fail on any instance.
+func (r *request) check() error {
+	switch {
+	case r.Submit != nil:
+		return r.Submit.Spec.Check()
+	case r.Publish != nil:
+		return r.Publish.Check()
+	}
+	return nil
+}
+
 // handleRequest carries out a request if this instance leads.
 func (c *Control) handleRequest(ctx context.Context, body []byte) *Reply {
 	st := c.group.Status()
@@ -25,6 +51,12 @@
 		rep.OutcomeUnknown = true
 		return rep
 	}
+	if err := req.check(); err != nil {
+		c.log.Error(err, "malformed request rejected")
+		telemetry.Count("teaselpaddle_malformed_requests_total")
+		rep.OutcomeUnknown = true
+		return rep
+	}
 	if !st.Leads {
 		rep.NotLeader = true
 		if st.Leader != c.cfg.Self {
