batch: values of later versions have names

Cause: the name of a verdict, an ending or a state that this version does not know panicked with an index out of range, for instance in a log line during an upgrade.

Change: such values are called unknown.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -86,7 +86,15 @@
 
 var stateNames = [...]string{"queued", "running", "completed", "failed", "cancelled"}
 
-func (s State) String() string { return stateNames[s] }
+func (s State) String() string { return nameOf(stateNames[:], uint8(s)) }
+
+// nameOf returns a name by its index. Values of a later version have no name here.
+func nameOf(names []string, i uint8) string {
+	if int(i) >= len(names) {
+		return "unknown"
+	}
+	return names[i]
+}
 
 // Final reports whether a job in this state never changes again.
 func (s State) Final() bool { return s >= Completed }
--- a/internal/batch/command.go
+++ b/internal/batch/command.go
@@ -78,7 +78,7 @@
 
 var endingNames = [...]string{"done", "failed", "stopped", "lapsed", "broken", "alone", "lost"}
 
-func (e Ending) String() string { return endingNames[e] }
+func (e Ending) String() string { return nameOf(endingNames[:], uint8(e)) }
 
 // ParseEnding returns the ending with the given name.
 func ParseEnding(name string) (Ending, bool) {
@@ -147,4 +147,4 @@
 
 var verdictNames = [...]string{"ok", "no_configuration", "no_such_queue", "unknown_key", "no_such_job", "id_in_use", "not_supported", "overtaken", "unknown_zone"}
 
-func (v Verdict) String() string { return verdictNames[v] }
+func (v Verdict) String() string { return nameOf(verdictNames[:], uint8(v)) }
--- a/internal/batch/machine_test.go
+++ b/internal/batch/machine_test.go
@@ -265,3 +265,31 @@
 		}
 	})
 }
+
+// Guards against a process that ends because it logs a value that an instance of a later
+// version sent.
+func TestValuesOfLaterVersionsHaveNames(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Verdict(200).String(), "unknown")
+	is.Equal(Ending(200).String(), "unknown")
+	is.Equal(State(200).String(), "unknown")
+	is.Equal(UnknownZone.String(), "unknown_zone")
+}
+
+// Guards against a restart from a snapshot that brings a removed worker or a revoked key
+// back, and against a delayed configuration that does so after the restart.
+func TestRestartBringsNothingBack(t *testing.T) {
+	is := is.New(t)
+	m := newTestMachine(t)
+	revoked := testConfig(2, "two")
+	revoked.Customers[0].Keys = nil
+	apply(t, m, &Command{Publish: revoked})
+	apply(t, m, &Command{Worker: &WorkerChange{Worker: Worker{ID: "w1", Incarnation: 1}, Removed: true}})
+	snapshot, err := m.Snapshot()
+	is.NoErr(err)
+	restored := New(nil)
+	is.NoErr(restored.Restore(snapshot))
+	apply(t, restored, &Command{Publish: testConfig(1, "one")})
+	is.Equal(apply(t, restored, submit("j1", "k1", Step{Count: 1})), UnknownKey)
+	restored.View(func(v *View) { is.True(v.Workers()["w1"] == nil) })
+}
