region: a refusal after a lost answer leaves the outcome unknown

Cause: an entry instance repeats a submission whose answer was lost. If the key was revoked or the queue closed in between, the repeated one was refused and the caller told so (503 and 401 promise that a submission never runs), although the first one may have been accepted and run.

Change: such a refusal is reported as an unknown outcome. An id in use by another job is still a refusal, as it shows that the first one was not accepted.

Runs: TestRefusalAfterLostAnswerIsNoRefusal fails before and passes after the change; go test -race ./internal/region passes.

--- a/internal/region/router.go
+++ b/internal/region/router.go
@@ -175,6 +175,10 @@
 				rep, err := r.send(ctx, c, body)
 				if err == nil && !rep.NotLeader && !rep.OutcomeUnknown {
 					r.recordLeader(c)
+					if req.Submit != nil && failure.MayHaveRun && refusesAdmission(rep.Verdict) {
+						failure.Cause = &RefusedAgainError{Verdict: rep.Verdict}
+						return nil, failure
+					}
 					return rep, nil
 				}
 				c = r.recordAttempt(failure, c, rep, err)
@@ -195,6 +199,18 @@
 	}
 }
 
+// RefusedAgainError reports that a repeated submission was refused after an earlier
+// attempt may have been accepted under another configuration.
+type RefusedAgainError struct{ Verdict batch.Verdict }
+
+func (e *RefusedAgainError) Error() string {
+	return "the repeated submission was refused: " + e.Verdict.String()
+}
+
+// refusesAdmission reports whether a verdict depends on the configuration in force and
+// says nothing of a job that was accepted before.
+func refusesAdmission(v batch.Verdict) bool { return v != batch.OK && v != batch.IDInUse }
+
 // candidates returns the instances to try in order: the known leader first, those that
 // recently failed to answer last.
 func (r *Router) candidates() []string {
--- a/internal/region/router_test.go
+++ b/internal/region/router_test.go
@@ -21,6 +21,8 @@
 	leader string            // the instance that answers as leader
 	dead   map[string]bool   // instances that leave calls unanswered
 	hint   map[string]string // leader that each instance names
+	failed int               // calls of the leader to leave without a reply, which may have been carried out
+	answer batch.Verdict     // of the leader
 	asked  []string
 }
 
@@ -31,12 +33,19 @@
 	f.mu.Lock()
 	f.asked = append(f.asked, to)
 	dead, leads, hint := f.dead[to], f.leader == to, f.hint[to]
+	lost := leads && f.failed > 0
+	if lost {
+		f.failed--
+	}
 	f.mu.Unlock()
+	if lost {
+		return nil, &link.NoReplyError{To: to, Cause: context.Canceled}
+	}
 	if dead {
 		<-ctx.Done()
 		return nil, &link.NoReplyError{To: to, Cause: ctx.Err()}
 	}
-	return codec.Marshal(&Reply{NotLeader: !leads, Leader: hint, Members: []string{"a", "b", "c"}})
+	return codec.Marshal(&Reply{NotLeader: !leads, Leader: hint, Members: []string{"a", "b", "c"}, Verdict: f.answer})
 }
 
 func testRouter(f *fakePeers) *Router {
@@ -92,6 +101,28 @@
 	is.True(u.MayHaveRun)
 }
 
+// The answer to a submission is lost, and the repeated one is refused, because the key was
+// revoked or the queue closed meanwhile. Guards against a refusal of a job that runs.
+func TestRefusalAfterLostAnswerIsNoRefusal(t *testing.T) {
+	is := is.New(t)
+	for _, verdict := range []batch.Verdict{batch.UnknownKey, batch.NoQueue, batch.QueueClosed, batch.NoConfig} {
+		f := &fakePeers{leader: "a", failed: 1, answer: verdict}
+		_, err := testRouter(f).Submit(timeoutContext(t, 2*time.Second), &batch.Submit{ID: "x"})
+		var u *UnavailableError
+		is.True(errors.As(err, &u))
+		is.True(u.MayHaveRun)
+	}
+	for _, verdict := range []batch.Verdict{batch.OK, batch.IDInUse} {
+		f := &fakePeers{leader: "a", failed: 1, answer: verdict}
+		rep, err := testRouter(f).Submit(timeoutContext(t, 2*time.Second), &batch.Submit{ID: "x"})
+		is.NoErr(err)
+		is.Equal(rep.Verdict, verdict)
+	}
+	rep, err := testRouter(&fakePeers{leader: "a", answer: batch.UnknownKey}).Submit(timeoutContext(t, 2*time.Second), &batch.Submit{ID: "x"})
+	is.NoErr(err) // nothing was lost
+	is.Equal(rep.Verdict, batch.UnknownKey)
+}
+
 // Guards against an unknown outcome for a submission that was sent to no instance.
 func TestSubmissionWithoutLeaderNeverRuns(t *testing.T) {
 	is := is.New(t)
