region: a late announcement does not undo a worker's leave

Cause: an announcement that a worker had sent before it left, and that was delayed until after that, recorded the worker again as ready, so that runs could start there while its process still answered.

Change: the leader keeps when an incarnation left, and ignores announcements that were sent before, by the worker's clock. It is not replicated: a new leader starts nothing on a worker before it has answered a call.

--- a/internal/dispatch/heartbeats.go
+++ b/internal/dispatch/heartbeats.go
@@ -26,6 +26,7 @@
 type heartbeat struct {
 	lastSeen    time.Time // the worker lived at this time, or somewhat before
 	leavesAt    time.Time // when the worker may leave; zero if it has not told
+	leftAt      time.Time // when the worker said that it left; zero if it has not
 	coldUntil   time.Time // when the worker is warm; zero if it has not told that it is cold
 	incarnation int64
 	clock       clockReading
@@ -160,6 +161,17 @@
 	return b.get(id, incarnation).coldUntil
 }
 
+// RecordLeft stores the time at which an incarnation of a worker said that it left.
+func (b *Heartbeats) RecordLeft(id string, incarnation int64, at time.Time) {
+	b.update(id, incarnation, func(h *heartbeat) { h.leftAt = at })
+}
+
+// LeftAt returns the time at which an incarnation of a worker said that it left, or the
+// zero time.
+func (b *Heartbeats) LeftAt(id string, incarnation int64) time.Time {
+	return b.get(id, incarnation).leftAt
+}
+
 // LastSeen returns the time of the last sign of life of an incarnation of a worker, or the
 // zero time if there was none.
 func (b *Heartbeats) LastSeen(id string, incarnation int64) time.Time {
--- a/internal/region/handle.go
+++ b/internal/region/handle.go
@@ -218,12 +218,14 @@
 	w := a.Worker
 	upToDate := false
 	unrecorded := true
+	incarnation := w.Incarnation // that of the record, if there is one
 	c.machine.View(func(v *batch.View) {
 		cur := v.Workers()[w.ID]
 		if cur == nil {
 			return
 		}
 		unrecorded = false
+		incarnation = cur.Incarnation
 		upToDate = cur.Incarnation > w.Incarnation ||
 			cur.Incarnation == w.Incarnation && cur.Address == w.Address && cur.Service == w.Service && (cur.Draining || !w.Draining)
 	})
@@ -231,6 +233,11 @@
 		c.log.Info("worker leaves", "worker", w.ID, "life", w.Incarnation, "recorded", !unrecorded)
 		if !unrecorded {
 			c.commit(ctx, rep, &batch.Command{Worker: &batch.WorkerChange{Worker: w, Removed: true}})
+			c.machine.View(func(v *batch.View) {
+				if v.Workers()[w.ID] == nil {
+					c.heartbeats.RecordLeft(w.ID, incarnation, time.Now())
+				}
+			})
 		}
 		return
 	}
@@ -248,6 +255,10 @@
 	if upToDate {
 		return
 	}
+	if unrecorded && sentBy.Before(c.heartbeats.LeftAt(w.ID, w.Incarnation)) {
+		telemetry.Count("teaselpaddle_announcements_after_leave_total")
+		return
+	}
 	c.commit(ctx, rep, &batch.Command{Worker: &batch.WorkerChange{Worker: w}})
 	if !rep.NotLeader && !rep.OutcomeUnknown {
 		c.log.Info("worker recorded", "worker", w.ID, "life", w.Incarnation, "address", w.Address, "draining", w.Draining,
