--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -45,7 +45,7 @@
 	// leaseSlack covers the rounding of both clocks to milliseconds.
 	leaseSlack = 100 * time.Millisecond
 	// maxStepDownTime is the longest time for which a deposed leader may still extend
-	// leases before it notices that it has no majority.
+	// leases. It is above maxUnconfirmed, which bounds that.
 	maxStepDownTime = 3 * time.Second
 )
 
