--- a/internal/dispatch/cordon.go
+++ b/internal/dispatch/cordon.go
@@ -9,8 +9,8 @@
 // nothing more is started. A run that was recorded but not started when the zone was
 // cordoned is fenced by a stop, after which its unit waits for room elsewhere. A leader that
 // was replaced cannot start anything that it decided before the cordon: it sends a start
-// only after its commit, which fails under an old epoch, and the workers refuse its
-// repeated messages once they have seen the new one.
+// only after its commit, which fails under an old epoch, and none once its leadership has
+// been unconfirmed for maxUnconfirmed; workers that have seen the new epoch refuse it.
 
 // zoneCordoned reports whether the worker is in a cordoned zone. The caller must not hold
 // mu: the state machine may be locked by a reader that waits for it.
