--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -82,6 +82,8 @@
 	speeds    *workerSpeeds // nil if speeds are not measured
 	settled   bool          // see settle; owned by the goroutine of run
 	waitSlots chan struct{} // one element per hold that waits; nil if there is no limit
+	// confirmedAt is the latest time at which this was certainly the leader, see confirm.go.
+	confirmedAt atomic.Pointer[time.Time]
 
 	customers       atomic.Pointer[[]CustomerView]
 	customerMetrics *metrics.Set
@@ -118,8 +120,9 @@
 	epochGauge.Set(float64(cfg.Epoch))
 	l.log.Info("leadership begun")
 	l.Wake()
-	l.wg.Add(1)
+	l.wg.Add(2)
 	go l.run()
+	go l.keepConfirmed()
 	return l
 }
 
@@ -238,7 +241,7 @@
 	}
 	ctx, cancel := context.WithTimeout(l.ctx, proposeTimeout)
 	defer cancel()
-	began := time.Now()
+	began, begunAt := time.Now(), l.cfg.Now()
 	result, err := l.cfg.Group.Propose(ctx, entry)
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -247,6 +250,7 @@
 	if failed, ok := result.(error); ok {
 		return nil, failed
 	}
+	l.recordConfirmed(begunAt)
 	return result, nil
 }
 
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -38,7 +38,7 @@
 type planner struct {
 	leadership   *Leadership
 	decisionTime time.Duration // of the last snapshot and decision, without commits
-	waitingSteps map[stepKey]place.WaitReason
+	waitingSteps map[stepKey]loggedWait
 	claims       map[stepKey][]place.Claim // room that waits for steps, by the last plan
 	shares       *share.Tracker
 	held         map[string]holding    // by customer, in the last snapshot
@@ -60,34 +60,6 @@
 	guaranteedStartTime   = metrics.GetOrCreateHistogram("teaselpaddle_guaranteed_start_seconds")
 )
 
-// logWaitingSteps logs each step once when it begins to wait for capacity, with its
-// requirements, and updates the gauges.
-func (p *planner) logWaitingSteps(waiting []*place.Group, s *place.Snapshot) {
-	var free int64
-	for _, w := range s.Workers {
-		free += max(w.Free.Accelerators, 0)
-	}
-	stepsWaitingGauge.Set(float64(len(waiting)))
-	workersUsableGauge.Set(float64(len(s.Workers)))
-	acceleratorsFreeGauge.Set(float64(free))
-	current := map[stepKey]place.WaitReason{}
-	for _, g := range waiting {
-		k := stepKey{g.Job, g.Occurrence, g.StepIndex}
-		before, known := p.waitingSteps[k]
-		current[k] = g.Waits
-		if g.Waits != "" && g.Waits != before {
-			telemetry.Count("teaselpaddle_preemptions_avoided_total{reason=\"" + string(g.Waits) + "\"}")
-		}
-		if known {
-			continue
-		}
-		p.leadership.log.Info("step waits for room", "job", g.Job, "occurrence", g.Occurrence, "step", g.StepIndex, "units", len(g.Waiting),
-			"need", g.Step.Need, "gang", g.Step.Gang, "sameRack", g.Step.SameRack, "dataRack", g.Step.DataRack,
-			"priority", g.Priority, "guaranteed", g.Guaranteed, "workersUsable", len(s.Workers), "acceleratorsLeft", free, "waitsFor", g.Waits)
-	}
-	p.waitingSteps = current
-}
-
 // runInfo is an active run with the parts of its job that a start needs.
 type runInfo struct {
 	key        runKey
@@ -100,6 +72,8 @@
 	jobFinal   bool // the job is final, so the run must stop
 	// memberLost is set if the run belongs to a gang of which another run has ended.
 	memberLost bool
+	cordoned   bool // its worker is in a cordoned zone
+	fenced     bool // it had not been started when its zone was cordoned; set by reconcileRun
 }
 
 // pass makes one plan and carries it out.
@@ -151,7 +125,8 @@
 }
 
 // reconcileRun sends a start to the worker of a recorded run that has not been started,
-// or a stop if the run was refused, has stalled, or is no longer needed.
+// or a stop if the run was refused, has stalled, is no longer needed, or has not been
+// started in a cordoned zone.
 func (p *planner) reconcileRun(r *runInfo) {
 	a := p.leadership.agent(r.unit.Worker)
 	if a == nil || a.workerRecord().Incarnation != r.unit.Incarnation {
@@ -161,6 +136,11 @@
 		a.stop(r.key)
 		return
 	}
+	if r.cordoned && a.notStarted(r.key) {
+		r.fenced = true
+		a.fenceCordoned(r.key)
+		return
+	}
 	if a.needsStart(r.key) {
 		a.start(r.key, r.step.Need, r.payload, r.checkpoint)
 	}
@@ -227,8 +207,10 @@
 	workers := map[string]*place.Worker{}
 	var runs []runInfo
 	lost := map[string][]batch.End{}
+	cordoned := map[string]bool{} // by worker
 	p.leadership.cfg.Machine.View(func(v *batch.View) {
 		for id, w := range v.Workers() {
+			cordoned[id] = v.Cordoned(w.Zone)
 			e := speeds.of(id, w.Incarnation)
 			workers[id] = &place.Worker{
 				ID: id, Rack: w.Rack, Service: w.Service, Labels: w.Labels, Capacity: w.Capacity, Free: w.Capacity,
@@ -266,7 +248,7 @@
 					r := runInfo{
 						key: runKey{ref, u.Run}, step: *j.Step(g), unit: *u, payload: j.Spec.Payload,
 						checkpoint: checkpointOf(g, j.Step(g), u), priority: prio, jobFinal: j.State.Final(),
-						memberLost: memberLost, customer: j.Customer,
+						memberLost: memberLost, cordoned: cordoned[u.Worker], customer: j.Customer,
 					}
 					runs = append(runs, r)
 					p.addRunning(workers[u.Worker], &r, guaranteed[id])
@@ -280,11 +262,14 @@
 	})
 	p.updateShares(s, workers)
 	for id, w := range workers {
+		usable := p.assessWorker(id, w, now)
 		switch {
-		case p.assessWorker(id, w, now):
+		case usable && !cordoned[id]:
 			s.Workers = append(s.Workers, w)
 		case p.assessLeaving(id, w, now):
 			s.Leaving = append(s.Leaving, w)
+		case cordoned[id]:
+			s.Cordoned = append(s.Cordoned, w)
 		}
 	}
 	return s, runs, lost
@@ -449,6 +434,7 @@
 	}
 	incarnation := a.workerRecord().Incarnation
 	lastSeen := p.leadership.cfg.Heartbeats.LastSeen(id, incarnation)
+	cold := now.Before(p.leadership.cfg.Heartbeats.ColdUntil(id, incarnation))
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	// A worker can have runs without an active record: those of a gang that is done,
@@ -477,7 +463,7 @@
 		p.leadership.removeSilentWorker(a.worker)
 		return false
 	}
-	w.Suspect = now.Before(a.history.suspectUntil) || now.Sub(lastSeen) > overdueAfter
+	w.Suspect = now.Before(a.history.suspectUntil) || now.Sub(lastSeen) > overdueAfter || cold
 	return a.synced && !a.superseded && !a.worker.Draining && a.unansweredCalls == 0 && now.After(a.suspendedUntil) &&
 		now.Sub(lastSeen) < maxSilence && len(a.pendingFences) == 0
 }
@@ -575,7 +561,8 @@
 	ok := false
 	p.leadership.cfg.Machine.View(func(v *batch.View) {
 		j := v.LiveJobs()[s.Unit.Job]
-		if j == nil || j.State.Final() {
+		w := v.Workers()[s.Worker]
+		if j == nil || j.State.Final() || w == nil || v.Cordoned(w.Zone) {
 			return
 		}
 		g := j.UnitGroup(s.Unit.Occurrence, s.Unit.Step)
@@ -584,7 +571,7 @@
 	})
 	a := p.leadership.agent(s.Worker)
 	if a == nil || !ok {
-		return // the next pass ends or stops the run
+		return // the next pass ends, stops or fences the run
 	}
 	waited := atMS - pg.SinceMS
 	countCustomer("starts_total", customer)
--- a/internal/dispatch/removal.go
+++ b/internal/dispatch/removal.go
@@ -1,8 +1,6 @@
 package dispatch
 
-import (
-	"teaselpaddle.example/teaselpaddle/internal/batch"
-)
+import "teaselpaddle.example/teaselpaddle/internal/batch"
 
 // removeSilentWorker commits the removal of a worker that has been silent for too
 // long, in the background. It does nothing while an earlier call for the worker has not
--- a/internal/dispatch/workers_test.go
+++ b/internal/dispatch/workers_test.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"teaselpaddle.example/teaselpaddle/internal/batch"
+	"teaselpaddle.example/teaselpaddle/internal/codec"
 	"teaselpaddle.example/teaselpaddle/internal/replica"
 	"teaselpaddle.example/teaselpaddle/internal/retry"
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
@@ -26,10 +27,15 @@
 	commitDelay atomic.Int64 // before each entry is applied, ns
 	resultDelay atomic.Int64 // between applying an entry and returning its result, ns
 	proposals   atomic.Int64 // number of entries proposed
+	cutOff      atomic.Bool  // rejects the entries of its leader
 }
 
 func (g *localGroup) Propose(_ context.Context, entry []byte) (any, error) {
 	g.proposals.Add(1)
+	var c batch.Command
+	if g.cutOff.Load() && codec.Unmarshal(entry, &c) == nil && c.Epoch > 0 {
+		return nil, &replica.NotLeaderError{}
+	}
 	time.Sleep(time.Duration(g.commitDelay.Load()))
 	g.mu.Lock()
 	g.index++
@@ -38,7 +44,13 @@
 	time.Sleep(time.Duration(g.resultDelay.Load()))
 	return result, nil
 }
-func (g *localGroup) ReadIndex(context.Context) error   { return nil }
+
+func (g *localGroup) ReadIndex(context.Context) error {
+	if g.cutOff.Load() {
+		return &replica.NotLeaderError{}
+	}
+	return nil
+}
 func (g *localGroup) WaitDurable(context.Context) error { return nil }
 func (g *localGroup) Transfer(context.Context) error    { return nil }
 func (g *localGroup) Status() replica.Status            { return replica.Status{Leads: true} }
@@ -61,6 +73,7 @@
 	failRuns         bool // every run fails
 	stopsAt          map[runKey]time.Time
 	dropHolds        bool // leaves holds unanswered
+	loseHoldAnswers  int  // number of answers to holds to lose
 	holdDelay        time.Duration
 	speed            float64 // against which runs take longer or shorter and report progress; 0 means 1 without progress
 }
@@ -260,8 +273,12 @@
 				rep.Runs = append(rep.Runs, r)
 			}
 			rep.Ends = append(rep.Ends, w.ends...)
+			if w.loseHoldAnswers > 0 {
+				w.loseHoldAnswers--
+				rep, err = nil, &workerapi.NoAnswerError{Cause: context.DeadlineExceeded}
+			}
 			f.mu.Unlock()
-			return rep, nil
+			return rep, err
 		}
 		f.mu.Unlock()
 		if !retry.Sleep(ctx, 5*time.Millisecond) {
--- a/internal/region/handle.go
+++ b/internal/region/handle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"slices"
 	"strings"
 	"time"
@@ -15,6 +16,31 @@
 	"teaselpaddle.example/teaselpaddle/internal/telemetry"
 )
 
+// serveRequest carries out a request. An unexpected error in one request does not end the
+// process; the outcome of the request is then unknown.
+func (c *Control) serveRequest(ctx context.Context, body []byte) (rep *Reply) {
+	defer func() {
+		if v := recover(); v != nil {
+			telemetry.Count("teaselpaddle_request_panics_total")
+			c.log.Info("request panicked", "panic", v, "stack", string(debug.Stack()))
+			rep = &Reply{OutcomeUnknown: true}
+		}
+	}()
+	return c.handleRequest(ctx, body)
+}
+
+// check validates what a request would write to the log. The instance that sent it has
+// done so before, but what is in the log must not fail on any instance.
+func (r *request) check() error {
+	switch {
+	case r.Submit != nil:
+		return r.Submit.Spec.Check()
+	case r.Publish != nil:
+		return r.Publish.Check()
+	}
+	return nil
+}
+
 // handleRequest carries out a request if this instance leads.
 func (c *Control) handleRequest(ctx context.Context, body []byte) *Reply {
 	st := c.group.Status()
@@ -25,6 +51,12 @@
 		rep.OutcomeUnknown = true
 		return rep
 	}
+	if err := req.check(); err != nil {
+		c.log.Error(err, "malformed request rejected")
+		telemetry.Count("teaselpaddle_malformed_requests_total")
+		rep.OutcomeUnknown = true
+		return rep
+	}
 	if !st.Leads {
 		rep.NotLeader = true
 		if st.Leader != c.cfg.Self {
@@ -208,12 +240,14 @@
 	w := a.Worker
 	upToDate := false
 	unrecorded := true
+	incarnation := w.Incarnation // that of the record, if there is one
 	c.machine.View(func(v *batch.View) {
 		cur := v.Workers()[w.ID]
 		if cur == nil {
 			return
 		}
 		unrecorded = false
+		incarnation = cur.Incarnation
 		upToDate = cur.Incarnation > w.Incarnation ||
 			cur.Incarnation == w.Incarnation && cur.Address == w.Address && cur.Service == w.Service && (cur.Draining || !w.Draining)
 	})
@@ -221,6 +255,11 @@
 		c.log.Info("worker leaves", "worker", w.ID, "life", w.Incarnation, "recorded", !unrecorded)
 		if !unrecorded {
 			c.commit(ctx, rep, &batch.Command{Worker: &batch.WorkerChange{Worker: w, Removed: true}})
+			c.machine.View(func(v *batch.View) {
+				if v.Workers()[w.ID] == nil {
+					c.heartbeats.RecordLeft(w.ID, incarnation, time.Now())
+				}
+			})
 		}
 		return
 	}
@@ -231,12 +270,17 @@
 		c.log.Info("announcement arrived late", "worker", w.ID, "life", w.Incarnation, "clockMS", a.ClockMS, "ageMS", age.Milliseconds(),
 			"recorded", !unrecorded)
 	}
+	c.heartbeats.RecordCold(w.ID, w.Incarnation, sentBy.Add(time.Duration(a.ColdMS)*time.Millisecond))
 	if w.Draining && a.RemainingMS > 0 {
 		c.heartbeats.RecordLeaving(w.ID, w.Incarnation, sentBy.Add(time.Duration(a.RemainingMS)*time.Millisecond))
 	}
 	if upToDate {
 		return
 	}
+	if unrecorded && sentBy.Before(c.heartbeats.LeftAt(w.ID, w.Incarnation)) {
+		telemetry.Count("teaselpaddle_announcements_after_leave_total")
+		return
+	}
 	c.commit(ctx, rep, &batch.Command{Worker: &batch.WorkerChange{Worker: w}})
 	if !rep.NotLeader && !rep.OutcomeUnknown {
 		c.log.Info("worker recorded", "worker", w.ID, "life", w.Incarnation, "address", w.Address, "draining", w.Draining,
--- a/internal/sched/place/shares.go
+++ b/internal/sched/place/shares.go
@@ -89,7 +89,7 @@
 // customer in each priority, ms.
 func (d *decision) sinceLastStart() map[customerClass]int64 {
 	out := map[customerClass]int64{}
-	for _, workers := range [][]*Worker{d.snapshot.Workers, d.snapshot.Leaving} {
+	for _, workers := range [][]*Worker{d.snapshot.Workers, d.snapshot.Leaving, d.snapshot.Cordoned} {
 		for _, w := range workers {
 			for _, r := range w.Running {
 				class := customerClass{r.Customer, r.Priority}
