place: placement by finish time on workers of unequal speed

Cause: a gang ends with its slowest member.

Change: groups have a needed speed from the queue's target. Workers that meet it come first, the slowest of them first. Gangs take members of like speed, also within one rack, and an urgent gang without fast room starts slow, waits or stops others, whichever completes first. Headroom is kept on workers that are fast enough for urgent work. Ends of runs without progress and gang reservations use the speed.

Tests of internal/sched/place, internal/batch and internal/dispatch pass with -race.

--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -217,7 +218,10 @@
 			workers[id] = &place.Worker{
 				ID: id, Rack: w.Rack, Service: w.Service, Labels: w.Labels, Capacity: w.Capacity, Free: w.Capacity,
 			}
+			workers[id].Speed, workers[id].SpeedSD = recordedSpeed(w)
 		}
+		s.SpeedSpread = recordedSpread(v.Workers())
+		s.UrgentSpeed = urgentSpeed(v.Config())
 		guaranteed := guaranteedJobs(v)
 		for id, j := range v.LiveJobs() {
 			q := v.Queue(j.Host, j.Prefix)
@@ -366,6 +370,7 @@
 		SinceMS: max(j.AcceptedMS, due), Seq: j.Seq, Total: len(g.Units),
 	}
 	pg.Claims = p.claims[stepKey{j.ID, g.Occurrence, g.Step}]
+	pg.LengthMS = j.LengthFromMS(g.Step)
 	pg.CompleteByMS = q.CompletionTargetMS(pg.SinceMS, j.LengthMS())
 	for i := range g.Units {
 		u := &g.Units[i]
@@ -404,11 +409,13 @@
 	}
 	run.LostMS = max(p.leadership.cfg.TimeOfDayMS()-r.unit.RecordedMS, 0)
 	run.LeftMS = max(r.step.EstimateMS-run.LostMS, minRemainingMS)
+	run.EstimateMS, run.ElapsedMS = r.step.EstimateMS, run.LostMS
 	if a := p.leadership.agent(r.unit.Worker); a != nil {
 		stopping, left := a.estimateRemaining(r.key, p.leadership.cfg.Now())
 		run.Stopping = run.Stopping || stopping
 		if left > 0 {
 			run.LeftMS = max(left.Milliseconds(), minRemainingMS)
+			run.EstimateMS, run.ElapsedMS = 0, 0
 		}
 	}
 	if r.step.Checkpoints {
@@ -501,36 +508,6 @@
 	return st, ok
 }
 
-// removeSilentWorker commits the removal of a worker that has been silent for too
-// long, in the background. It does nothing while an earlier call for the worker has not
-// ended: each plan finds the worker silent until the removal is committed, and hundreds
-// of lost workers would otherwise be proposed again in each of them.
-func (l *Leadership) removeSilentWorker(w batch.Worker) {
-	l.removingMu.Lock()
-	defer l.removingMu.Unlock()
-	if l.removing[w.ID] {
-		return
-	}
-	l.removing[w.ID] = true
-	l.wg.Add(1)
-	go func() {
-		defer l.wg.Done()
-		l.commitRemoval(w)
-		l.removingMu.Lock()
-		defer l.removingMu.Unlock()
-		delete(l.removing, w.ID)
-	}()
-}
-
-func (l *Leadership) commitRemoval(w batch.Worker) {
-	if _, err := l.propose(&batch.Command{Worker: &batch.WorkerChange{Worker: w, Removed: true}}); err != nil {
-		l.log.Error(err, "silent worker could not be removed", "worker", w.ID)
-		return
-	}
-	l.cfg.Heartbeats.Forget(w.ID)
-	l.log.Info("silent worker removed", "worker", w.ID, "life", w.Incarnation)
-}
-
 // commitStarts commits the starts and sends those that were accepted.
 func (p *planner) commitStarts(starts []place.Placement) {
 	if len(starts) == 0 {
@@ -538,7 +515,7 @@
 	}
 	cmd := &batch.Starts{AtMS: p.leadership.cfg.TimeOfDayMS()}
 	nextRun := map[*place.Group]int{}
-	var placed []*place.Group
+	var placed []place.Placement
 	p.leadership.cfg.Machine.View(func(v *batch.View) {
 		for _, s := range starts {
 			j := v.Job(s.Group.Job, "")
@@ -557,7 +534,7 @@
 				run = nextRun[s.Group]
 			}
 			ref := batch.UnitRef{Job: j.ID, Occurrence: g.Occurrence, Step: g.Step, Index: s.Unit}
-			placed = append(placed, s.Group)
+			placed = append(placed, s)
 			cmd.Starts = append(cmd.Starts, batch.Start{Unit: ref, Run: run, Worker: s.Worker, Incarnation: w.Incarnation})
 		}
 	})
@@ -572,7 +549,7 @@
 	accepted, _ := result.([]bool)
 	for i, s := range cmd.Starts {
 		if i < len(accepted) && accepted[i] {
-			p.startRun(&s, placed[i], cmd.AtMS)
+			p.startRun(&s, &placed[i], cmd.AtMS)
 		} else {
 			p.leadership.log.Info("start rejected by the state machine", "job", s.Unit.Job, "unit", s.Unit, "run", s.Run, "worker", s.Worker)
 		}
@@ -580,7 +557,8 @@
 }
 
 // startRun sends the start of a newly recorded run to its worker.
-func (p *planner) startRun(s *batch.Start, pg *place.Group, atMS int64) {
+func (p *planner) startRun(s *batch.Start, placed *place.Placement, atMS int64) {
+	pg := placed.Group
 	var payload, checkpoint, customer string
 	ok := false
 	p.leadership.cfg.Machine.View(func(v *batch.View) {
@@ -601,7 +579,11 @@
 	if pg.Guaranteed {
 		guaranteedStartTime.Update(float64(waited) / 1000)
 	}
-	p.leadership.log.Info("run started", "job", s.Unit.Job, "unit", s.Unit, "run", s.Run, "worker", s.Worker, "life", s.Incarnation,
+	log := p.leadership.log
+	if placed.Speed > 0 {
+		log = log.WithValues("speed", math.Round(placed.Speed*100)/100)
+	}
+	log.Info("run started", "job", s.Unit.Job, "unit", s.Unit, "run", s.Run, "worker", s.Worker, "life", s.Incarnation,
 		"customer", customer, "accelerators", pg.Step.Need.Accelerators, "priority", pg.Priority, "guaranteed", pg.Guaranteed, "waitedMS", waited,
 		"workerHeardMS", a.timeSinceAnswer().Milliseconds(), "lastSeenMS", a.sinceLastSeenMS())
 	a.start(runKey{s.Unit, s.Run}, pg.Step.Need, payload, checkpoint)
--- a/internal/sched/place/bench_test.go
+++ b/internal/sched/place/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -47,19 +48,38 @@
 // BenchmarkDecide measures a decision during a burst while all workers are
 // busy. Its time bounds how fast runs are stopped for urgent batches.
 func BenchmarkDecide(b *testing.B) {
-	for _, n := range []int{48, 350, 6900} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			var took []time.Duration
-			for b.Loop() {
-				b.StopTimer()
-				s := fullSnapshot(n, 60)
-				b.StartTimer()
-				began := time.Now()
-				Decide(s)
-				took = append(took, time.Since(began))
-			}
-			slices.Sort(took)
-			b.ReportMetric(took[len(took)*99/100].Seconds()*1000, "ms-p99")
-		})
+	for _, size := range [][2]int{{48, 60}, {350, 60}, {350, 250}, {6900, 60}} {
+		for _, speeds := range []bool{false, true} {
+			b.Run(fmt.Sprintf("workers=%d/groups=%d/speeds=%t", size[0], size[1], speeds), func(b *testing.B) {
+				var took []time.Duration
+				for b.Loop() {
+					b.StopTimer()
+					s := fullSnapshot(size[0], size[1])
+					if speeds {
+						differ(rand.New(rand.NewPCG(3, 4)), s)
+					}
+					b.StartTimer()
+					began := time.Now()
+					Decide(s)
+					took = append(took, time.Since(began))
+				}
+				slices.Sort(took)
+				b.ReportMetric(took[len(took)*99/100].Seconds()*1000, "ms-p99")
+			})
+		}
+	}
+}
+
+// differ gives the workers of a snapshot speeds of 0.6, 1.0 and 1.6, and its groups targets.
+func differ(rnd *rand.Rand, s *Snapshot) {
+	s.SpeedSpread, s.UrgentSpeed = 0.4, 1/1.5
+	for _, w := range s.Workers {
+		w.Speed, w.SpeedSD = math.Log([]float64{0.6, 1, 1.6}[rnd.IntN(3)]), 0.05
+	}
+	for _, g := range s.Groups {
+		g.Step.EstimateMS = 500 + rnd.Int64N(8000)
+		g.LengthMS = g.Step.EstimateMS
+		g.SinceMS = s.NowMS - rnd.Int64N(1000)
+		g.CompleteByMS = g.SinceMS + 250 + g.LengthMS*3/2
 	}
 }
--- a/internal/sched/place/claim.go
+++ b/internal/sched/place/claim.go
@@ -59,7 +59,7 @@
 	for range n {
 		w.Free = w.Free.Add(g.Step.Need)
 	}
-	w.rack.free += max(w.Free.Accelerators, 0) - before
+	w.rack.addFree(w, max(w.Free.Accelerators, 0)-before)
 	g.UnitsOn[w.ID] -= n
 }
 
--- a/internal/sched/place/evict.go
+++ b/internal/sched/place/evict.go
@@ -106,7 +106,7 @@
 // returns the evictions and their cost; ok is false if it is impossible or costs
 // limit or more.
 func cheapestEviction(g *Group, set []*Worker, need int, limit int64) (evictions []*eviction, cost int64, ok bool) {
-	sortByFit(set)
+	sortByFit(g, set)
 	for _, w := range set {
 		e := &eviction{worker: w, free: freeAfterStops(w)}
 		e.units = min(unitsThatFit(g, w, e.free), need)
@@ -166,18 +166,18 @@
 	// The gang needs more than it claimed, so it chooses anew among all sets.
 	d.releaseClaims(g, g.Claims)
 	g.Claims = nil
-	best := cheapestSet(g, sets)
+	best := cheapestSet(g, sets, math.MaxInt64)
 	if best == nil && d.yieldClaims(g) {
-		best = cheapestSet(g, sets)
+		best = cheapestSet(g, sets, math.MaxInt64)
 	}
 	d.reserveAndStop(g, best)
 }
 
 // cheapestSet returns the evictions for a whole gang on the set of workers where the
-// least work is lost, or nil if it fits on none.
-func cheapestSet(g *Group, sets [][]*Worker) []*eviction {
+// least work is lost, or nil if it fits on none or costs limit or more.
+func cheapestSet(g *Group, sets [][]*Worker, limit int64) []*eviction {
 	var best []*eviction
-	bestCost := int64(math.MaxInt64)
+	bestCost := limit
 	for _, set := range sets {
 		if evictions, cost, ok := cheapestEviction(g, set, g.Total, bestCost); ok {
 			best, bestCost = evictions, cost
--- a/internal/sched/place/place.go
+++ b/internal/sched/place/place.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"teaselpaddle.example/teaselpaddle/internal/batch"
@@ -17,6 +18,12 @@
 	// Leaving are workers that have told when they leave. Nothing is placed on them.
 	Leaving []*Worker
 	Groups  []*Group
+	// SpeedSpread is the standard deviation of the log speeds between workers; 0 if workers
+	// are alike. With 0, speeds have no effect.
+	SpeedSpread float64
+	// UrgentSpeed is the speed that jobs of the most urgent queues need if they start at
+	// once; 0 if it is not known. Headroom is kept on workers of that speed.
+	UrgentSpeed float64
 }
 
 // Worker is a worker as last known to the leader.
@@ -37,12 +44,22 @@
 	Running []*Running
 	// LeavesInMS is the least time until a worker of Snapshot.Leaving leaves, ms.
 	LeavesInMS int64
+	Speed      float64 // natural logarithm of the speed against the typical worker; 0 if it is not known
+	SpeedSD    float64 // standard deviation of Speed; 0 if speeds are not measured
 
 	// Set by Decide.
 	rack         *rack
 	order        int        // position by id, so that decisions do not depend on map order
 	cachedByEnd  []*Running // Running, ordered by remainingMS
 	cachedByCost []*Running // Running, ordered as by runsByCost
+	// Set by prepareSpeeds.
+	fast          bool    // keeps headroom for urgent groups
+	unknown       bool    // the speed is not known
+	cautious      float64 // log speed less its standard deviation
+	class         int     // class of Speed
+	cautiousClass int     // class of cautious
+	speedRank     int     // rank for the group that is being placed
+	started       int     // units that the plan starts there
 }
 
 // rack is the workers of one rack.
@@ -51,6 +68,9 @@
 	workers []*Worker
 	free    int64 // accelerators
 	total   int64 // accelerators
+	// The same of the workers that keep headroom. They are all workers unless speeds differ.
+	fastFree  int64
+	fastTotal int64
 }
 
 // Running is a run that may be stopped in favour of a group.
@@ -64,6 +84,10 @@
 	Guaranteed bool
 	LostMS     int64 // work since the last checkpoint, ms
 	LeftMS     int64 // estimated time until it ends, ms
+	// EstimateMS is the caller's estimate of the duration, and ElapsedMS the time that the
+	// run has taken so far, if LeftMS follows from them; 0 if it follows from progress.
+	EstimateMS int64
+	ElapsedMS  int64
 	// Checkpoints is set if the run saves its work when it is stopped.
 	Checkpoints bool
 	Stopping    bool
@@ -86,6 +110,7 @@
 	Guaranteed   bool  // within its customer's guaranteed accelerators
 	SinceMS      int64 // when the step became due, Unix ms
 	CompleteByMS int64 // Unix ms by which the job should be completed
+	LengthMS     int64 // estimated duration of the longest chain of steps that begins with this one, ms
 	Seq          uint64
 	Waiting      []int // unit indexes
 	Total        int
@@ -94,6 +119,8 @@
 	// Claims is the space that waits for its units: in a snapshot that of the last plan,
 	// after Decide that of this one.
 	Claims []Claim
+
+	pace pace // set by Decide
 }
 
 // Placement is a unit and its worker.
@@ -101,6 +128,7 @@
 	Group  *Group
 	Unit   int
 	Worker string
+	Speed  float64 // speed of the worker if the choice depended on it; otherwise 0
 }
 
 // Plan is the result of a decision. The placements of one group are
@@ -141,6 +169,7 @@
 
 type decision struct {
 	snapshot         *Snapshot
+	speeds           bool // workers differ in speed
 	plan             Plan
 	idle             bool
 	racks            map[string]*rack
@@ -206,6 +235,7 @@
 			}
 		}
 	}
+	d.prepareSpeeds()
 	used := func(f, a int64) float64 { return 1 - float64(f)/float64(max(a, 1)) }
 	d.idle = max(used(free.Accelerators, all.Accelerators), used(free.CPU, all.CPU), used(free.MemoryMB, all.MemoryMB)) < idleShare
 	for _, w := range d.snapshot.Workers {
@@ -253,6 +283,8 @@
 		return
 	}
 	candidates := d.candidates(g)
+	g.pace = d.paceOf(g, candidates)
+	d.limitToClaims(g)
 	if g.Step.Gang {
 		d.placeGang(g, candidates)
 		return
@@ -275,11 +307,14 @@
 	workers []*Worker
 	racks   []*rack // in the order in which their first worker stands in workers
 	byRack  map[*rack][]*Worker
+	// Lowest and highest cautious log speed.
+	slowest, fastest float64
 }
 
 func newCandidateSet(workers []*Worker) *candidateSet {
-	c := &candidateSet{workers: workers, byRack: map[*rack][]*Worker{}}
+	c := &candidateSet{workers: workers, byRack: map[*rack][]*Worker{}, slowest: math.Inf(1), fastest: math.Inf(-1)}
 	for _, w := range workers {
+		c.slowest, c.fastest = min(c.slowest, w.cautious), max(c.fastest, w.cautious)
 		if c.byRack[w.rack] == nil {
 			c.racks = append(c.racks, w.rack)
 		}
@@ -348,14 +383,18 @@
 	return d.snapshot.NowMS-g.SinceMS < limit
 }
 
-// sortByFit sorts workers so that suspect ones come last, and otherwise full
-// workers on full racks come first: small units fill partly used workers and
-// leave whole workers and racks to gangs.
-func sortByFit(workers []*Worker) {
+// sortByFit sorts workers so that suspect ones come last, then by speed for a group
+// (see rankBySpeed), and otherwise full workers on full racks come first: small units
+// fill partly used workers and leave whole workers and racks to gangs.
+func sortByFit(g *Group, workers []*Worker) {
+	rankBySpeed(g, workers)
 	slices.SortFunc(workers, func(a, b *Worker) int {
 		if a.Suspect != b.Suspect {
 			return btoi(a.Suspect) - btoi(b.Suspect)
 		}
+		if a.speedRank != b.speedRank {
+			return a.speedRank - b.speedRank
+		}
 		if a.rack != b.rack {
 			if c := cmp.Compare(a.rack.free, b.rack.free); c != 0 {
 				return c
@@ -397,8 +436,8 @@
 }
 
 // headroom returns the number of accelerators of the rack that are kept free of
-// the least urgent units.
-func (r *rack) headroom() int64 { return int64(headroomShare * float64(r.total)) }
+// the least urgent units, on workers that are fast enough for urgent gangs.
+func (r *rack) headroom() int64 { return min(int64(headroomShare*float64(r.total)), r.fastTotal) }
 
 // leavesHeadroom reports whether units of a group must not use the headroom of
 // a rack. This does not apply to units that would not fit into the rack beside
@@ -416,23 +455,34 @@
 // Units of the least urgent steps leave some accelerators of each rack to
 // urgent gangs.
 func (d *decision) startUnits(g *Group, workers []*Worker, left []int) []int {
-	sortByFit(workers)
+	left = d.startOnUnknown(g, workers, left)
+	sortByFit(g, workers)
 	for _, w := range workers {
-		n := min(unitsThatFit(g, w, w.Free), len(left))
-		if n > 0 && d.leavesHeadroom(g, w.rack) {
-			n = min(n, int(max(w.rack.free-w.rack.headroom(), 0)/g.Step.Need.Accelerators))
-		}
-		for _, i := range left[:n] {
-			d.startUnit(g, i, w)
-		}
-		left = left[n:]
+		left = d.startOn(g, w, left, len(left))
 	}
 	return left
 }
 
+// startOn starts at most limit units on a worker while they fit, and returns the rest.
+func (d *decision) startOn(g *Group, w *Worker, left []int, limit int) []int {
+	n := min(unitsThatFit(g, w, w.Free), len(left), limit)
+	if n > 0 && w.fast && d.leavesHeadroom(g, w.rack) {
+		n = min(n, int(max(w.rack.fastFree-w.rack.headroom(), 0)/g.Step.Need.Accelerators))
+	}
+	for _, i := range left[:n] {
+		d.startUnit(g, i, w)
+	}
+	return left[n:]
+}
+
 func (d *decision) startUnit(g *Group, unit int, w *Worker) {
 	d.reserve(g, w, 1)
-	d.plan.Starts = append(d.plan.Starts, Placement{Group: g, Unit: unit, Worker: w.ID})
+	w.started++
+	p := Placement{Group: g, Unit: unit, Worker: w.ID}
+	if g.pace.decisive {
+		p.Speed = math.Exp(w.Speed)
+	}
+	d.plan.Starts = append(d.plan.Starts, p)
 }
 
 // reserve takes the resources of n units on a worker.
@@ -441,13 +491,21 @@
 	for range n {
 		w.Free = w.Free.Sub(g.Step.Need)
 	}
-	w.rack.free -= before - max(w.Free.Accelerators, 0)
+	w.rack.addFree(w, max(w.Free.Accelerators, 0)-before)
 	if g.UnitsOn == nil {
 		g.UnitsOn = map[string]int{}
 	}
 	g.UnitsOn[w.ID] += n
 }
 
+// addFree records that the free accelerators of one of the rack's workers have changed.
+func (r *rack) addFree(w *Worker, n int64) {
+	r.free += n
+	if w.fast {
+		r.fastFree += n
+	}
+}
+
 // placeGang places all units or none.
 func (d *decision) placeGang(g *Group, candidates *candidateSet) {
 	if len(g.Waiting) < g.Total {
@@ -455,10 +513,12 @@
 		return // units of the last run have not ended yet
 	}
 	sets := d.gangSets(g, candidates)
+	if d.speeds && d.placeGangBySpeed(g, nearestSets(g, sets, candidates)) {
+		return
+	}
 	for _, set := range sets {
 		if d.fits(g, set, func(w *Worker) batch.Resources { return w.Free }) {
-			d.startUnits(g, set, g.Waiting)
-			g.Claims = nil
+			d.startGang(g, set)
 			return
 		}
 	}
@@ -470,6 +530,12 @@
 	d.reserveForGang(g, sets)
 }
 
+// startGang starts all units of a gang on a set of workers where they fit.
+func (d *decision) startGang(g *Group, set []*Worker) {
+	d.startUnits(g, set, g.Waiting)
+	g.Claims = nil
+}
+
 // gangSets returns the sets of workers on which a gang may run, best first.
 func (d *decision) gangSets(g *Group, candidates *candidateSet) [][]*Worker {
 	workers := candidates.workers
@@ -487,10 +553,9 @@
 		)
 	})
 	var sets [][]*Worker
-	whole := func(w *Worker) batch.Resources { return w.Capacity }
 	waitsForLocality := d.waitsForLocality(g)
 	for _, r := range racks {
-		if d.fits(g, candidates.byRack[r], whole) && (r.name == g.Step.DataRack || g.Step.DataRack == "" || !waitsForLocality) {
+		if d.fits(g, candidates.byRack[r], wholeCapacity) && (r.name == g.Step.DataRack || g.Step.DataRack == "" || !waitsForLocality) {
 			sets = append(sets, candidates.byRack[r])
 		}
 	}
@@ -510,3 +575,5 @@
 	}
 	return false
 }
+
+func wholeCapacity(w *Worker) batch.Resources { return w.Capacity }
--- a/internal/sched/place/reserve.go
+++ b/internal/sched/place/reserve.go
@@ -23,7 +23,7 @@
 }
 
 // reserveForGang reserves the set of slots that is expected to be free first
-// for a gang.
+// for a gang. If workers differ in speed, it is the set on which the gang completes first.
 func (d *decision) reserveForGang(g *Group, sets [][]*Worker) {
 	if d.gangReservations == maxGangReservations {
 		return
@@ -32,12 +32,13 @@
 	var best []slot
 	bestAt := int64(math.MaxInt64)
 	for _, set := range sets {
-		slots := d.earliestSlots(g, set)
-		if len(slots) < g.Total {
-			continue
-		}
-		if at := slots[g.Total-1].freeInMS; at < bestAt {
-			best, bestAt = slots[:g.Total], at
+		for _, slots := range d.slotChoices(g, d.earliestSlots(g, set)) {
+			if len(slots) < g.Total {
+				continue
+			}
+			if at := finishMS(g, slots[:g.Total]); at < bestAt {
+				best, bestAt = slots[:g.Total], at
+			}
 		}
 	}
 	for _, s := range best {
@@ -65,10 +66,6 @@
 // reserved for other groups are left out, as they are part of neither Free nor
 // Running.
 func (d *decision) slotsOn(g *Group, w *Worker) []slot {
-	if w.cachedByEnd == nil {
-		w.cachedByEnd = slices.Clone(w.Running)
-		slices.SortStableFunc(w.cachedByEnd, func(a, b *Running) int { return cmp.Compare(remainingMS(a), remainingMS(b)) })
-	}
 	free := w.Free
 	if !w.Capacity.Fits(g.Step.Need) {
 		return nil
@@ -78,7 +75,7 @@
 	for i := range out {
 		out[i] = slot{worker: w}
 	}
-	for _, r := range w.cachedByEnd {
+	for _, r := range runsByEnd(w) {
 		free = free.Add(r.Need)
 		for more := unitsThatFit(g, w, free) - len(out); more > 0; more-- {
 			out = append(out, slot{worker: w, freeInMS: remainingMS(r)})
@@ -87,6 +84,15 @@
 	return out
 }
 
+// runsByEnd returns a worker's runs, the first to end first.
+func runsByEnd(w *Worker) []*Running {
+	if w.cachedByEnd == nil {
+		w.cachedByEnd = slices.Clone(w.Running)
+		slices.SortStableFunc(w.cachedByEnd, func(a, b *Running) int { return cmp.Compare(remainingMS(a), remainingMS(b)) })
+	}
+	return w.cachedByEnd
+}
+
 // typicalStopMS is the time that a stop in progress usually still takes.
 const typicalStopMS = 500
 
