--- a/internal/sched/place/evict.go
+++ b/internal/sched/place/evict.go
@@ -166,18 +166,17 @@
 	// The gang needs more than it claimed, so it chooses anew among all sets.
 	d.releaseClaims(g, g.Claims)
 	g.Claims = nil
-	best := cheapestSet(g, sets, math.MaxInt64)
+	best, _ := cheapestSet(g, sets, math.MaxInt64)
 	if best == nil && d.yieldClaims(g) {
-		best = cheapestSet(g, sets, math.MaxInt64)
+		best, _ = cheapestSet(g, sets, math.MaxInt64)
 	}
 	d.reserveAndStop(g, best)
 }
 
 // cheapestSet returns the evictions for a whole gang on the set of workers where the
-// least work is lost, or nil if it fits on none or costs limit or more.
-func cheapestSet(g *Group, sets [][]*Worker, limit int64) []*eviction {
-	var best []*eviction
-	bestCost := limit
+// least work is lost and their cost, or nil if it fits on none or costs limit or more.
+func cheapestSet(g *Group, sets [][]*Worker, limit int64) (best []*eviction, bestCost int64) {
+	bestCost = limit
 	for _, set := range sets {
 		if evictions, cost, ok := cheapestEviction(g, set, g.Total, bestCost); ok {
 			best, bestCost = evictions, cost
@@ -186,7 +185,7 @@
 			break
 		}
 	}
-	return best
+	return best, bestCost
 }
 
 // reserveAndStop claims the space for a group that waits for stops, and orders
--- a/internal/sched/place/finish.go
+++ b/internal/sched/place/finish.go
@@ -50,9 +50,9 @@
 		finish = scaledMS(length, float64(bottom)*speedStep)
 	}
 	var stops []*eviction
-	atNeed := scaledMS(length, g.pace.needed)
-	if g.Priority == 0 && typicalStopMS+atNeed < finish {
-		if stops = cheapestSet(g, fast, stopLimit(g, slow)); stops != nil {
+	onFast := scaledMS(length, slowestIn(fast))
+	if g.Priority == 0 && typicalStopMS+onFast < finish {
+		if stops, _ = cheapestSet(g, fast, stopLimit(g, slow, sets)); stops != nil {
 			finish = typicalStopMS + scaledMS(length, slowestOf(stops))
 		}
 	}
@@ -64,7 +64,7 @@
 		finish = typicalStopMS + scaledMS(length, slowestIn(sets))
 	}
 	switch {
-	case finish > atNeed && d.waitForFast(g, fast, finish-atNeed):
+	case finish > onFast && d.waitForFast(g, fast, finish-onFast):
 		d.plan.Unplaced = append(d.plan.Unplaced, g)
 	case stops != nil:
 		d.plan.Unplaced = append(d.plan.Unplaced, g)
@@ -77,14 +77,17 @@
 	return true
 }
 
-// stopLimit bounds the work that may be lost by stops on fast workers for a gang. One that
-// could start on slow workers must not cost others more than its own work.
-func stopLimit(g *Group, slow []*Worker) int64 {
-	if slow == nil {
-		return math.MaxInt64
-	}
-	own := lostWork(&Running{Need: g.Step.Need, Priority: g.Priority, LostMS: g.Step.EstimateMS})
-	return int64(g.Total) * own
+// stopLimit bounds the work that may be lost by stops on fast workers for a gang: beyond
+// what it costs others if it takes any workers, at most its own work.
+func stopLimit(g *Group, slow []*Worker, sets [][]*Worker) int64 {
+	own := int64(g.Total) * lostWork(&Running{Need: g.Step.Need, Priority: g.Priority, LostMS: g.Step.EstimateMS})
+	if slow != nil {
+		return own
+	}
+	if stops, cost := cheapestSet(g, sets, math.MaxInt64); stops != nil {
+		return cost + own
+	}
+	return 0
 }
 
 // slowestOf returns the lowest cautious log speed of the workers chosen for units.
--- a/internal/sched/place/place.go
+++ b/internal/sched/place/place.go
@@ -19,7 +19,7 @@
 	Leaving []*Worker
 	Groups  []*Group
 	// SpeedSpread is the standard deviation of the log speeds between workers; 0 if workers
-	// are alike. With 0, speeds have no effect.
+	// are alike. Below minSpread, speeds have no effect.
 	SpeedSpread float64
 	// UrgentSpeed is the speed that jobs of the most urgent queues need if they start at
 	// once; 0 if it is not known. Headroom is kept on workers of that speed.
@@ -53,13 +53,12 @@
 	cachedByEnd  []*Running // Running, ordered by remainingMS
 	cachedByCost []*Running // Running, ordered as by runsByCost
 	// Set by prepareSpeeds.
-	fast          bool    // keeps headroom for urgent groups
-	unknown       bool    // the speed is not known
-	cautious      float64 // log speed less its standard deviation
-	class         int     // class of Speed
-	cautiousClass int     // class of cautious
-	speedRank     int     // rank for the group that is being placed
-	started       int     // units that the plan starts there
+	fast      bool    // keeps headroom for urgent groups
+	unknown   bool    // the speed is not known
+	cautious  float64 // log speed less its standard deviation
+	class     int     // class of cautious
+	speedRank int     // rank for the group that is being placed
+	started   int     // units that the plan starts there
 }
 
 // rack is the workers of one rack.
--- a/internal/sched/place/speed.go
+++ b/internal/sched/place/speed.go
@@ -14,6 +14,9 @@
 	// neededMargin is kept between the needed and the estimated speed for the start of
 	// the run and for differences between units.
 	neededMargin = 1.15
+	// minSpread is the spread between workers below which they count as alike. Two standard
+	// deviations are within neededMargin then.
+	minSpread = 0.07
 	// estimateError is the factor by which callers' estimates of a duration are wrong at
 	// most, e^0.9.
 	estimateError = 2.46
@@ -50,23 +53,25 @@
 // all workers are in one class and meet every need.
 func (d *decision) prepareSpeeds() {
 	s := d.snapshot
-	d.speeds = s.SpeedSpread > 0
-	urgent := math.Inf(-1)
-	if s.UrgentSpeed > 0 {
-		urgent = math.Log(neededMargin * s.UrgentSpeed)
-	}
+	d.speeds = s.SpeedSpread >= minSpread
 	for _, w := range s.Workers {
-		w.fast, w.class, w.cautious, w.cautiousClass, w.speedRank, w.unknown, w.started = true, 0, 0, 0, 0, false, 0
+		w.fast, w.class, w.cautious, w.speedRank, w.unknown, w.started = true, 0, 0, 0, false, 0
 		if d.speeds {
 			sd := s.deviation(w)
 			w.cautious = w.Speed - sd
-			w.class, w.cautiousClass = classOf(w.Speed), classOf(w.cautious)
+			w.class = classOf(w.cautious)
 			w.unknown = sd >= unknownShare*s.SpeedSpread
-			w.fast = w.Speed >= urgent
 		}
-		if w.fast {
-			w.rack.fastFree += max(w.Free.Accelerators, 0)
-			w.rack.fastTotal += w.Capacity.Accelerators
+	}
+	for _, r := range d.racks {
+		if d.speeds && s.UrgentSpeed > 0 {
+			r.chooseFast(math.Log(neededMargin * s.UrgentSpeed))
+		}
+		for _, w := range r.workers {
+			if w.fast {
+				r.fastFree += max(w.Free.Accelerators, 0)
+				r.fastTotal += w.Capacity.Accelerators
+			}
 		}
 	}
 	if d.speeds {
@@ -74,6 +79,23 @@
 	}
 }
 
+// chooseFast chooses the workers of a rack on which headroom is kept: those that are known
+// to meet the need of urgent work, and if they are too few, those of unknown speed as well.
+func (r *rack) chooseFast(urgent float64) {
+	var known int64
+	for _, w := range r.workers {
+		if w.fast = !w.unknown && w.cautious >= urgent; w.fast {
+			known += w.Capacity.Accelerators
+		}
+	}
+	if float64(known) >= headroomShare*float64(r.total) {
+		return
+	}
+	for _, w := range r.workers {
+		w.fast = w.fast || w.unknown
+	}
+}
+
 // deviation returns the standard deviation of a worker's log speed. That of a worker
 // without observations is the spread between workers.
 func (s *Snapshot) deviation(w *Worker) float64 {
@@ -151,7 +173,8 @@
 
 // rankBySpeed sets the rank of workers for a group: those that meet its need come first,
 // the slowest of them first, so that the fast ones stay free for groups that need them.
-// The others follow, the fastest first.
+// The others follow, the fastest first. The cautious speed counts, because a worker of
+// unknown speed is of no use to a group that needs a fast one.
 func rankBySpeed(g *Group, workers []*Worker) {
 	for _, w := range workers {
 		switch {
@@ -160,7 +183,7 @@
 		case w.cautious >= g.pace.needed:
 			w.speedRank = w.class
 		default:
-			w.speedRank = 3*maxClass - w.cautiousClass
+			w.speedRank = 3*maxClass - w.class
 		}
 	}
 }
@@ -240,7 +263,7 @@
 	var counts classCounts
 	for _, w := range set {
 		if !w.Suspect {
-			counts[w.cautiousClass+maxClass] += unitsThatFit(g, w, w.Free)
+			counts[w.class+maxClass] += unitsThatFit(g, w, w.Free)
 		}
 	}
 	n := 0
