--- a/internal/batch/length_test.go
+++ b/internal/batch/length_test.go
@@ -6,13 +6,15 @@
 	"github.com/matryer/is"
 )
 
-// Guards against a step that seems to have time left although steps after it have not.
-func TestFollowingMS(t *testing.T) {
+// Guards against a later step of a job that counts the steps before it, or one that does
+// not count those that follow, when its time left is compared with its length.
+func TestLengthFromStep(t *testing.T) {
 	is := is.New(t)
 	j := &Job{Spec: Spec{Steps: []Step{
-		{EstimateMS: 10}, {EstimateMS: 5, DependsOn: []int{0}}, {EstimateMS: 100}, {EstimateMS: 7, DependsOn: []int{1}}, {EstimateMS: 8, DependsOn: []int{0}},
+		{EstimateMS: 1000}, {EstimateMS: 200, DependsOn: []int{0}}, {EstimateMS: 500, DependsOn: []int{0}}, {EstimateMS: 30, DependsOn: []int{1}},
 	}}}
-	for step, want := range []int64{12, 7, 0, 0, 0} {
-		is.Equal(j.FollowingMS(step), want)
+	for step, want := range []int64{1500, 230, 500, 30} {
+		is.Equal(j.LengthFromMS(step), want)
 	}
+	is.Equal(j.LengthFromMS(0), j.LengthMS())
 }
--- a/internal/sched/place/economical.go
+++ b/internal/sched/place/economical.go
@@ -50,13 +50,10 @@
 	lengthMargin = 1.15
 )
 
-// lengthMS returns the estimated time from the start of a group to the end of its job.
-func (g *Group) lengthMS() int64 { return g.Step.EstimateMS + g.AfterMS }
-
 // longestWaitMS returns for how long a group can still wait for its start without being
 // late, or less than 0 if it cannot wait.
 func (d *decision) longestWaitMS(g *Group) int64 {
-	wait := g.CompleteByMS - d.snapshot.NowMS - int64(lengthMargin*float64(g.lengthMS()))
+	wait := g.CompleteByMS - d.snapshot.NowMS - int64(lengthMargin*float64(g.LengthMS))
 	if g.Guaranteed {
 		wait = min(wait, g.SinceMS+guaranteedWaitMS-d.snapshot.NowMS)
 	}
@@ -86,7 +83,7 @@
 	if longest < 0 {
 		return false
 	}
-	slots, _ := d.earliestSet(g, sets, longest)
+	slots := d.earliestSet(g, sets, longest)
 	if slots == nil {
 		return false
 	}
@@ -128,7 +125,7 @@
 	}
 	d.urgentWaits++
 	if g.Step.Gang {
-		slots, _ := d.earliestSet(g, sets, math.MaxInt64)
+		slots := d.earliestSet(g, sets, math.MaxInt64)
 		d.awaitSlots(g, slots)
 		return
 	}
--- a/internal/sched/place/economical_test.go
+++ b/internal/sched/place/economical_test.go
@@ -13,7 +13,7 @@
 // within 1.5 times that and 250 ms.
 func urgentGang(job string, n int, sinceMS int64) *Group {
 	g := gang(group(job, 0, n, large, uint64(sinceMS)))
-	g.Step.EstimateMS = 2500
+	g.Step.EstimateMS, g.LengthMS = 2500, 2500
 	g.SinceMS, g.CompleteByMS = sinceMS, sinceMS+2500*3/2+250
 	return g
 }
--- a/internal/sched/place/evict.go
+++ b/internal/sched/place/evict.go
@@ -150,7 +150,7 @@
 // evictionsOn returns an eviction without stops for each worker of a set, with up to need
 // units that fit once the stops in progress have ended, and the number of the others.
 func (d *decision) evictionsOn(g *Group, set []*Worker, need int) ([]*eviction, int) {
-	sortByFit(set)
+	sortByFit(g, set)
 	evictions := make([]*eviction, 0, len(set))
 	var chosen map[string]bool
 	if d.snapshot.Preemption == Economical {
@@ -227,9 +227,10 @@
 	if d.awaitGang(g, sets) {
 		return
 	}
-	best := d.cheapestSet(g, sets)
+	limit := d.stopLimit(g, g.Total)
+	best, _ := d.cheapestSet(g, sets, limit)
 	if best == nil && d.yieldClaims(g) {
-		best = d.cheapestSet(g, sets)
+		best, _ = d.cheapestSet(g, sets, limit)
 	}
 	if best == nil && g.Guaranteed && len(d.snapshot.Cordoned) > 0 {
 		// Guaranteed runs fill the room beside the cordoned zones. Without a reservation,
@@ -245,10 +246,9 @@
 }
 
 // cheapestSet returns the evictions for a whole gang on the set of workers where the
-// least work is lost, or nil if it fits on none or the stops lose too much.
-func (d *decision) cheapestSet(g *Group, sets [][]*Worker) []*eviction {
-	var best []*eviction
-	bestCost := d.stopLimit(g, g.Total)
+// least work is lost and their cost, or nil if it fits on none or costs limit or more.
+func (d *decision) cheapestSet(g *Group, sets [][]*Worker, limit int64) (best []*eviction, bestCost int64) {
+	bestCost = limit
 	for _, set := range sets {
 		if evictions, cost, ok := d.cheapestEviction(g, set, g.Total, bestCost); ok {
 			best, bestCost = evictions, cost
@@ -257,7 +257,7 @@
 			break
 		}
 	}
-	return best
+	return best, bestCost
 }
 
 // reserveAndStop claims the space for a group that waits for stops, and orders
--- a/internal/sched/place/reserve.go
+++ b/internal/sched/place/reserve.go
@@ -23,33 +23,33 @@
 }
 
 // reserveForGang reserves the set of slots that is expected to be free first
-// for a gang.
+// for a gang. If workers differ in speed, it is the set on which the gang completes first.
 func (d *decision) reserveForGang(g *Group, sets [][]*Worker) {
 	if d.gangReservations == maxGangReservations {
 		return
 	}
 	d.gangReservations++
-	best, _ := d.earliestSet(g, sets, math.MaxInt64)
+	best := d.earliestSet(g, sets, math.MaxInt64)
 	for _, s := range best {
 		d.reserve(g, s.worker, 1)
 	}
 }
 
-// earliestSet returns the slots for a gang on the set of workers where they are expected to
-// be free first, and when that is, ms from now. It returns nil if the gang fits on none
-// within the given time from now, ms.
-func (d *decision) earliestSet(g *Group, sets [][]*Worker, withinMS int64) (best []slot, at int64) {
-	at = math.MaxInt64
+// earliestSet returns the slots for a gang on the set of workers where it is expected to
+// complete first. It returns nil if the gang fits on none within the given time from now, ms.
+func (d *decision) earliestSet(g *Group, sets [][]*Worker, withinMS int64) (best []slot) {
+	bestAt := int64(math.MaxInt64)
 	for _, set := range sets {
-		slots := d.earliestSlots(g, set, withinMS)
-		if len(slots) < g.Total {
-			continue
-		}
-		if t := slots[g.Total-1].freeInMS; t < at {
-			best, at = slots[:g.Total], t
+		for _, slots := range d.slotChoices(g, d.earliestSlots(g, set, withinMS)) {
+			if len(slots) < g.Total {
+				continue
+			}
+			if at := finishMS(g, slots[:g.Total]); at < bestAt {
+				best, bestAt = slots[:g.Total], at
+			}
 		}
 	}
-	return best, at
+	return best
 }
 
 // earliestSlots returns the slots for units of a group on a set of workers that are free
@@ -72,10 +72,6 @@
 // reserved for other groups are left out, as they are part of neither Free nor
 // Running.
 func (d *decision) appendSlots(out []slot, g *Group, w *Worker, withinMS int64) []slot {
-	if w.cachedByEnd == nil {
-		w.cachedByEnd = slices.Clone(w.Running)
-		slices.SortStableFunc(w.cachedByEnd, func(a, b *Running) int { return cmp.Compare(remainingMS(a), remainingMS(b)) })
-	}
 	free := w.Free
 	if !w.Capacity.Fits(g.Step.Need) {
 		return out
@@ -84,7 +80,7 @@
 	for range unitsThatFit(g, w, free) {
 		out = append(out, slot{worker: w})
 	}
-	for _, r := range w.cachedByEnd {
+	for _, r := range runsByEnd(w) {
 		if remainingMS(r) > withinMS {
 			break
 		}
@@ -96,6 +92,15 @@
 	return out
 }
 
+// runsByEnd returns a worker's runs, the first to end first.
+func runsByEnd(w *Worker) []*Running {
+	if w.cachedByEnd == nil {
+		w.cachedByEnd = slices.Clone(w.Running)
+		slices.SortStableFunc(w.cachedByEnd, func(a, b *Running) int { return cmp.Compare(remainingMS(a), remainingMS(b)) })
+	}
+	return w.cachedByEnd
+}
+
 // typicalStopMS is the time that a stop in progress usually still takes.
 const typicalStopMS = 500
 
