--- a/internal/cli/batch.go
+++ b/internal/cli/batch.go
@@ -18,17 +18,20 @@
 )
 
 type batchCmd struct {
-	Publish *batchPublishCmd `arg:"subcommand:publish" help:"put a configuration in force"`
-	Config  *batchConfigCmd  `arg:"subcommand:config" help:"show the configuration in force"`
-	Submit  *batchSubmitCmd  `arg:"subcommand:submit" help:"submit a job"`
-	Status  *batchStatusCmd  `arg:"subcommand:status" help:"show a job"`
-	Cancel  *batchCancelCmd  `arg:"subcommand:cancel" help:"cancel a job"`
-	Pending *batchPendingCmd `arg:"subcommand:pending" help:"count the jobs of a queue that have not started"`
-	Workers *batchWorkersCmd `arg:"subcommand:workers" help:"list the workers"`
+	Publish  *batchPublishCmd  `arg:"subcommand:publish" help:"put a configuration in force"`
+	Config   *batchConfigCmd   `arg:"subcommand:config" help:"show the configuration in force"`
+	Submit   *batchSubmitCmd   `arg:"subcommand:submit" help:"submit a job"`
+	Status   *batchStatusCmd   `arg:"subcommand:status" help:"show a job"`
+	Cancel   *batchCancelCmd   `arg:"subcommand:cancel" help:"cancel a job"`
+	Pending  *batchPendingCmd  `arg:"subcommand:pending" help:"count the jobs of a queue that have not started"`
+	Workers  *batchWorkersCmd  `arg:"subcommand:workers" help:"list the workers"`
+	Zones    *batchZonesCmd    `arg:"subcommand:zones" help:"list the availability zones"`
+	Cordon   *batchCordonCmd   `arg:"subcommand:cordon" help:"start nothing more on the workers of an availability zone"`
+	Uncordon *batchUncordonCmd `arg:"subcommand:uncordon" help:"use the workers of a cordoned availability zone again"`
 }
 
 func (c *batchCmd) run(context.Context, *env) error {
-	return &UsageError{Detail: "batch requires a subcommand: publish, config, submit, status, cancel, pending or workers"}
+	return &UsageError{Detail: "batch requires a subcommand: publish, config, submit, status, cancel, pending, workers, zones, cordon or uncordon"}
 }
 
 // readJSON reads a file of JSON with comments and returns it as plain JSON.
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -95,6 +95,7 @@
 	noConfig        = `{"code":"no_configuration","detail":"no configuration was accepted yet"}`
 	inForce         = `{"zones":[{"availability_zone":"z1","status":{"config":{"version":2}}}]}`
 	conflict        = `{"code":"version_conflict","detail":"version 2 is accepted, not 1: version 2 by \"x\" at 2026-05-01T12:00:00Z changed desk"}`
+	zoneCordoned    = `{"name":"z1","cordoned":true,"generation":3,"since":"2026-05-01T12:00:00Z","by":"10.0.9.1 through c1","workers":3,"runs":5}`
 	outcomeUnknown  = `{"code":"outcome_unknown","detail":"the configuration group did not answer"}`
 )
 
@@ -155,6 +156,10 @@
 		{"batch-pending", single("GET /v1/queues/q", 200, `{"queue":"q","pending":12}`), 0, "batch pending q"},
 		{"batch-publish", single("PUT /v1/config", 200, `{"version":1,"queues":[{"name":"q","service":"s","priority":2,"max_attempts":4,"stretch":3}],"services":[{"name":"s"}],"customers":[{"name":"a","keys":["k"],"guaranteed_accelerators":16}]}`), 0, "batch publish ../../examples/region/config.jsonc"},
 		{"batch-workers", single("GET /v1/workers", 200, `[{"name":"w1","life":1,"address":"127.0.0.1:1","service":"s","availability_zone":"z1","rack":"r1","capacity":{"accelerators":8},"runs":2}]`), 0, "batch workers"},
+		{"batch-zones", single("GET /v1/zones", 200, `[`+zoneCordoned+`,{"name":"z2","cordoned":false,"generation":0,"workers":4,"runs":7}]`), 0, "batch zones"},
+		{"batch-cordon", map[string][]cannedReply{"PUT /v1/zones/z1/cordon": {{0, ""}, {200, zoneCordoned}}}, 0, "batch cordon z1"},
+		{"batch-uncordon-overtaken", single("DELETE /v1/zones/z1/cordon", 503, `{"code":"overtaken","detail":"the zone was changed by another order at the same time"}`), 1, "batch uncordon z1"},
+		{"batch-cordon-unknown", single("PUT /v1/zones/z9/cordon", 404, `{"code":"unknown_zone","detail":"the zone is not in the settings and no worker has announced it"}`), 1, "batch cordon z9"},
 		{"replay", nil, 1, "replay testdata/none.trace"},
 		{"usage", nil, 2, "submit --customer a"},
 		{"no-command", nil, 2, ""},
--- a/internal/daemon/region.go
+++ b/internal/daemon/region.go
@@ -36,7 +36,7 @@
 	var control *region.Control
 	if self.Disk {
 		control, err = region.OpenControl(region.ControlConfig{
-			Self: s.Name, Seeds: s.WithDisk(), Form: s.FirstStart, DiskLosses: (len(s.WithDisk()) - 1) / 2, DataFolder: s.DataFolder, Peers: links,
+			Self: s.Name, Seeds: s.WithDisk(), Form: s.FirstStart, DiskLosses: (len(s.WithDisk()) - 1) / 2, DataFolder: s.DataFolder, Zones: s.Zones(), Peers: links,
 			Client: workerapi.NewUnitHTTPClient(), MaxLease: time.Duration(s.LeaseSeconds * float64(time.Second)), Log: log,
 		}, router)
 		if err != nil {
--- a/internal/httpapi/problem.go
+++ b/internal/httpapi/problem.go
@@ -42,6 +42,7 @@
 	model.ReasonTimeout:          http.StatusRequestTimeout,
 	model.ReasonStaleFence:       http.StatusConflict,
 	model.ReasonStaleTerm:        http.StatusConflict,
+	model.ReasonUnknownZone:      http.StatusNotFound,
 }
 
 // defaultRetryAfter is the Retry-After of refusals that carry none of their own.
@@ -53,6 +54,7 @@
 	model.ReasonStopping:         time.Second, // another instance takes over
 	model.ReasonOutcomeUnknown:   2 * time.Second,
 	model.ReasonNoLeader:         2 * time.Second, // longer than an election
+	model.ReasonOvertaken:        time.Second,     // until the opposite order is acknowledged
 }
 
 // withoutState removes the job state from a refusal of a request that does not
--- a/internal/httpapi/region.go
+++ b/internal/httpapi/region.go
@@ -66,6 +66,9 @@
 		r.Put("/v1/config", a.publish)
 		r.Get("/v1/config", a.getConfig)
 		r.Get("/v1/workers", a.listWorkers)
+		r.Get("/v1/zones", a.listZones)
+		r.Put("/v1/zones/{zone}/cordon", a.setCordon(true))
+		r.Delete("/v1/zones/{zone}/cordon", a.setCordon(false))
 	})
 	r.Group(func(r chi.Router) {
 		r.Use(limitConcurrency(maxWorkerRequests))
@@ -243,6 +246,12 @@
 	batch.NoJob:       func() *model.Refusal { return model.Refuse(model.ReasonNotFound, "the job is not known") },
 	batch.IDInUse:     func() *model.Refusal { return model.Refuse(model.ReasonKeyConflict, "the id or version is in use") },
 	batch.QueueClosed: func() *model.Refusal { return model.Refuse(model.ReasonNotSupported, "the queue does not accept jobs") },
+	batch.ZoneChanged: func() *model.Refusal {
+		return model.Refuse(model.ReasonOvertaken, "the zone was changed by another order at the same time")
+	},
+	batch.UnknownZone: func() *model.Refusal {
+		return model.Refuse(model.ReasonUnknownZone, "the zone is not in the settings and no worker has announced it")
+	},
 }
 
 // okOrRefuse returns true if a leader carried out the request. Otherwise it writes
--- a/internal/model/reason.go
+++ b/internal/model/reason.go
@@ -33,6 +33,8 @@
 	ReasonInternal          Reason = "internal_error"
 	ReasonMethodNotAllowed  Reason = "method_not_allowed"
 	ReasonPlacementOutdated Reason = "placement_outdated"
+	ReasonUnknownZone       Reason = "unknown_zone"
+	ReasonOvertaken         Reason = "overtaken"
 )
 
 // Reasons for final states and retries.
@@ -81,6 +83,8 @@
 	ReasonInternal,
 	ReasonMethodNotAllowed,
 	ReasonPlacementOutdated,
+	ReasonUnknownZone,
+	ReasonOvertaken,
 	ReasonCancelled,
 	ReasonDeadlinePassed,
 	ReasonTaskFailed,
--- a/internal/region/control.go
+++ b/internal/region/control.go
@@ -34,11 +34,14 @@
 
 // ControlConfig configures a Control.
 type ControlConfig struct {
-	Self            string // IP:port for links from its peers; identifies the instance
-	Seeds           []string
-	Form            bool // first start of the deployment
-	DiskLosses      int  // disks that may be lost at the same time, see replica.Config; 0 means 1
-	DataFolder      string
+	Self       string // IP:port for links from its peers; identifies the instance
+	Seeds      []string
+	Form       bool // first start of the deployment
+	DiskLosses int  // disks that may be lost at the same time, see replica.Config; 0 means 1
+	DataFolder string
+	// Zones are the availability zones of the deployment. The zones of recorded workers are
+	// known in addition.
+	Zones           []string
 	Peers           link.Peers
 	Client          workerapi.UnitClient
 	MaxLease        time.Duration // longest lease that a worker grants
@@ -62,6 +65,8 @@
 	wg     sync.WaitGroup
 
 	loggedVersion atomic.Uint64 // version of the configuration that was logged last
+	// loggedZones holds the generation of each zone that was logged last; see logZones.
+	loggedZones map[string]uint64
 
 	mu         sync.Mutex // guards leadership
 	leadership *dispatch.Leadership
@@ -72,7 +77,7 @@
 // OpenControl starts a member of the group. router is the router of this instance.
 func OpenControl(cfg ControlConfig, router *Router) (*Control, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &Control{cfg: cfg, log: cfg.Log.WithName("control"), router: router, clock: timeofday.New(), ctx: ctx, cancel: cancel}
+	c := &Control{cfg: cfg, log: cfg.Log.WithName("control"), router: router, clock: timeofday.New(), ctx: ctx, cancel: cancel, loggedZones: map[string]uint64{}}
 	c.machine = batch.New(c.stateChanged)
 	var specs []replica.InstanceSpec
 	if cfg.Form && slices.Contains(cfg.Seeds, cfg.Self) {
@@ -180,6 +185,7 @@
 
 func (c *Control) stateChanged() {
 	c.logConfig()
+	c.logZones()
 	if l := c.currentLeadership(); l != nil {
 		l.Wake()
 	}
--- a/internal/region/handle.go
+++ b/internal/region/handle.go
@@ -50,6 +50,8 @@
 		c.commit(ctx, rep, &batch.Command{Publish: req.Publish})
 		c.log.Info("configuration judged", "version", req.Publish.Version, "verdict", rep.Verdict.String(),
 			"notLeader", rep.NotLeader, "unsure", rep.OutcomeUnknown, "term", st.Term)
+	case req.Zone != nil:
+		c.handleZoneChange(ctx, rep, req.Zone, st.Term)
 	case req.Announce != nil:
 		c.handleAnnouncement(ctx, rep, req.Announce)
 	case req.Ping != nil:
@@ -165,6 +167,8 @@
 			}
 		case req.Workers != nil:
 			rep.Workers = workerViews(v)
+		case req.Zones != nil:
+			c.readZones(rep, v, req.Zones)
 		}
 	})
 }
--- a/internal/region/message.go
+++ b/internal/region/message.go
@@ -11,15 +11,17 @@
 // request is a request to the group's leader. Exactly one field is set. Every request
 // is idempotent, so it may be retried.
 type request struct {
-	Submit   *batch.Submit `cbor:"1,keyasint,omitempty"`
-	Cancel   *batch.Cancel `cbor:"2,keyasint,omitempty"`
-	Job      *JobQuery     `cbor:"3,keyasint,omitempty"`
-	Pending  *batch.Call   `cbor:"4,keyasint,omitempty"`
-	Publish  *batch.Config `cbor:"5,keyasint,omitempty"`
-	Config   *struct{}     `cbor:"6,keyasint,omitempty"`
-	Announce *Announcement `cbor:"7,keyasint,omitempty"`
-	Ping     *struct{}     `cbor:"8,keyasint,omitempty"`
-	Workers  *struct{}     `cbor:"9,keyasint,omitempty"`
+	Submit   *batch.Submit     `cbor:"1,keyasint,omitempty"`
+	Cancel   *batch.Cancel     `cbor:"2,keyasint,omitempty"`
+	Job      *JobQuery         `cbor:"3,keyasint,omitempty"`
+	Pending  *batch.Call       `cbor:"4,keyasint,omitempty"`
+	Publish  *batch.Config     `cbor:"5,keyasint,omitempty"`
+	Config   *struct{}         `cbor:"6,keyasint,omitempty"`
+	Announce *Announcement     `cbor:"7,keyasint,omitempty"`
+	Ping     *struct{}         `cbor:"8,keyasint,omitempty"`
+	Workers  *struct{}         `cbor:"9,keyasint,omitempty"`
+	Zone     *batch.ZoneChange `cbor:"10,keyasint,omitempty"`
+	Zones    *ZoneQuery        `cbor:"11,keyasint,omitempty"`
 }
 
 // JobQuery requests the state of a job.
@@ -48,6 +50,9 @@
 	// ClockMS is the worker's steady clock when it sent the announcement, ms; 0 if it does
 	// not tell.
 	ClockMS int64 `cbor:"4,keyasint,omitempty"`
+	// ColdMS is the time for which the worker will still be cold, ms; 0 if it is warm or does
+	// not tell.
+	ColdMS int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Reply answers a request.
@@ -69,4 +74,5 @@
 	Document []byte          `cbor:"8,keyasint,omitempty"`
 	Progress *batch.Progress `cbor:"9,keyasint,omitempty"`
 	Workers  []WorkerView    `cbor:"10,keyasint,omitempty"` // sorted by id
+	Zones    []ZoneView      `cbor:"11,keyasint,omitempty"` // sorted by name
 }
