--- a/internal/daemon/region_test.go
+++ b/internal/daemon/region_test.go
@@ -176,6 +176,10 @@
 		{"PUT", "/v1/config", "", `{"version": 1, "services": []}`, http.StatusConflict, model.ReasonKeyConflict},
 		{"PUT", "/v1/config", "", `{"version": 9, "queues": [{"name": "q", "service": "none"}]}`, http.StatusBadRequest, model.ReasonInvalid},
 		{"POST", "/v1/workers/announce", "", `{"name": "w"}`, http.StatusBadRequest, model.ReasonInvalid},
+		{"PUT", "/v1/zones/z9/cordon", "", "", http.StatusNotFound, model.ReasonUnknownZone},
+		{"DELETE", "/v1/zones/z9/cordon", "", "", http.StatusNotFound, model.ReasonUnknownZone},
+		{"PUT", "/v1/zones/z1/cordon", "", "{}", http.StatusBadRequest, model.ReasonInvalid},
+		{"POST", "/v1/zones/z1/cordon", "", "", http.StatusMethodNotAllowed, model.ReasonMethodNotAllowed},
 	} {
 		p = httpapi.Problem{}
 		is.Equal(d.call(c.method, c.path, c.key, []byte(c.body), &p), c.status) // status of a refusal
@@ -185,3 +189,36 @@
 	is.Equal(d.call("GET", "/v1/queues/die-check", key, nil, &pending), http.StatusOK)
 	is.Equal(pending.Pending, 0)
 }
+
+// Guards against a region whose operators cannot cordon a zone through an instance without
+// a disk: no unit may start there until the zone is uncordoned. A zone without workers must
+// be known from the settings.
+func TestRegionCordonsZone(t *testing.T) {
+	is := is.New(t)
+	d := deployRegion(t)
+	const key = "water-utility-key-1"
+	job := func(id string) string { return "/v1/queues/die-check/jobs/" + id }
+	is.Equal(d.call("PUT", "/v1/config", "", example(t, "config.jsonc"), nil), http.StatusOK)
+	var zones []httpapi.RegionZone
+	d.waitFor("workers", func() bool {
+		return d.call("GET", "/v1/zones", "", nil, &zones) == http.StatusOK && len(zones) == 3 && zones[0].Workers == 2
+	})
+	is.Equal(zones[1], httpapi.RegionZone{Name: "z1"})
+
+	var z httpapi.RegionZone
+	for range 2 { // the second order changes nothing
+		is.Equal(d.call("PUT", "/v1/zones/z0/cordon", "", nil, &z), http.StatusOK)
+		is.True(z.Cordoned && z.Generation == 1 && z.Workers == 2 && z.Since != nil)
+		is.Equal(z.By, "127.0.0.1 through e1")
+	}
+	is.Equal(d.call("PUT", "/v1/zones/z1/cordon", "", nil, nil), http.StatusOK)
+	is.Equal(d.call("PUT", job("one"), key, example(t, "job.jsonc"), nil), http.StatusOK)
+	time.Sleep(time.Second)
+	var j httpapi.BatchJob
+	is.Equal(d.call("GET", job("one"), key, nil, &j), http.StatusOK)
+	is.Equal(j.State, "queued")
+	z = httpapi.RegionZone{}
+	is.Equal(d.call("DELETE", "/v1/zones/z0/cordon", "", nil, &z), http.StatusOK)
+	is.True(!z.Cordoned)
+	d.waitFor("completion", func() bool { return d.call("GET", job("one"), key, nil, &j) == http.StatusOK && j.State == "completed" })
+}
--- a/internal/httpapi/zones.go
+++ b/internal/httpapi/zones.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -54,7 +53,7 @@
 // once the change is committed.
 func (a *RegionAPI) setCordon(cordon bool) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		if n, _ := io.ReadFull(r.Body, make([]byte, 1)); n > 0 {
+		if r.ContentLength != 0 {
 			refuse(w, model.Refuse(model.ReasonInvalid, "the request must have no body"))
 			return
 		}
--- a/internal/region/control.go
+++ b/internal/region/control.go
@@ -18,6 +18,7 @@
 	"teaselpaddle.example/teaselpaddle/internal/link"
 	"teaselpaddle.example/teaselpaddle/internal/replica"
 	"teaselpaddle.example/teaselpaddle/internal/timeofday"
+	"teaselpaddle.example/teaselpaddle/internal/wal"
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
 
@@ -39,6 +40,7 @@
 	Form       bool // first start of the deployment
 	DiskLosses int  // disks that may be lost at the same time, see replica.Config; 0 means 1
 	DataFolder string
+	FS         wal.FS // file system of the data folder; nil for that of the operating system
 	// Zones are the availability zones of the deployment. The zones of recorded workers are
 	// known in addition.
 	Zones           []string
@@ -87,7 +89,7 @@
 	}
 	g, err := replica.Open(replica.Config{
 		Group: groupName, Self: cfg.Self, Instances: specs, OpenMembership: true, AllowFormation: len(specs) > 0, DiskLosses: cfg.DiskLosses,
-		Contacts: router.Contacts, DataFolder: filepath.Join(cfg.DataFolder, groupName),
+		Contacts: router.Contacts, DataFolder: filepath.Join(cfg.DataFolder, groupName), FS: cfg.FS,
 		Dispatcher: replica.NewDispatcher(cfg.Peers), Machine: c.machine, Log: cfg.Log,
 		TickInterval: groupTick, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
 	})
