explain: name the cordoned zones when a step begins to wait

A step waits for room that is there, but in a cordoned zone; the log line of the step does not tell. The timeline now shows the zones that were cordoned before the job, each change once however many instances logged it, and adds cordonedZones to the line of a step that begins to wait. go test -race ./internal/explain: ok.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -47,6 +47,7 @@
 // contextMessages are the messages that concern every job of their time.
 var contextMessages = []string{
 	"leadership begun", "leadership ended", configMessage, "leader does not answer", "settings reloaded",
+	cordonedMessage, uncordonedMessage,
 }
 
 // contextWindow is the time before the first and after the last line of the job from
@@ -215,31 +216,25 @@
 }
 
 // selectEvents adds to the timeline the lines that name the job and, within the context
-// window, the context messages and the lines of its workers that name no job.
+// window, the context messages and the lines of its workers that name no job. A zone that
+// was cordoned before the window and still is at its beginning is shown too.
 func (t *Timeline) selectEvents(events []Event) {
-	var from, to time.Time
-	workers := map[string]bool{}
-	for _, e := range events {
-		if !t.names(&e) {
-			continue
-		}
-		if from.IsZero() || e.Time.Before(from) {
-			from = e.Time
-		}
-		if e.Time.After(to) {
-			to = e.Time
-		}
-		if w, ok := e.Fields["worker"].(string); ok {
-			workers[w] = true
-		}
-	}
+	from, to, workers := t.window(events)
 	if from.IsZero() {
 		return
 	}
-	from, to = from.Add(-contextWindow), to.Add(contextWindow)
 	slices.SortStableFunc(events, func(a, b Event) int { return a.Time.Compare(b.Time) })
 	highestVersion := int64(0)
+	var zones zoneHistory
+	begun := false // the context window has been reached
 	for _, e := range events {
+		if !begun && !e.Time.Before(from) {
+			begun = true
+			t.addContext(zones.cordons())
+		}
+		if zones.isChange(&e) && !zones.record(e) {
+			continue
+		}
 		if e.Message == configMessage {
 			// An instance that restarts applies its whole log again and logs each
 			// configuration in it, although later ones are in force.
@@ -249,20 +244,56 @@
 			}
 			highestVersion = version
 		}
-		names := t.names(&e)
 		if e.Time.Before(from) || e.Time.After(to) {
 			continue
 		}
+		names := t.names(&e)
 		w, _ := e.Fields["worker"].(string)
 		_, hasJob := e.Fields["job"]
 		if !names && !slices.Contains(contextMessages, e.Message) && (!workers[w] || hasJob) {
 			continue
 		}
+		if names {
+			zones.annotate(&e)
+		}
 		e.Context = !names
 		t.Events = append(t.Events, e)
 	}
 }
 
+// window returns the begin and the end of the context window, and the workers that the
+// lines of the job name. The times are zero if no line names the job.
+func (t *Timeline) window(events []Event) (from, to time.Time, workers map[string]bool) {
+	workers = map[string]bool{}
+	for i := range events {
+		e := &events[i]
+		if !t.names(e) {
+			continue
+		}
+		if from.IsZero() || e.Time.Before(from) {
+			from = e.Time
+		}
+		if e.Time.After(to) {
+			to = e.Time
+		}
+		if w, ok := e.Fields["worker"].(string); ok {
+			workers[w] = true
+		}
+	}
+	if from.IsZero() {
+		return from, to, workers
+	}
+	return from.Add(-contextWindow), to.Add(contextWindow), workers
+}
+
+// addContext adds lines from before the context window that still had an effect in it.
+func (t *Timeline) addContext(events []Event) {
+	for _, e := range events {
+		e.Context = true
+		t.Events = append(t.Events, e)
+	}
+}
+
 // names reports whether a line names the job, also as the job for which another one
 // was preempted.
 func (t *Timeline) names(e *Event) bool { return e.Fields["job"] == t.Job || e.Fields["for"] == t.Job }
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -88,3 +88,28 @@
 	}
 	is.Equal(versions, []int64{7, 7, 9})
 }
+
+// Guards against a step whose wait is unexplained because a zone was cordoned long before
+// the job, and against a timeline that takes a zone for cordoned because an instance applied
+// its log again.
+func TestCordonedZoneExplainsWait(t *testing.T) {
+	is := is.New(t)
+	log := `{"ts":"2026-07-16T02:00:00Z","msg":"zone cordoned","instance":"c1","zone":"z1","generation":1}
+{"ts":"2026-07-16T02:00:00.1Z","msg":"zone cordoned","instance":"c2","zone":"z1","generation":1}
+{"ts":"2026-07-16T02:00:01Z","msg":"zone cordoned","instance":"c1","zone":"z2","generation":1}
+{"ts":"2026-07-16T02:01:00Z","msg":"zone uncordoned","instance":"c1","zone":"z2","generation":2}
+{"ts":"2026-07-16T02:02:00Z","msg":"zone cordoned","instance":"c3","zone":"z2","generation":1}
+{"ts":"2026-07-16T02:09:00Z","msg":"step waits for room","instance":"c1","job":"j1"}
+{"ts":"2026-07-16T02:09:01Z","msg":"zone uncordoned","instance":"c1","zone":"z1","generation":2}
+{"ts":"2026-07-16T02:09:02Z","msg":"step waits for room","instance":"c1","job":"j1"}
+`
+	timeline, err := Read("j1", strings.NewReader(log))
+	is.NoErr(err)
+	var lines []string
+	for _, e := range timeline.Events {
+		lines = append(lines, e.Message+" "+e.Details("j1"))
+	}
+	is.Equal(lines, []string{
+		"zone cordoned generation=1 zone=z1", "step waits for room cordonedZones=[z1]", "zone uncordoned generation=2 zone=z1", "step waits for room ",
+	})
+}
