--- a/internal/region/control.go
+++ b/internal/region/control.go
@@ -19,6 +19,7 @@
 	"teaselpaddle.example/teaselpaddle/internal/replica"
 	"teaselpaddle.example/teaselpaddle/internal/sched/place"
 	"teaselpaddle.example/teaselpaddle/internal/timeofday"
+	"teaselpaddle.example/teaselpaddle/internal/wal"
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
 
@@ -35,11 +36,15 @@
 
 // ControlConfig configures a Control.
 type ControlConfig struct {
-	Self            string // IP:port for links from its peers; identifies the instance
-	Seeds           []string
-	Form            bool // first start of the deployment
-	DiskLosses      int  // disks that may be lost at the same time, see replica.Config; 0 means 1
-	DataFolder      string
+	Self       string // IP:port for links from its peers; identifies the instance
+	Seeds      []string
+	Form       bool // first start of the deployment
+	DiskLosses int  // disks that may be lost at the same time, see replica.Config; 0 means 1
+	DataFolder string
+	FS         wal.FS // file system of the data folder; nil for that of the operating system
+	// Zones are the availability zones of the deployment. The zones of recorded workers are
+	// known in addition.
+	Zones           []string
 	Peers           link.Peers
 	Client          workerapi.UnitClient
 	MaxLease        time.Duration // longest lease that a worker grants
@@ -67,6 +72,8 @@
 	wg     sync.WaitGroup
 
 	loggedVersion atomic.Uint64 // version of the configuration that was logged last
+	// loggedZones holds the generation of each zone that was logged last; see logZones.
+	loggedZones map[string]uint64
 
 	mu         sync.Mutex // guards leadership
 	leadership *dispatch.Leadership
@@ -77,7 +84,7 @@
 // OpenControl starts a member of the group. router is the router of this instance.
 func OpenControl(cfg ControlConfig, router *Router) (*Control, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &Control{cfg: cfg, log: cfg.Log.WithName("control"), router: router, clock: timeofday.New(), ctx: ctx, cancel: cancel}
+	c := &Control{cfg: cfg, log: cfg.Log.WithName("control"), router: router, clock: timeofday.New(), ctx: ctx, cancel: cancel, loggedZones: map[string]uint64{}}
 	c.machine = batch.New(c.stateChanged)
 	var specs []replica.InstanceSpec
 	if cfg.Form && slices.Contains(cfg.Seeds, cfg.Self) {
@@ -87,7 +94,7 @@
 	}
 	g, err := replica.Open(replica.Config{
 		Group: groupName, Self: cfg.Self, Instances: specs, OpenMembership: true, AllowFormation: len(specs) > 0, DiskLosses: cfg.DiskLosses,
-		Contacts: router.Contacts, DataFolder: filepath.Join(cfg.DataFolder, groupName),
+		Contacts: router.Contacts, DataFolder: filepath.Join(cfg.DataFolder, groupName), FS: cfg.FS,
 		Dispatcher: replica.NewDispatcher(cfg.Peers), Machine: c.machine, Log: cfg.Log,
 		TickInterval: groupTick, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
 	})
@@ -187,6 +194,7 @@
 
 func (c *Control) stateChanged() {
 	c.logConfig()
+	c.logZones()
 	if l := c.currentLeadership(); l != nil {
 		l.Wake()
 	}
