dispatch: a new leader does not count earlier leases as expired

A new leader had no confirmation before its first read, so its first holds granted nothing; if one of them went unanswered, the worker's clock was known and the last lease end was 0, which counted as expired, and the runs there were ended as lapsed while they went on.

A leader that has granted no lease treats those of earlier leaders as unknown, as it does before it knows the worker's clock, and a leadership counts as confirmed from the proposal that began it. TestNewLeaderKeepsRunsUnderEarlierLeases fails without the change (3 of 3) and passes with it (3 of 3, race detector).

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -309,9 +309,10 @@
 // leaseExpired reports whether the worker's lease has certainly expired, so that
 // none of this incarnation's earlier runs is still in progress. The caller holds mu.
 func (a *agent) leaseExpired(now time.Time) bool {
-	if a.clockReadAt.IsZero() {
-		// The leases that earlier leaders granted are not known. A deposed leader may
-		// have granted one of the maximum length just before it stepped down.
+	if a.clockReadAt.IsZero() || a.leaseUntilMS == 0 {
+		// This leader has granted no lease, and those of earlier leaders are not known. A
+		// deposed leader may have granted one of the maximum length just before it stepped
+		// down.
 		limit := a.leadership.cfg.MaxLease.Seconds() / minClockRate
 		return now.Sub(a.leadership.startedAt).Seconds() > limit+maxStepDownTime.Seconds()
 	}
--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -51,6 +51,9 @@
 	// FairShareHalfLifeMS is the time in which the earlier use of customers is halved, ms;
 	// 0 means that customers do not matter for the order of steps.
 	FairShareHalfLifeMS int64
+	// ConfirmedAt is a time at which the instance was certainly the leader under Epoch; zero
+	// if none is known.
+	ConfirmedAt time.Time
 	// Now returns the current time; nil means time.Now. Tests replace it. Only differences
 	// between its results are used.
 	Now func() time.Time
@@ -110,6 +113,9 @@
 		customerMetrics: newCustomerMetrics(),
 	}
 	l.planner.leadership = l
+	if !cfg.ConfirmedAt.IsZero() {
+		l.recordConfirmed(cfg.ConfirmedAt)
+	}
 	l.planner.shares = share.NewTracker(cfg.FairShareHalfLifeMS)
 	if cfg.MaxWaitingHolds > 0 {
 		l.waitSlots = make(chan struct{}, cfg.MaxWaitingHolds)
--- a/internal/dispatch/reported_test.go
+++ b/internal/dispatch/reported_test.go
@@ -112,3 +112,39 @@
 	b.waitFor(5*time.Second, "completed", func() bool { return b.state("j1") == batch.Completed })
 	b.is.True(f.startedOnce(ref)())
 }
+
+// Guards against a new leader whose leadership is not confirmed yet and that counts the
+// lease of a worker as expired after one call without an answer, because it has granted none
+// itself: what runs there would be started again elsewhere.
+func TestNewLeaderKeepsRunsUnderEarlierLeases(t *testing.T) {
+	f := newFakeWorkers(t, 10*time.Second, "w1", "w2")
+	b := newTestBed(t, f)
+	b.leadership.Close()
+	b.lease = 10 * time.Second
+	b.open()
+	b.waitForFirstReports("w1", "w2")
+	b.submit("/b/", "j1", unitStep(2, 8))
+	b.waitFor(time.Second, "started", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.starts) == 2
+	})
+	b.leadership.Close()
+	b.open()
+	b.group.cutOff.Store(true)
+	b.waitForFirstReports("w1", "w2")
+	f.setDropCalls("w1", true)
+	b.waitFor(3*time.Second, "silence noticed", func() bool {
+		a := b.leadership.agent("w1")
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return a.unansweredCalls > 1
+	})
+	b.group.cutOff.Store(false)
+	time.Sleep(2 * idleInterval) // for ends that would be committed
+	b.machine.View(func(v *batch.View) {
+		n := 0
+		v.EachActiveUnit("w1", func(batch.UnitRef, *batch.Unit) { n++ })
+		b.is.Equal(n, 1)
+	})
+}
--- a/internal/region/control.go
+++ b/internal/region/control.go
@@ -160,6 +160,7 @@
 func (c *Control) beginLeadership() {
 	ctx, cancel := context.WithTimeout(c.ctx, attemptTimeout)
 	defer cancel()
+	began := time.Now()
 	result, err := c.propose(ctx, &batch.Command{Lead: &batch.Lead{Instance: c.cfg.Self}})
 	if err != nil {
 		c.log.Info("leadership could not begin", "error", err.Error())
@@ -167,7 +168,7 @@
 	}
 	l := dispatch.Open(dispatch.Config{
 		Machine: c.machine, Group: c.group, Client: c.cfg.Client, MaxLease: c.cfg.MaxLease, MaxWaitingHolds: c.cfg.MaxWaitingHolds,
-		Log: c.cfg.Log, Epoch: result.(uint64), Heartbeats: &c.heartbeats, TimeOfDayMS: c.clock.NowMS,
+		Log: c.cfg.Log, Epoch: result.(uint64), ConfirmedAt: began, Heartbeats: &c.heartbeats, TimeOfDayMS: c.clock.NowMS,
 		MeasureSpeeds: c.cfg.MeasureSpeeds,
 		Preemption:    c.cfg.Preemption, FairShareHalfLifeMS: c.cfg.FairShareHalfLifeMS,
 	})
