place: stops on fast workers keep the limit of economical preemption

Cause: fastStopLimit of an urgent gang without free room returned the cost of the cheapest stops plus the gang's own work, without the limit of the setting preemption = economical. With workers of unequal speed, an urgent gang thus stopped runs that lost more work than its own.

Change: the lower of both limits applies. A guarantee has no such limit.

Tests: TestEconomicalStopsOnFastWorkersAreLimited fails without the change (1 stop instead of 0) and passes with it, as do the tests of gangs, stops and guarantees of the package.

--- /dev/null
+++ b/internal/sched/place/combined_test.go
@@ -0,0 +1,41 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Tests of settings and measurements that apply together: economical preemption, shares of
+// customers, and workers that differ in speed.
+
+// Guards against stops on fast workers for an urgent gang that lose more than its own work
+// although preemption is economical.
+func TestEconomicalStopsOnFastWorkersAreLimited(t *testing.T) {
+	for _, tc := range []struct {
+		name       string
+		lostMS     int64
+		guaranteed bool
+		stops      int
+		waits      WaitReason
+	}{
+		{"more is lost than its own work", 9000, false, 0, StopsTooCostly},
+		{"less is lost", 7000, false, 1, ""},
+		{"guaranteed", 9000, true, 1, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			s := withSpeeds(100, 0.6, 1)
+			s.Preemption = Economical
+			for i, w := range s.Workers {
+				addRun(w, fmt.Sprint("old", i), large, 2, 60_000).LostMS = tc.lostMS
+			}
+			g := urgent("u", 1, 2000, 0) // 2,000 ms at four times the weight of the others
+			g.Guaranteed = tc.guaranteed
+			s.Groups = []*Group{g}
+			is.Equal(len(Decide(s).Stops), tc.stops)
+			is.Equal(g.Waits, tc.waits)
+		})
+	}
+}
--- a/internal/sched/place/finish.go
+++ b/internal/sched/place/finish.go
@@ -81,14 +81,15 @@
 }
 
 // fastStopLimit bounds the work that may be lost by stops on fast workers for a gang: beyond
-// what it costs others if it takes any workers, at most its own work.
+// what it costs others if it takes any workers, at most its own work. The limit of economical
+// preemption applies as well.
 func (d *decision) fastStopLimit(g *Group, slow []*Worker, sets [][]*Worker) int64 {
 	own := int64(g.Total) * lostWork(&Running{Need: g.Step.Need, Priority: g.Priority, LostMS: g.Step.EstimateMS})
 	if slow != nil {
 		return own
 	}
 	if stops, cost := d.cheapestSet(g, sets, math.MaxInt64); stops != nil {
-		return cost + own
+		return min(cost+own, d.stopLimit(g, g.Total))
 	}
 	return 0
 }
