place: a wait for ends counts the speed of the workers that become free

Cause: economical preemption compared the time that a group can wait with its length at the common speed. On workers of unequal speed, an urgent gang waited for the ends of runs on slow workers, where it was late, and so did urgent units.

Change: longestWaitMS takes the speed of the workers on which the group would start, for a gang that of the slowest one. Without a spread between workers all speeds count as the common one, as before.

Tests: TestWaitForEndsCountsSpeed fails without the change for slow workers (gang and units wait) and passes with it; all tests of the package pass.

--- a/internal/sched/place/combined_test.go
+++ b/internal/sched/place/combined_test.go
@@ -39,3 +39,34 @@
 		})
 	}
 }
+
+// Guards against an urgent gang, or urgent units, that wait under economical preemption for
+// the ends of runs on workers too slow to complete there in time.
+func TestWaitForEndsCountsSpeed(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		gang   bool
+		speed  float64
+		leftMS int64
+		waits  WaitReason
+	}{
+		{"gang, common speed", true, 1, 600, WaitsForEnds},
+		{"gang, slow worker, ends soon", true, 0.8, 300, WaitsForEnds},
+		{"gang, slow worker", true, 0.8, 600, ""},
+		{"units, common speed", false, 1, 600, WaitsForEnds},
+		{"units, slow worker", false, 0.8, 600, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			s := withSpeeds(100, tc.speed)
+			s.Preemption = Economical
+			s.Workers[0].SpeedSD = 0.001
+			addRun(s.Workers[0], "old", large, 2, tc.leftMS).LostMS = 2000
+			g := urgent("u", 1, 2000, 0) // 3,250 ms for 2,300 ms with the margin
+			g.Step.Gang = tc.gang
+			s.Groups = []*Group{g}
+			is.Equal(len(Decide(s).Stops) == 0, tc.waits == WaitsForEnds)
+			is.Equal(g.Waits, tc.waits)
+		})
+	}
+}
--- a/internal/sched/place/economical.go
+++ b/internal/sched/place/economical.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"teaselpaddle.example/teaselpaddle/internal/batch"
 )
@@ -50,10 +51,10 @@
 	lengthMargin = 1.15
 )
 
-// longestWaitMS returns for how long a group can still wait for its start without being
-// late, or less than 0 if it cannot wait.
-func (d *decision) longestWaitMS(g *Group) int64 {
-	wait := g.CompleteByMS - d.snapshot.NowMS - int64(lengthMargin*float64(g.LengthMS))
+// longestWaitMS returns for how long a group can still wait for its start on workers of a
+// speed without being late, or less than 0 if it cannot wait.
+func (d *decision) longestWaitMS(g *Group, logSpeed float64) int64 {
+	wait := g.CompleteByMS - d.snapshot.NowMS - int64(lengthMargin*float64(scaledMS(g.LengthMS, logSpeed)))
 	if g.Guaranteed {
 		wait = min(wait, g.SinceMS+guaranteedWaitMS-d.snapshot.NowMS)
 	}
@@ -79,12 +80,12 @@
 	if d.snapshot.Preemption != Economical {
 		return false
 	}
-	longest := d.longestWaitMS(g)
+	longest := d.longestWaitMS(g, fastestIn(sets))
 	if longest < 0 {
 		return false
 	}
 	slots := d.earliestSet(g, sets, longest)
-	if slots == nil {
+	if slots == nil || slots[len(slots)-1].freeInMS > d.longestWaitMS(g, slowestSlot(slots)) {
 		return false
 	}
 	d.awaitSlots(g, slots)
@@ -98,11 +99,13 @@
 	if d.snapshot.Preemption != Economical || need == 0 {
 		return 0
 	}
-	longest := d.longestWaitMS(g)
+	longest := d.longestWaitMS(g, fastestIn([][]*Worker{workers}))
 	if longest < 0 {
 		return 0
 	}
-	slots := d.earliestSlots(g, workers, longest)
+	slots := slices.DeleteFunc(d.earliestSlots(g, workers, longest), func(s slot) bool {
+		return s.freeInMS > d.longestWaitMS(g, s.worker.cautious)
+	})
 	n := min(len(slots), need)
 	d.awaitSlots(g, slots[:n])
 	if n == need {
--- a/internal/sched/place/finish.go
+++ b/internal/sched/place/finish.go
@@ -105,6 +105,7 @@
 	return log
 }
 
+// slowestIn returns the lowest cautious log speed of the workers of sets.
 func slowestIn(sets [][]*Worker) float64 {
 	log := math.Inf(1)
 	for _, set := range sets {
@@ -115,6 +116,17 @@
 	return log
 }
 
+// fastestIn returns the highest cautious log speed of the workers of sets.
+func fastestIn(sets [][]*Worker) float64 {
+	log := math.Inf(-1)
+	for _, set := range sets {
+		for _, w := range set {
+			log = max(log, w.cautious)
+		}
+	}
+	return log
+}
+
 // waitForFast reserves room for a gang on the first set where it fits on what will be free
 // within a time, and reports whether there is one.
 func (d *decision) waitForFast(g *Group, sets [][]*Worker, withinMS int64) bool {
@@ -177,9 +189,14 @@
 	if !g.pace.decisive {
 		return at
 	}
-	slowest := math.Inf(1)
+	return at + scaledMS(g.Step.EstimateMS, slowestSlot(slots))
+}
+
+// slowestSlot returns the lowest cautious log speed of the workers of slots.
+func slowestSlot(slots []slot) float64 {
+	log := math.Inf(1)
 	for _, s := range slots {
-		slowest = min(slowest, s.worker.cautious)
+		log = min(log, s.worker.cautious)
 	}
-	return at + scaledMS(g.Step.EstimateMS, slowest)
+	return log
 }
