place: waits for fast workers do not use up the reservations of other gangs

Cause: waitForFast counted urgent gangs with those that are not urgent. 24 urgent gangs that waited for fast workers left no reservation to a less urgent gang, and small units took its workers. Guaranteed gangs that wait beside cordoned zones counted likewise.

Change: urgent groups count on their own in all places, as they did in waitForStart.

Tests: TestWaitsForFastLeaveReservationsToOthers fails without the change (8 small units start on the gang's workers) and passes with it; all tests of the package pass.

--- a/internal/sched/place/combined_test.go
+++ b/internal/sched/place/combined_test.go
@@ -70,3 +70,28 @@
 		})
 	}
 }
+
+// Guards against urgent gangs that wait for fast workers and use up the reservations of less
+// urgent gangs, whose workers small units would then take.
+func TestWaitsForFastLeaveReservationsToOthers(t *testing.T) {
+	is := is.New(t)
+	s := &Snapshot{NowMS: 100_000, SpeedSpread: 0.4, UrgentSpeed: 1 / 1.5}
+	add := func(id string, speed float64) *Worker {
+		w := withSpeeds(1, speed).Workers[0]
+		w.ID = id
+		s.Workers = append(s.Workers, w)
+		return w
+	}
+	for i := range maxGangReservations {
+		addRun(add(fmt.Sprint("fast", i), 1), "old", large, 0, 300)
+		s.Groups = append(s.Groups, urgent(fmt.Sprint("u", i), 1, 2000, 0))
+	}
+	free, partly := add("free", 0.6), add("partly", 0.6)
+	addRun(partly, "old", small, 0, 9000)
+	calm := withTarget(gang(group("calm", 1, 2, large, 90)), 2000, 0, 90_000)
+	s.Groups = append(s.Groups, calm, group("small", 2, 8, small, 99))
+	p := Decide(s)
+	is.Equal(len(startsOf(p, "small")), 0)
+	is.Equal(free.Free.Accelerators, int64(0)) // reserved for calm
+	is.Equal(partly.Free.Accelerators, int64(-1))
+}
--- a/internal/sched/place/economical.go
+++ b/internal/sched/place/economical.go
@@ -121,12 +121,10 @@
 		return
 	}
 	g.Waits = StopsTooCostly
-	// Urgent groups have a number of their own. A long queue of them would otherwise leave
-	// no reservation to less urgent gangs, whose workers small units would then take.
-	if d.urgentWaits == maxGangReservations {
+	if !d.mayReserve(g) {
 		return
 	}
-	d.urgentWaits++
+	d.countReservation(g)
 	if g.Step.Gang {
 		slots := d.earliestSet(g, sets, math.MaxInt64)
 		d.awaitSlots(g, slots)
--- a/internal/sched/place/finish.go
+++ b/internal/sched/place/finish.go
@@ -130,7 +130,7 @@
 // waitForFast reserves room for a gang on the first set where it fits on what will be free
 // within a time, and reports whether there is one.
 func (d *decision) waitForFast(g *Group, sets [][]*Worker, withinMS int64) bool {
-	if d.gangReservations == maxGangReservations {
+	if !d.mayReserve(g) {
 		return false
 	}
 	for _, set := range sets {
@@ -141,7 +141,7 @@
 		if n < g.Total {
 			continue
 		}
-		d.gangReservations++
+		d.countReservation(g)
 		sortByFit(g, set)
 		left := g.Total
 		for _, w := range set {
--- a/internal/sched/place/place.go
+++ b/internal/sched/place/place.go
@@ -191,14 +191,15 @@
 )
 
 type decision struct {
-	snapshot         *Snapshot
-	speeds           bool // workers differ in speed
-	plan             Plan
-	idle             bool
-	racks            map[string]*rack
-	gangs            map[string][]*Running
-	gangReservations int // gangs with a reservation so far
-	urgentWaits      int // calls of waitForStart that reserved room so far
+	snapshot *Snapshot
+	speeds   bool // workers differ in speed
+	plan     Plan
+	idle     bool
+	racks    map[string]*rack
+	gangs    map[string][]*Running
+	// Reservations so far, each at most maxGangReservations.
+	gangReservations   int // of gangs that are not urgent
+	urgentReservations int // of urgent groups; those of awaitGang and awaitUnits do not count
 	// exhausted holds the needs of which not one more unit fits on any worker.
 	// Free capacity only shrinks within a decision, so later groups need not
 	// search again.
--- a/internal/sched/place/reserve.go
+++ b/internal/sched/place/reserve.go
@@ -12,9 +12,25 @@
 
 // maxGangReservations bounds the number of gangs with a reservation, and with
 // it the time that a decision takes. The first ones take all the capacity that
-// a burst leaves.
+// a burst leaves. Urgent groups have a number of their own: a long queue of them
+// would otherwise leave no reservation to less urgent gangs, whose workers small
+// units would then take.
 const maxGangReservations = 24
 
+// mayReserve reports whether a group may still get a reservation in this plan.
+func (d *decision) mayReserve(g *Group) bool { return *d.reservationsLike(g) < maxGangReservations }
+
+// countReservation counts a reservation for a group.
+func (d *decision) countReservation(g *Group) { *d.reservationsLike(g)++ }
+
+// reservationsLike returns the number of reservations of groups as urgent as the given one.
+func (d *decision) reservationsLike(g *Group) *int {
+	if g.Priority == 0 {
+		return &d.urgentReservations
+	}
+	return &d.gangReservations
+}
+
 // slot is space for one unit on a worker, and the time until it is expected to
 // be free.
 type slot struct {
@@ -25,10 +41,10 @@
 // reserveForGang reserves the set of slots that is expected to be free first
 // for a gang. If workers differ in speed, it is the set on which the gang completes first.
 func (d *decision) reserveForGang(g *Group, sets [][]*Worker) {
-	if d.gangReservations == maxGangReservations {
+	if !d.mayReserve(g) {
 		return
 	}
-	d.gangReservations++
+	d.countReservation(g)
 	best := d.earliestSet(g, sets, math.MaxInt64)
 	for _, s := range best {
 		d.reserve(g, s.worker, 1)
