place: gangs by speed use suspect workers last

Cause: startAtNeed took the slowest class of workers on which a gang fits, with suspect and cold workers among them. A gang started on suspect workers of speed 1.0 while others of speed 1.6 were free.

Change: suspect workers count only if the gang fits on no set without them.

Tests: TestGangUsesSuspectWorkersLast fails without the change and passes with it; all tests of the package pass.

--- a/internal/sched/place/combined_test.go
+++ b/internal/sched/place/combined_test.go
@@ -95,3 +95,23 @@
 	is.Equal(free.Free.Accelerators, int64(0)) // reserved for calm
 	is.Equal(partly.Free.Accelerators, int64(-1))
 }
+
+// Guards against an urgent gang that starts on suspect workers, for example cold ones, while
+// others that meet its need are free.
+func TestGangUsesSuspectWorkersLast(t *testing.T) {
+	is := is.New(t)
+	s := withSpeeds(100, 1, 1, 1.6, 1.6)
+	s.Workers[0].Suspect, s.Workers[1].Suspect = true, true
+	s.Groups = []*Group{urgent("u", 2, 2000, 0)}
+	is.Equal(speedsOf(s, Decide(s), "u"), []string{"1.6", "1.6"})
+	s = withSpeeds(100, 1, 1, 1.6)
+	s.Workers[0].Suspect, s.Workers[1].Suspect = true, true
+	s.Groups = []*Group{urgent("u", 2, 2000, 0)}
+	is.Equal(len(Decide(s).Starts), 2) // a suspect worker rather than none
+	s = withSpeeds(2, 1, 1, 1.6, 1.6)
+	s.Workers[0].Suspect = true
+	g := urgent("u", 2, 2000, 0)
+	g.Step.SameRack = true
+	s.Groups = []*Group{g}
+	is.Equal(speedsOf(s, Decide(s), "u"), []string{"1.6", "1.6"})
+}
--- a/internal/sched/place/speed.go
+++ b/internal/sched/place/speed.go
@@ -234,12 +234,13 @@
 type classCounts [2*maxClass + 1]int
 
 // lowestTop returns the lowest class such that a gang fits on the free workers of a set
-// that meet its need and are in this class or below.
-func lowestTop(g *Group, set []*Worker) (top int, ok bool) {
+// that meet its need and are in this class or below. Suspect workers count only if
+// withSuspect is set.
+func lowestTop(g *Group, set []*Worker, withSuspect bool) (top int, ok bool) {
 	var counts classCounts
 	total := 0
 	for _, w := range set {
-		if w.cautious >= g.pace.needed {
+		if w.cautious >= g.pace.needed && (withSuspect || !w.Suspect) {
 			n := unitsThatFit(g, w, w.Free)
 			counts[w.class+maxClass] += n
 			total += n
@@ -276,19 +277,25 @@
 }
 
 // startAtNeed starts a gang on the set that leaves the fastest workers free among those
-// where it fits on workers that meet its need. It reports whether there is one.
+// where it fits on workers that meet its need. It takes suspect workers only if it fits on
+// no set without them. It reports whether there is one.
 func (d *decision) startAtNeed(g *Group, sets [][]*Worker) bool {
+	return d.startOnLowest(g, sets, false) || d.startOnLowest(g, sets, true)
+}
+
+// startOnLowest does this with or without suspect workers.
+func (d *decision) startOnLowest(g *Group, sets [][]*Worker, withSuspect bool) bool {
 	var best []*Worker
 	bestTop := maxClass + 1
 	for _, set := range sets {
-		if top, ok := lowestTop(g, set); ok && top < bestTop {
+		if top, ok := lowestTop(g, set, withSuspect); ok && top < bestTop {
 			best, bestTop = set, top
 		}
 	}
 	if best == nil {
 		return false
 	}
-	members := slices.DeleteFunc(fastWorkers(g, best), func(w *Worker) bool { return w.class > bestTop })
+	members := slices.DeleteFunc(fastWorkers(g, best), func(w *Worker) bool { return w.class > bestTop || w.Suspect && !withSuspect })
 	g.pace.like, g.pace.top = true, bestTop
 	d.startGang(g, members)
 	g.pace.like = false
