speeds: members of a resumed gang are measured from their checkpoint

Cause: all members of a gang continue from the gang's checkpoint, but the measurement looked at the checkpoint of the unit, which only the unit that reported it has. The progress before the checkpoint counted as made since the start, so resumed gangs made workers look more alike than they are.

Change: newRate gets the checkpoint from which the unit starts.

Tests: TestResumedGangIsMeasuredFromItsCheckpoint fails without the change and passes with it under -race.

--- a/internal/dispatch/observe.go
+++ b/internal/dispatch/observe.go
@@ -117,52 +117,53 @@
 	}
 	record := a.workerRecord()
 	type recordedRun struct {
-		step batch.Step
-		unit batch.Unit
+		step       batch.Step
+		checkpoint string
 	}
 	// The agent's lock is not taken during the view: the planner takes them in the other
 	// order.
 	found := map[runKey]recordedRun{}
 	a.leadership.cfg.Machine.View(func(v *batch.View) {
 		for k := range percents {
-			if st, u := recordedUnit(v, k, &record); u != nil {
-				found[k] = recordedRun{*st, *u}
+			if g, st, u := recordedUnit(v, k, &record); u != nil {
+				found[k] = recordedRun{*st, checkpointOf(g, st, u)}
 			}
 		}
 	})
 	for k, r := range found {
-		a.rates[k] = a.newRate(k, &r.step, &r.unit, percents[k], now)
+		a.rates[k] = a.newRate(k, &r.step, r.checkpoint, percents[k], now)
 	}
 }
 
-// recordedUnit returns the unit of a run on an incarnation of a worker and its step, or nil
-// if the run is not recorded as active.
-func recordedUnit(v *batch.View, k runKey, w *batch.Worker) (*batch.Step, *batch.Unit) {
+// recordedUnit returns the unit of a run on an incarnation of a worker with its group and
+// step, or nil if the run is not recorded as active.
+func recordedUnit(v *batch.View, k runKey, w *batch.Worker) (*batch.UnitGroup, *batch.Step, *batch.Unit) {
 	j := v.LiveJobs()[k.unit.Job]
 	if j == nil {
-		return nil, nil
+		return nil, nil, nil
 	}
 	g := j.UnitGroup(k.unit.Occurrence, k.unit.Step)
 	if g == nil || k.unit.Index < 0 || k.unit.Index >= len(g.Units) {
-		return nil, nil
+		return nil, nil, nil
 	}
 	u := &g.Units[k.unit.Index]
 	if u.State != batch.Active || u.Run != k.run || u.Worker != w.ID || u.Incarnation != w.Incarnation {
-		return nil, nil
+		return nil, nil, nil
 	}
-	return j.Step(g), u
+	return g, j.Step(g), u
 }
 
 // newRate returns the measurement of a run that was reported for the first time. It begins
-// at the start of the run if that is known, and otherwise with the report.
-func (a *agent) newRate(k runKey, st *batch.Step, u *batch.Unit, percent int, now time.Time) *runRate {
+// at the start of the run if that is known and the run does not continue from a checkpoint,
+// and otherwise with the report.
+func (a *agent) newRate(k runKey, st *batch.Step, checkpoint string, percent int, now time.Time) *runRate {
 	m := &runRate{step: speed.StepKey{Job: k.unit.Job, Occurrence: k.unit.Occurrence, Step: k.unit.Step}, gang: st.Gang}
 	m.from, m.fromPercent = now, float64(percent)+0.5
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	od := a.orders[k]
 	ownStart := od != nil && !od.startAckedAt.IsZero()
-	if ownStart && u.Checkpoint == "" {
+	if ownStart && checkpoint == "" {
 		m.from, m.fromPercent = od.startAckedAt, 0
 	}
 	reason := ""
