place: a late gang does not starve beside its customer's own units

Cause: a group that has waited long goes first only if its customer has started nothing in its priority for a second. A customer that started small units all the time never had its late gang go first; the gang came behind all groups that were not late yet, and its reservation moved with each plan.

Change: only starts of gangs count for a gang, and only those of other units for other groups.

--- a/internal/sched/place/combined_test.go
+++ b/internal/sched/place/combined_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"teaselpaddle.example/teaselpaddle/internal/sched/share"
 )
 
 // Tests of settings and measurements that apply together: economical preemption, shares of
@@ -115,3 +117,34 @@
 	s.Groups = []*Group{g}
 	is.Equal(speedsOf(s, Decide(s), "u"), []string{"1.6", "1.6"})
 }
+
+// Guards against a gang that starves because its own customer starts small units all the time
+// and other customers have a smaller use.
+func TestLateGangDoesNotStarveBesideItsCustomersUnits(t *testing.T) {
+	for seed := range uint64(5) {
+		b := newBurst(seed, 2, 4)
+		b.tickMS, b.shares = 100, share.NewTracker(10_000)
+		for _, w := range b.workers {
+			w.Running = w.Running[:1] // until the gang is late
+			w.Running[0].LeftMS = 15_000
+		}
+		var seq uint64
+		submit := func(customer, job string, g *Group) {
+			seq++
+			g.Job, g.Seq, g.SinceMS = job, seq, b.nowMS
+			b.groups = append(b.groups, of(customer, g))
+		}
+		for i := range 600 {
+			for k := range 2 + i%2 { // 64 of these fit, for 25 decisions each
+				submit([]string{"mixed", "mixed", "other"}[k], fmt.Sprint("unit", seq), group("", 1, 1, small, 0))
+			}
+			if i == 50 {
+				submit("mixed", "gang", gang(group("", 1, 2, large, 0)))
+			}
+			b.decide()
+		}
+		if !b.started["gang"] {
+			t.Errorf("seed %d: the gang has not begun after %d ms", seed, b.nowMS-5000)
+		}
+	}
+}
--- a/internal/sched/place/shares.go
+++ b/internal/sched/place/shares.go
@@ -17,7 +17,8 @@
 	// promotionIntervalMS is the time without a start of the customer in the group's
 	// priority after which a group that has waited long goes first. Without it, a customer
 	// with a long backlog would always go first, and its burst would decide the wait of the
-	// others.
+	// others. Only starts of gangs count for a gang: other units of the customer start in
+	// room in which a gang does not fit.
 	promotionIntervalMS = 1000
 )
 
@@ -27,11 +28,17 @@
 	priority int
 }
 
+// promotionClass is the groups of a customer in one priority of which at most one goes first.
+type promotionClass struct {
+	customerClass
+	gang bool
+}
+
 // orderByShare orders the groups of each priority by the use of their customers, the
 // smallest first. The groups of a customer keep their order; each counts with the use that
 // its customer would have with the groups before it, so the groups of customers alternate
-// in a burst. The oldest group of a customer that has waited long goes first, whatever its
-// customer's use.
+// in a burst. Of the groups of a customer that have waited long, the oldest gang and the
+// oldest other group go first, whatever the customer's use.
 //
 // s.Groups are in the order of compareGroups.
 func (d *decision) orderByShare() {
@@ -42,7 +49,7 @@
 	}
 	lastStart := d.sinceLastStart()
 	before := map[customerClass]float64{} // use with the groups so far
-	promoted := map[customerClass]*Group{}
+	promoted := map[promotionClass]*Group{}
 	for _, g := range s.Groups {
 		if g.Guaranteed {
 			continue
@@ -56,10 +63,11 @@
 		n := int64(len(g.Waiting))
 		need := g.Step.Need
 		before[class] = use + share.Dominant(batch.Resources{CPU: n * need.CPU, MemoryMB: n * need.MemoryMB, Accelerators: n * need.Accelerators}, capacity)
-		since, started := lastStart[class]
-		oldest := promoted[class]
+		kind := promotionClass{class, g.Step.Gang}
+		since, started := lastStart[kind]
+		oldest := promoted[kind]
 		if s.waitedLong(g) && (!started || since >= promotionIntervalMS) && (oldest == nil || g.SinceMS < oldest.SinceMS) {
-			promoted[class] = g
+			promoted[kind] = g
 		}
 	}
 	for _, g := range promoted {
@@ -86,13 +94,13 @@
 }
 
 // sinceLastStart returns the time since the last start among the present runs of each
-// customer in each priority, ms.
-func (d *decision) sinceLastStart() map[customerClass]int64 {
-	out := map[customerClass]int64{}
+// class, ms.
+func (d *decision) sinceLastStart() map[promotionClass]int64 {
+	out := map[promotionClass]int64{}
 	for _, workers := range [][]*Worker{d.snapshot.Workers, d.snapshot.Leaving, d.snapshot.Cordoned} {
 		for _, w := range workers {
 			for _, r := range w.Running {
-				class := customerClass{r.Customer, r.Priority}
+				class := promotionClass{customerClass{r.Customer, r.Priority}, r.Gang != ""}
 				if since, ok := out[class]; !ok || r.AgeMS < since {
 					out[class] = r.AgeMS
 				}
