place: borrowed room counts on cordoned and leaving workers

Cause: what a customer borrows was counted on usable workers only. With a zone cordoned, room was taken back from a customer that borrows less than another.

Change: all workers count, as in the views of customers.

Tests: TestBorrowedRoomCountsOnAllWorkers fails without the change and passes with it; all tests of the package pass.

--- a/internal/sched/place/combined_test.go
+++ b/internal/sched/place/combined_test.go
@@ -148,3 +148,21 @@
 		}
 	}
 }
+
+// Guards against room that is taken back from the smaller borrower because the runs of the
+// larger one are in a cordoned zone or on workers that leave.
+func TestBorrowedRoomCountsOnAllWorkers(t *testing.T) {
+	is := is.New(t)
+	var workers []*Worker
+	for i, customer := range []string{"modest", "modest", "big", "big", "big"} {
+		w := worker(fmt.Sprint("w", i), "r1")
+		addRun(w, customer, large, 2, 60_000).Customer = customer
+		workers = append(workers, w)
+	}
+	p := Decide(&Snapshot{
+		Workers: workers[:3], Cordoned: workers[3:4], Leaving: workers[4:],
+		Groups: []*Group{of("new", urgentGang("urgent", 1, 0))}, Use: map[string]float64{},
+	})
+	is.Equal(len(p.Stops), 1)
+	is.Equal(p.Stops[0].Customer, "big")
+}
--- a/internal/sched/place/shares.go
+++ b/internal/sched/place/shares.go
@@ -111,13 +111,15 @@
 }
 
 // setBorrowed sets, for each run outside a guarantee, the accelerators that its customer
-// borrows.
+// borrows on all workers, also on those where no run may be stopped to make room.
 func (d *decision) setBorrowed() {
 	borrowed := map[string]int64{}
-	for _, w := range d.snapshot.Workers {
-		for _, r := range w.Running {
-			if !r.Guaranteed {
-				borrowed[r.Customer] += r.Need.Accelerators
+	for _, workers := range [][]*Worker{d.snapshot.Workers, d.snapshot.Leaving, d.snapshot.Cordoned} {
+		for _, w := range workers {
+			for _, r := range w.Running {
+				if !r.Guaranteed {
+					borrowed[r.Customer] += r.Need.Accelerators
+				}
 			}
 		}
 	}
