place: one constant for the bound of a guarantee

reclaimMS in finish.go and guaranteeBoundMS in economical.go stated the same bound of 2.7 s. The latter remains.

--- a/internal/sched/place/finish.go
+++ b/internal/sched/place/finish.go
@@ -2,14 +2,11 @@
 
 import "math"
 
-// reclaimMS is the time within which a guaranteed group must begin, ms.
-const reclaimMS = 2700
-
 // speedWaitOver reports whether a guaranteed group must not wait for fast workers any
-// longer. A third of its time is left to the choice, a third to stops that were ordered
-// for it, which take up to 0.9 s, and a third to those that are ordered then.
+// longer. A third of guaranteeBoundMS is left to the choice, a third to stops that were
+// ordered for it, which take up to 0.9 s, and a third to those that are ordered then.
 func (d *decision) speedWaitOver(g *Group) bool {
-	limit := int64(reclaimMS / 3)
+	limit := int64(guaranteedWaitMS)
 	if len(g.Claims) > 0 {
 		limit *= 2
 	}
--- a/internal/sched/place/speed_test.go
+++ b/internal/sched/place/speed_test.go
@@ -319,7 +319,7 @@
 		}
 		n, length := rapid.IntRange(1, len(speeds)).Draw(t, "members"), rapid.Int64Range(300, 8000).Draw(t, "length")
 		var claims []Claim
-		for waited := int64(0); waited <= reclaimMS; waited += 100 {
+		for waited := int64(0); waited <= guaranteeBoundMS; waited += 100 {
 			g := urgent("sure", n, length, waited)
 			g.Guaranteed, g.Claims = true, claims
 			for _, w := range s.Workers {
