--- a/internal/sched/place/finish.go
+++ b/internal/sched/place/finish.go
@@ -2,14 +2,11 @@
 
 import "math"
 
-// reclaimMS is the time within which a guaranteed group must begin, ms.
-const reclaimMS = 2700
-
 // speedWaitOver reports whether a guaranteed group must not wait for fast workers any
-// longer. A third of its time is left to the choice, a third to stops that were ordered
-// for it, which take up to 0.9 s, and a third to those that are ordered then.
+// longer. A third of guaranteeBoundMS is left to the choice, a third to stops that were
+// ordered for it, which take up to 0.9 s, and a third to those that are ordered then.
 func (d *decision) speedWaitOver(g *Group) bool {
-	limit := int64(reclaimMS / 3)
+	limit := int64(guaranteedWaitMS)
 	if len(g.Claims) > 0 {
 		limit *= 2
 	}
@@ -81,14 +78,15 @@
 }
 
 // fastStopLimit bounds the work that may be lost by stops on fast workers for a gang: beyond
-// what it costs others if it takes any workers, at most its own work.
+// what it costs others if it takes any workers, at most its own work. The limit of economical
+// preemption applies as well.
 func (d *decision) fastStopLimit(g *Group, slow []*Worker, sets [][]*Worker) int64 {
 	own := int64(g.Total) * lostWork(&Running{Need: g.Step.Need, Priority: g.Priority, LostMS: g.Step.EstimateMS})
 	if slow != nil {
 		return own
 	}
 	if stops, cost := d.cheapestSet(g, sets, math.MaxInt64); stops != nil {
-		return cost + own
+		return min(cost+own, d.stopLimit(g, g.Total))
 	}
 	return 0
 }
@@ -104,6 +102,7 @@
 	return log
 }
 
+// slowestIn returns the lowest cautious log speed of the workers of sets.
 func slowestIn(sets [][]*Worker) float64 {
 	log := math.Inf(1)
 	for _, set := range sets {
@@ -114,10 +113,21 @@
 	return log
 }
 
+// fastestIn returns the highest cautious log speed of the workers of sets.
+func fastestIn(sets [][]*Worker) float64 {
+	log := math.Inf(-1)
+	for _, set := range sets {
+		for _, w := range set {
+			log = max(log, w.cautious)
+		}
+	}
+	return log
+}
+
 // waitForFast reserves room for a gang on the first set where it fits on what will be free
 // within a time, and reports whether there is one.
 func (d *decision) waitForFast(g *Group, sets [][]*Worker, withinMS int64) bool {
-	if d.gangReservations == maxGangReservations {
+	if !d.mayReserve(g) {
 		return false
 	}
 	for _, set := range sets {
@@ -128,7 +138,7 @@
 		if n < g.Total {
 			continue
 		}
-		d.gangReservations++
+		d.countReservation(g)
 		sortByFit(g, set)
 		left := g.Total
 		for _, w := range set {
@@ -176,9 +186,14 @@
 	if !g.pace.decisive {
 		return at
 	}
-	slowest := math.Inf(1)
+	return at + scaledMS(g.Step.EstimateMS, slowestSlot(slots))
+}
+
+// slowestSlot returns the lowest cautious log speed of the workers of slots.
+func slowestSlot(slots []slot) float64 {
+	log := math.Inf(1)
 	for _, s := range slots {
-		slowest = min(slowest, s.worker.cautious)
+		log = min(log, s.worker.cautious)
 	}
-	return at + scaledMS(g.Step.EstimateMS, slowest)
+	return log
 }
