dispatch: a leadership's confirmation expires while the machine is suspended

The age of a confirmation was measured by the clock of package time, which stands still while the machine is suspended. A leader that woke after a long suspension extended leases and sent starts for up to 2 s although the next leader counted its leases as expired. The age is now measured by timeofday.Steady, which counts that time.

--- a/internal/dispatch/confirm.go
+++ b/internal/dispatch/confirm.go
@@ -14,6 +14,8 @@
 // its orders. The next leader counts the earlier leases as expired after one maximum lease
 // and maxStepDownTime, so an earlier one must not extend them later than that. Hence a
 // leader extends leases and sends starts only for a while after it was certainly the leader.
+// That while includes the time for which its machine was suspended, which the clock of
+// package time leaves out.
 const (
 	// confirmInterval is the time after which an idle leader confirms its leadership again.
 	// Each confirmation costs a round of heartbeats.
@@ -29,7 +31,7 @@
 // confirmed reports whether this was the leader at most maxUnconfirmed ago.
 func (l *Leadership) confirmed() bool {
 	at := l.confirmedAt.Load()
-	return at != nil && l.cfg.Now().Sub(*at) < maxUnconfirmed
+	return at != nil && l.cfg.Steady()-*at < maxUnconfirmed
 }
 
 // waitConfirmed waits until the leadership is confirmed. It returns false if ctx ends.
@@ -42,11 +44,11 @@
 	return true
 }
 
-// recordConfirmed records that this was the leader at a time.
-func (l *Leadership) recordConfirmed(at time.Time) {
+// recordConfirmed records that this was the leader at a time of cfg.Steady.
+func (l *Leadership) recordConfirmed(at time.Duration) {
 	for {
 		last := l.confirmedAt.Load()
-		if last != nil && !at.After(*last) || l.confirmedAt.CompareAndSwap(last, &at) {
+		if last != nil && at <= *last || l.confirmedAt.CompareAndSwap(last, &at) {
 			return
 		}
 	}
@@ -56,7 +58,7 @@
 func (l *Leadership) keepConfirmed() {
 	defer l.wg.Done()
 	for l.ctx.Err() == nil {
-		if at := l.confirmedAt.Load(); at == nil || l.cfg.Now().Sub(*at) >= confirmInterval {
+		if at := l.confirmedAt.Load(); at == nil || l.cfg.Steady()-*at >= confirmInterval {
 			l.confirm()
 		}
 		retry.Sleep(l.ctx, confirmInterval/5)
@@ -66,7 +68,7 @@
 // confirm asks the group whether this is still the leader: the state that it confirms
 // shows the epoch of each later leader.
 func (l *Leadership) confirm() {
-	began := l.cfg.Now()
+	began := l.cfg.Steady()
 	ctx, cancel := context.WithTimeout(l.ctx, confirmTimeout)
 	defer cancel()
 	if err := l.cfg.Group.ReadIndex(ctx); err != nil {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -30,6 +30,7 @@
 	log              logr.Logger
 	lease            time.Duration
 	timeShift        atomic.Int64 // by which the leader's clock is ahead, ns
+	suspended        atomic.Int64 // time for which the leader's machine was suspended, ns
 }
 
 const testLease = 400 * time.Millisecond
@@ -60,7 +61,7 @@
 	epoch := b.apply(&batch.Command{Lead: &batch.Lead{Instance: "test"}}).(uint64)
 	b.leadership = Open(Config{
 		Machine: b.machine, Group: b.group, Client: b.workers, Epoch: epoch, Heartbeats: b.heartbeats, Log: b.log,
-		MaxLease: b.lease, MaxWaitingHolds: b.waitingHoldLimit, Now: b.now,
+		MaxLease: b.lease, MaxWaitingHolds: b.waitingHoldLimit, Now: b.now, Steady: b.steady,
 		MeasureSpeeds: b.measureSpeeds, Preemption: b.preemption,
 	})
 	b.t.Cleanup(b.leadership.Close)
--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -26,6 +26,7 @@
 	"teaselpaddle.example/teaselpaddle/internal/sched/place"
 	"teaselpaddle.example/teaselpaddle/internal/sched/share"
 	"teaselpaddle.example/teaselpaddle/internal/telemetry"
+	"teaselpaddle.example/teaselpaddle/internal/timeofday"
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
 
@@ -54,6 +55,9 @@
 	// Now returns the current time; nil means time.Now. Tests replace it. Only differences
 	// between its results are used.
 	Now func() time.Time
+	// Steady returns a time that also counts while the machine is suspended; nil means
+	// timeofday.Steady. Tests replace it. Only differences between its results are used.
+	Steady func() time.Duration
 	// TimeOfDayMS returns the time of day for times that are stored, Unix ms; nil means that
 	// of Now. It must not follow short jumps of the time of day.
 	TimeOfDayMS func() int64
@@ -82,8 +86,9 @@
 	speeds    *workerSpeeds // nil if speeds are not measured
 	settled   bool          // see settle; owned by the goroutine of run
 	waitSlots chan struct{} // one element per hold that waits; nil if there is no limit
-	// confirmedAt is the latest time at which this was certainly the leader, see confirm.go.
-	confirmedAt atomic.Pointer[time.Time]
+	// confirmedAt is the latest time of cfg.Steady at which this was certainly the leader, see
+	// confirm.go.
+	confirmedAt atomic.Pointer[time.Duration]
 
 	customers       atomic.Pointer[[]CustomerView]
 	customerMetrics *metrics.Set
@@ -100,6 +105,9 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	if cfg.Steady == nil {
+		cfg.Steady = timeofday.Steady
+	}
 	if cfg.TimeOfDayMS == nil {
 		cfg.TimeOfDayMS = func() int64 { return cfg.Now().UnixMilli() }
 	}
@@ -241,7 +249,7 @@
 	}
 	ctx, cancel := context.WithTimeout(l.ctx, proposeTimeout)
 	defer cancel()
-	began, begunAt := time.Now(), l.cfg.Now()
+	began, begunAt := time.Now(), l.cfg.Steady()
 	result, err := l.cfg.Group.Propose(ctx, entry)
 	if err != nil {
 		return nil, errors.Trace(err)
--- a/internal/dispatch/reported_test.go
+++ b/internal/dispatch/reported_test.go
@@ -5,8 +5,14 @@
 	"time"
 
 	"teaselpaddle.example/teaselpaddle/internal/batch"
+	"teaselpaddle.example/teaselpaddle/internal/timeofday"
 )
 
+// steady returns the leader's time with that for which its machine was suspended.
+func (b *testBed) steady() time.Duration {
+	return timeofday.Steady() + time.Duration(b.timeShift.Load()+b.suspended.Load())
+}
+
 // A worker is suspended for longer than a run may be without progress, but for less than
 // its lease. Guards against giving up the run as stalled in the first report after that:
 // it cannot have made progress meanwhile.
@@ -75,6 +81,38 @@
 	b.waitFor(2*time.Second, "started once the leadership is confirmed", f.startedOnce(batch.UnitRef{Job: "j2"}))
 }
 
+// A leader's machine is suspended for longer than a confirmation is valid; the clock of
+// package time does not count that time. Guards against leases and starts by the leader
+// after it has woken, although it may have been replaced meanwhile.
+func TestSuspendedLeaderExtendsNoLeaseAndStartsNothing(t *testing.T) {
+	f := newFakeWorkers(t, 10*time.Second, "w1")
+	b := newTestBed(t, f)
+	b.leadership.Close()
+	b.lease = 10 * time.Second
+	b.open()
+	b.waitForFirstReports("w1")
+	b.submit("/b/", "j1", unitStep(1, 4))
+	b.waitFor(time.Second, "started", f.startedOnce(batch.UnitRef{Job: "j1"}))
+	b.group.resultDelay.Store(int64(200 * time.Millisecond))
+	b.submit("/b/", "j2", unitStep(1, 4))
+	b.waitFor(time.Second, "recorded", func() bool { return b.state("j2") == batch.Running })
+	b.group.cutOff.Store(true)
+	b.suspended.Store(int64(maxUnconfirmed))
+	time.Sleep(50 * time.Millisecond) // for holds that were on their way
+	lease := func() int64 {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.byID["w1"].leaseUntil
+	}
+	before := lease()
+	b.leadership.agent("w1").notify()
+	time.Sleep(3 * time.Second / 2) // for the next holds, and for the delayed result
+	b.is.Equal(lease(), before)
+	b.is.Equal(f.startedOn(batch.UnitRef{Job: "j2"}), "[]")
+	b.group.cutOff.Store(false)
+	b.waitFor(2*time.Second, "started once the leadership is confirmed", f.startedOnce(batch.UnitRef{Job: "j2"}))
+}
+
 // During a handover two leaders are active for a moment. Guards against a run that both of
 // them start, and against a stop by the next leader of what the first has just started.
 func TestTwoActiveLeadersStartEachRunOnce(t *testing.T) {
--- a/internal/timeofday/timeofday.go
+++ b/internal/timeofday/timeofday.go
@@ -43,15 +43,19 @@
 	return c
 }
 
-// readSystem reads the machine's clocks. The steady one also counts the time for which
-// the machine is suspended; the one of package time does not.
 func readSystem() (wallMS int64, steady time.Duration) {
+	return time.Now().UnixMilli(), Steady()
+}
+
+// Steady returns a time that never jumps. Only differences between its results are
+// meaningful. It also counts the time for which the machine is suspended; the steady clock
+// of package time does not.
+func Steady() time.Duration {
 	var ts unix.Timespec
-	now := time.Now()
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		return now.UnixMilli(), time.Since(processStart)
+		return time.Since(processStart)
 	}
-	return now.UnixMilli(), time.Duration(ts.Nano())
+	return time.Duration(ts.Nano())
 }
 
 var processStart = time.Now()
