dispatch: a change of a worker's address does not end its runs early

A changed address replaces the worker's agent. Without a report, the new agent took the lease as expired by the age of the leadership, not its own, so that the first unanswered call ended the runs and started their units elsewhere while the lease of the former agent was valid. The limit now counts from the agent's creation.

TestLeaseOutlivesChangeOfAddress fails before (the unit runs on w1 and starts on w2) and passes with the change.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -56,6 +56,7 @@
 	ctx        context.Context
 	cancel     context.CancelFunc
 	wake       chan struct{}
+	begunAt    time.Time // when the agent was created
 
 	mu               sync.Mutex // guards the fields below
 	worker           batch.Worker
@@ -90,7 +91,7 @@
 	ctx, cancel := context.WithCancel(l.ctx)
 	a := &agent{
 		leadership: l, log: l.log.WithValues("worker", w.ID, "life", w.Incarnation), ctx: ctx, cancel: cancel,
-		wake: make(chan struct{}, 1), worker: w,
+		wake: make(chan struct{}, 1), begunAt: l.cfg.Now(), worker: w,
 		orders: map[runKey]*order{}, reportedRuns: map[runKey]workerapi.UnitRun{}, progress: map[runKey]*runProgress{},
 		endFirstReported: map[runKey]time.Time{}, rates: map[runKey]*runRate{},
 		pendingFences: fences,
@@ -310,10 +311,11 @@
 // none of this incarnation's earlier runs is still in progress. The caller holds mu.
 func (a *agent) leaseExpired(now time.Time) bool {
 	if a.clockReadAt.IsZero() {
-		// The leases that earlier leaders granted are not known. A deposed leader may
-		// have granted one of the maximum length just before it stepped down.
+		// The leases that earlier leaders granted are not known, nor those of an earlier agent
+		// for this incarnation, which ends when the worker's address changes. A deposed leader
+		// may have granted one of the maximum length just before it stepped down.
 		limit := a.leadership.cfg.MaxLease.Seconds() / minClockRate
-		return now.Sub(a.leadership.startedAt).Seconds() > limit+maxStepDownTime.Seconds()
+		return now.Sub(a.begunAt).Seconds() > limit+maxStepDownTime.Seconds()
 	}
 	return a.workerNowMS(now) > a.leaseUntilMS+leaseSlack.Milliseconds()
 }
--- /dev/null
+++ b/internal/dispatch/handover_test.go
@@ -0,0 +1,38 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"teaselpaddle.example/teaselpaddle/internal/batch"
+)
+
+// A worker's address changes a while after the leader began to lead, and the worker does
+// not answer at first. Guards against ending its runs at once: the lease that the leader
+// extended before the change is still valid.
+func TestLeaseOutlivesChangeOfAddress(t *testing.T) {
+	f := newFakeWorkers(t, 20*time.Second, "w1")
+	f.byID["w1"].speed = 1 // reports progress
+	b := newTestBed(t, f)
+	b.leadership.Close()
+	b.lease = time.Second
+	b.open()
+	b.waitForFirstReports("w1")
+	b.submit("/b/", "j1", unitStep(1, 8))
+	ref := batch.UnitRef{Job: "j1"}
+	b.waitFor(time.Second, "started", f.startedOnce(ref))
+	f.mu.Lock()
+	f.byID["w2"] = newFakeWorker(1)
+	f.mu.Unlock()
+	b.announce("w2", 1)
+	b.waitForFirstReports("w2")
+	time.Sleep(b.lease*102/100 + maxStepDownTime + 100*time.Millisecond) // beyond the leases of earlier leaders
+	f.setDropCalls("w1", true)
+	b.apply(&batch.Command{Worker: &batch.WorkerChange{Worker: batch.Worker{
+		ID: "w1", Incarnation: 1, Address: "other", Service: "desk", Rack: "r1",
+		Capacity: batch.Resources{CPU: 8000, MemoryMB: 8000, Accelerators: 8},
+	}}})
+	time.Sleep(b.lease / 2) // for calls to the new address; the lease is longer
+	b.is.Equal(f.startedOn(ref), "[w1]")
+	b.waitFor(10*time.Second, "started elsewhere once the lease has expired", func() bool { return f.startedOn(ref) == "[w1 w2]" })
+}
