--- a/internal/dispatch/cordon_test.go
+++ b/internal/dispatch/cordon_test.go
@@ -245,11 +245,7 @@
 	b.group.cutOff.Store(true)
 	b.submit("/b/", "decided", unitStep(1, 8))
 	next := &testBed{is: b.is, t: t, workers: b.workers, heartbeats: b.heartbeats, lease: b.lease}
-	next.machine = batch.New(func() {
-		if next.leadership != nil {
-			next.leadership.Wake()
-		}
-	})
+	next.machine = batch.New(next.wake)
 	next.group = &localGroup{machine: next.machine}
 	snapshot, err := b.machine.Snapshot()
 	b.is.NoErr(err)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -24,6 +24,7 @@
 	workers          *fakeWorkers
 	heartbeats       *Heartbeats
 	leadership       *Leadership
+	notified         atomic.Pointer[Leadership] // leadership, for the goroutines that apply entries
 	waitingHoldLimit int
 	measureSpeeds    bool
 	preemption       place.Preemption
@@ -37,11 +38,7 @@
 
 func newTestBed(t *testing.T, workers *fakeWorkers) *testBed {
 	b := &testBed{is: is.New(t), t: t, workers: workers, heartbeats: &Heartbeats{}, log: logr.Discard(), lease: testLease}
-	b.machine = batch.New(func() {
-		if b.leadership != nil {
-			b.leadership.Wake()
-		}
-	})
+	b.machine = batch.New(b.wake)
 	b.group = &localGroup{machine: b.machine}
 	b.apply(&batch.Command{Publish: &batch.Config{
 		Version: 1, Services: []batch.Service{{Name: "desk"}}, Document: []byte("{}"),
@@ -64,9 +61,16 @@
 		MaxLease: b.lease, MaxWaitingHolds: b.waitingHoldLimit, Now: b.now, Steady: b.steady,
 		MeasureSpeeds: b.measureSpeeds, Preemption: b.preemption,
 	})
+	b.notified.Store(b.leadership)
 	b.t.Cleanup(b.leadership.Close)
 }
 
+func (b *testBed) wake() {
+	if l := b.notified.Load(); l != nil {
+		l.Wake()
+	}
+}
+
 // now returns the leader's time.
 func (b *testBed) now() time.Time { return time.Now().Add(time.Duration(b.timeShift.Load())) }
 
