dispatch: a run whose end is committed is not started again

A plan may be older than the first report of a worker to a new leader, and a start that went unanswered may have been carried out. In both cases the start of a run was sent after its end was committed. The worker refuses it only as long as it remembers the run. Before each attempt the run must now be recorded as active on this incarnation of the worker.

TestEndedRunIsNotStartedByOlderPlan fails before (started on w1 twice) and passes with the change.

--- a/internal/batch/view.go
+++ b/internal/batch/view.go
@@ -30,6 +30,15 @@
 	}
 }
 
+// ActiveUnit returns the unit of a run that is recorded as active, or nil.
+func (v *View) ActiveUnit(ref UnitRef, run int) *Unit {
+	_, _, u := v.m.unit(ref)
+	if u == nil || u.State != Active || u.Run != run {
+		return nil
+	}
+	return u
+}
+
 // Workers returns the workers by id.
 func (v *View) Workers() map[string]*Worker { return v.m.state.Workers }
 
--- a/internal/dispatch/cordon.go
+++ b/internal/dispatch/cordon.go
@@ -12,13 +12,19 @@
 // only after its commit, which fails under an old epoch, and none once its leadership has
 // been unconfirmed for maxUnconfirmed; workers that have seen the new epoch refuse it.
 
-// zoneCordoned reports whether the worker is in a cordoned zone. The caller must not hold
-// mu: the state machine may be locked by a reader that waits for it.
-func (a *agent) zoneCordoned() bool {
-	zone := a.workerRecord().Zone
-	cordoned := false
-	a.leadership.cfg.Machine.View(func(v *batch.View) { cordoned = v.Cordoned(zone) })
-	return cordoned
+// mayStart reports whether a run is still recorded for the worker and its zone is not
+// cordoned. A plan may be older than the commit of the run's end, and a start that went
+// unanswered may have been carried out; the worker need not refuse a start of a run whose
+// end was acknowledged. The caller must not hold mu: the state machine may be locked by a
+// reader that waits for it.
+func (a *agent) mayStart(k runKey) bool {
+	w := a.workerRecord()
+	ok := false
+	a.leadership.cfg.Machine.View(func(v *batch.View) {
+		u := v.ActiveUnit(k.unit, k.run)
+		ok = u != nil && u.Worker == w.ID && u.Incarnation == w.Incarnation && !v.Cordoned(w.Zone)
+	})
+	return ok
 }
 
 // notStarted reports whether neither an answer nor a report shows that the worker has
--- a/internal/dispatch/handover_test.go
+++ b/internal/dispatch/handover_test.go
@@ -36,3 +36,24 @@
 	b.is.Equal(f.startedOn(ref), "[w1]")
 	b.waitFor(10*time.Second, "started elsewhere once the lease has expired", func() bool { return f.startedOn(ref) == "[w1 w2]" })
 }
+
+// A plan was made before a report showed that a run had ended, and is carried out after the
+// end was committed. Guards against a start of that run.
+func TestEndedRunIsNotStartedByOlderPlan(t *testing.T) {
+	f := newFakeWorkers(t, 50*time.Millisecond, "w1")
+	b := newTestBed(t, f)
+	b.submit("/b/", "j1", unitStep(1, 8))
+	b.waitFor(time.Second, "completed", func() bool { return b.state("j1") == batch.Completed })
+	b.leadership.Close()
+	f.mu.Lock()
+	f.byID["w1"].fenced = map[batch.UnitRef]int{} // the worker has forgotten the acknowledged end
+	f.mu.Unlock()
+	b.open()
+	b.waitForFirstReports("w1")
+	k := runKey{batch.UnitRef{Job: "j1"}, 1}
+	b.leadership.planner.reconcileRun(&runInfo{
+		key: k, step: unitStep(1, 8), unit: batch.Unit{State: batch.Active, Run: 1, Worker: "w1", Incarnation: 1},
+	})
+	time.Sleep(200 * time.Millisecond) // for the start
+	b.is.Equal(f.startedOn(k.unit), "[w1]")
+}
