dispatch: an end is committed also if its run is listed as in progress

A report that listed a run both as in progress and as ended had its end acknowledged but not committed. The next report listed neither, so the run counted as lost and its unit was started again although it was done.

TestEndOfRunThatIsAlsoListedAsRunning fails before (no end) and passes with the change.

--- a/internal/dispatch/handover_test.go
+++ b/internal/dispatch/handover_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"teaselpaddle.example/teaselpaddle/internal/batch"
+	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
 
 // A worker's address changes a while after the leader began to lead, and the worker does
@@ -57,3 +58,16 @@
 	time.Sleep(200 * time.Millisecond) // for the start
 	b.is.Equal(f.startedOn(k.unit), "[w1]")
 }
+
+// A worker lists a run both as in progress and as ended. Guards against acknowledging the
+// end without committing it: the next report lists neither, and the run is started again.
+func TestEndOfRunThatIsAlsoListedAsRunning(t *testing.T) {
+	b := newTestBed(t, newFakeWorkers(t, time.Second))
+	k := runKey{batch.UnitRef{Job: "j1"}, 1}
+	rep := &workerapi.UnitReport{Ends: []workerapi.UnitEnd{
+		{Number: 1, Unit: k.unit, Run: k.run, How: batch.EndDone}, {Number: 2, Unit: k.unit, Run: k.run, How: batch.EndStopped},
+	}}
+	ends, last := recordedEnds(rep, map[runKey]bool{k: true}, map[runKey]bool{k: true})
+	b.is.Equal(ends, []batch.End{{Unit: k.unit, Run: k.run, How: batch.EndDone}})
+	b.is.Equal(last, int64(2))
+}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -109,17 +109,19 @@
 }
 
 // recordedEnds returns the ends of recorded runs in a report and the highest end
-// number in it. It adds the runs of all ends to listed.
+// number in it. It adds the runs of all ends to listed. An end also counts if the report
+// lists the run as in progress: it is acknowledged with the others, and would be lost.
 func recordedEnds(rep *workerapi.UnitReport, recorded, listed map[runKey]bool) ([]batch.End, int64) {
 	var ends []batch.End
 	lastEnd := int64(0)
+	ended := map[runKey]bool{}
 	for _, e := range rep.Ends {
 		lastEnd = max(lastEnd, e.Number)
 		k := runKey{e.Unit, e.Run}
-		if recorded[k] && !listed[k] {
+		if recorded[k] && !ended[k] {
 			ends = append(ends, batch.End{Unit: e.Unit, Run: e.Run, How: e.How, Checkpoint: e.Checkpoint})
 		}
-		listed[k] = true
+		listed[k], ended[k] = true, true
 	}
 	return ends, lastEnd
 }
