dispatch: ends in a report on its way count when its worker is gone

When a worker left or restarted, its agent's hold was aborted and its runs were declared lost at once. A report that listed such a run as done and was on its way, or whose ends were being committed, was lost, and the unit ran again. The hold now ends up to callTimeout later, and runs are declared lost only once the agent has ended.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -55,6 +55,9 @@
 	log        logr.Logger
 	ctx        context.Context
 	cancel     context.CancelFunc
+	holdCtx    context.Context // of holds; ends later than ctx, see retire
+	abortHold  context.CancelFunc
+	ended      chan struct{} // closed when run returns
 	wake       chan struct{}
 	begunAt    time.Time // when the agent was created
 
@@ -89,7 +92,9 @@
 
 func (l *Leadership) newAgent(w batch.Worker, fences []runKey) *agent {
 	ctx, cancel := context.WithCancel(l.ctx)
+	holdCtx, abortHold := context.WithCancel(l.ctx)
 	a := &agent{
+		holdCtx: holdCtx, abortHold: abortHold, ended: make(chan struct{}),
 		leadership: l, log: l.log.WithValues("worker", w.ID, "life", w.Incarnation), ctx: ctx, cancel: cancel,
 		wake: make(chan struct{}, 1), begunAt: l.cfg.Now(), worker: w,
 		orders: map[runKey]*order{}, reportedRuns: map[runKey]workerapi.UnitRun{}, progress: map[runKey]*runProgress{},
@@ -138,9 +143,29 @@
 	}
 }
 
+// retire ends the agent of a worker that was removed or has another incarnation or address.
+// The report of a hold that is on its way may list ends, so the hold ends with callTimeout.
+func (a *agent) retire() {
+	a.cancel()
+	time.AfterFunc(callTimeout, a.abortHold)
+}
+
+// hasEnded reports whether the agent can commit no more ends.
+func (a *agent) hasEnded() bool {
+	select {
+	case <-a.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 // run renews the lease and processes reports until the agent is cancelled.
 func (a *agent) run() {
 	defer a.leadership.wg.Done()
+	defer a.leadership.Wake()
+	defer close(a.ended)
+	defer a.abortHold()
 	if !a.fenceEarlierIncarnations() {
 		return
 	}
@@ -340,9 +365,12 @@
 	h := workerapi.UnitHold{UntilMS: a.extendLease(now), Epoch: a.leadership.cfg.Epoch, AckedEnds: a.endsToAck(), WaitMS: wait.Milliseconds()}
 	t := a.target()
 	a.mu.Unlock()
-	ctx, cancel := context.WithTimeout(a.ctx, wait+callTimeout)
+	ctx, cancel := context.WithTimeout(a.holdCtx, wait+callTimeout)
 	rep, err := a.leadership.cfg.Client.Hold(ctx, t, h)
 	cancel()
+	if err != nil && a.ctx.Err() != nil {
+		return false // the next agent of the worker may have extended the lease
+	}
 	if err != nil {
 		a.recordCallError(err)
 		a.endRunsIfLeaseExpired()
--- a/internal/dispatch/handover_test.go
+++ b/internal/dispatch/handover_test.go
@@ -71,3 +71,38 @@
 	b.is.Equal(ends, []batch.End{{Unit: k.unit, Run: k.run, How: batch.EndDone}})
 	b.is.Equal(last, int64(2))
 }
+
+// A worker reports that a run is done, and its leave or its next incarnation is recorded
+// before the report arrives. Guards against declaring the run lost and starting it again.
+func TestReportOnItsWayWhenWorkerIsGone(t *testing.T) {
+	for name, restarted := range map[string]bool{"left": false, "restarted": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newFakeWorkers(t, 50*time.Millisecond, "w1")
+			b := newTestBed(t, f)
+			b.waitForFirstReports("w1")
+			f.mu.Lock()
+			w := f.byID["w1"]
+			w.answerDelay = 250 * time.Millisecond
+			f.byID["w2"] = newFakeWorker(1)
+			f.mu.Unlock()
+			b.submit("/b/", "j1", unitStep(1, 8))
+			ref := batch.UnitRef{Job: "j1"}
+			b.waitFor(time.Second, "run ended", func() bool {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				return len(w.ends) == 1
+			})
+			b.announce("w2", 1)
+			f.mu.Lock()
+			f.byID["w1"] = newFakeWorker(2)
+			f.mu.Unlock()
+			if restarted {
+				b.announce("w1", 2)
+			} else {
+				b.apply(&batch.Command{Worker: &batch.WorkerChange{Worker: batch.Worker{ID: "w1", Incarnation: 1}, Removed: true}})
+			}
+			b.waitFor(3*time.Second, "completed", func() bool { return b.state("j1") == batch.Completed })
+			b.is.Equal(f.startedOn(ref), "[w1]")
+		})
+	}
+}
--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -11,6 +11,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -93,8 +95,9 @@
 	customers       atomic.Pointer[[]CustomerView]
 	customerMetrics *metrics.Set
 
-	mu     sync.Mutex // guards agents
-	agents map[string]*agent
+	mu      sync.Mutex // guards agents and retired
+	agents  map[string]*agent
+	retired map[string][]*agent // agents that were replaced or whose worker was removed, until they have ended
 
 	removingMu sync.Mutex      // guards removing; an agent's mu may be held when it is locked
 	removing   map[string]bool // silent workers whose removal is being committed
@@ -114,7 +117,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Leadership{
 		cfg: cfg, log: cfg.Log.WithName("dispatch").WithValues("epoch", cfg.Epoch), startedAt: cfg.Now(),
-		ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1), agents: map[string]*agent{}, removing: map[string]bool{},
+		ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1), agents: map[string]*agent{}, retired: map[string][]*agent{}, removing: map[string]bool{},
 		customerMetrics: newCustomerMetrics(),
 	}
 	l.planner.leadership = l
@@ -215,13 +218,17 @@
 	})
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	maps.DeleteFunc(l.retired, func(_ string, as []*agent) bool {
+		return !slices.ContainsFunc(as, func(a *agent) bool { return !a.hasEnded() })
+	})
 	for id, a := range l.agents {
 		w, ok := recorded[id]
 		if ok && w.Incarnation == a.workerRecord().Incarnation && w.Address == a.workerRecord().Address {
 			a.setWorkerRecord(w)
 			continue
 		}
-		a.cancel()
+		a.retire()
+		l.retired[id] = append(l.retired[id], a)
 		delete(l.agents, id)
 		if ok {
 			l.agents[id] = l.newAgent(w, a.unfencedRuns())
@@ -240,6 +247,20 @@
 	return l.agents[id]
 }
 
+// awaitsReport reports whether the report of a hold to a worker that was removed or has
+// another incarnation or address may still arrive, or its ends are being committed. A worker
+// that is recorded only until the next call of syncAgents counts as well.
+func (l *Leadership) awaitsReport(id string, incarnation int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if a := l.agents[id]; a != nil && a.workerRecord().Incarnation == incarnation {
+		return true
+	}
+	return slices.ContainsFunc(l.retired[id], func(a *agent) bool {
+		return a.workerRecord().Incarnation == incarnation && !a.hasEnded()
+	})
+}
+
 // propose commits a command under this leader's epoch and returns its result.
 func (l *Leadership) propose(c *batch.Command) (any, error) {
 	c.Epoch = l.cfg.Epoch
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -280,8 +280,11 @@
 // canDeclareLost reports whether a run of an ended incarnation can be declared lost.
 // A start that was sent to that incarnation may have reached the next one, so the next
 // incarnation must have been fenced against the run, and its report after that must
-// not list the run.
+// not list the run. In either case a report that lists its end may still be on its way.
 func (p *planner) canDeclareLost(k runKey, u *batch.Unit, restarted bool) bool {
+	if p.leadership.awaitsReport(u.Worker, u.Incarnation) {
+		return false
+	}
 	if !restarted {
 		return true
 	}
--- a/internal/dispatch/workers_test.go
+++ b/internal/dispatch/workers_test.go
@@ -75,7 +75,8 @@
 	dropHolds        bool // leaves holds unanswered
 	loseHoldAnswers  int  // number of answers to holds to lose
 	holdDelay        time.Duration
-	speed            float64 // against which runs take longer or shorter and report progress; 0 means 1 without progress
+	answerDelay      time.Duration // of holds, after their report is made
+	speed            float64       // against which runs take longer or shorter and report progress; 0 means 1 without progress
 }
 
 // fakeWorkers implements workerapi.UnitClient.
@@ -277,7 +278,11 @@
 				w.loseHoldAnswers--
 				rep, err = nil, &workerapi.NoAnswerError{Cause: context.DeadlineExceeded}
 			}
+			delay := w.answerDelay
 			f.mu.Unlock()
+			if delay > 0 && !retry.Sleep(ctx, delay) {
+				return nil, &workerapi.NoAnswerError{Cause: ctx.Err()}
+			}
 			return rep, err
 		}
 		f.mu.Unlock()
