dispatch: the next incarnation is fenced against a start on its way

When a worker restarted, only starts that had gone unanswered were fenced in its next incarnation. A first start message that was still on its way was not, and could be carried out there after the run was declared lost.

TestStartOnItsWayIsFencedInNextIncarnation fails before (no run to fence) and passes with the change.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -124,7 +124,7 @@
 	defer a.mu.Unlock()
 	var out []runKey
 	for k, od := range a.orders {
-		if !od.startUnansweredAt.IsZero() && a.leadership.cfg.Now().Sub(od.startUnansweredAt) < maxOrderDelay {
+		if od.sending || !od.startUnansweredAt.IsZero() && a.leadership.cfg.Now().Sub(od.startUnansweredAt) < maxOrderDelay {
 			out = append(out, k)
 		}
 	}
--- a/internal/dispatch/handover_test.go
+++ b/internal/dispatch/handover_test.go
@@ -106,3 +106,17 @@
 		})
 	}
 }
+
+// A worker restarts while the first start message of a run is on its way. Guards against a
+// next incarnation that is not fenced against the message, carries it out late, and works on
+// a unit that has been started elsewhere.
+func TestStartOnItsWayIsFencedInNextIncarnation(t *testing.T) {
+	b := newTestBed(t, newFakeWorkers(t, time.Second, "w1"))
+	b.waitForFirstReports("w1")
+	a := b.leadership.agent("w1")
+	k := runKey{batch.UnitRef{Job: "j1"}, 1}
+	a.mu.Lock()
+	a.orders[k] = &order{startSentAt: b.now(), sending: true}
+	a.mu.Unlock()
+	b.is.Equal(a.unfencedRuns(), []runKey{k})
+}
