dispatch: a leader that was replaced sends no stop after a refused start

A start that was refused because the worker had seen a later epoch was fenced by a stop, as any refused start. The stop could end the run that the later leader had started, and the unit ran again. No stop follows a refusal for a later epoch.

--- a/internal/dispatch/handover_test.go
+++ b/internal/dispatch/handover_test.go
@@ -120,3 +120,22 @@
 	a.mu.Unlock()
 	b.is.Equal(a.unfencedRuns(), []runKey{k})
 }
+
+// A worker refuses a start because a later leader has spoken to it. Guards against a stop by
+// the leader that was replaced: the later one may have started the run.
+func TestReplacedLeaderStopsNothing(t *testing.T) {
+	f := newFakeWorkers(t, time.Second, "w1")
+	b := newTestBed(t, f)
+	b.waitForFirstReports("w1")
+	f.mu.Lock()
+	f.byID["w1"].epoch = 1 << 20
+	f.mu.Unlock()
+	b.group.resultDelay.Store(int64(100 * time.Millisecond)) // the start is sent after that
+	b.submit("/b/", "j1", unitStep(1, 8))
+	b.waitFor(time.Second, "recorded", func() bool { return b.state("j1") == batch.Running })
+	b.group.cutOff.Store(true) // the group follows the later leader
+	time.Sleep(3 * idleInterval)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b.is.Equal(len(f.byID["w1"].fenced), 0)
+}
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -30,6 +30,7 @@
 	startUnansweredAt time.Time // when a start message last went unanswered; zero if none did
 	sending           bool      // a goroutine is sending start messages
 	refused           bool      // the worker will never carry out the start
+	staleEpoch        bool      // a later leader has spoken to the worker
 	finished          bool      // the run has ended on the worker or will never begin there
 	need              batch.Resources
 }
@@ -118,7 +119,7 @@
 	case errors.As(err, &refused):
 		// The worker refused this message but may still carry out an earlier,
 		// unanswered one, so the run is stopped before it counts as never begun.
-		od.refused = true
+		od.refused, od.staleEpoch = true, refused.Reason == workerapi.RefusedStaleEpoch
 		telemetry.Count("teaselpaddle_starts_refused_total{reason=\"" + string(refused.Reason) + "\"}")
 		return false
 	case errors.As(err, &unhealthy):
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -188,12 +188,12 @@
 }
 
 // needsFence reports whether a start was refused and a stop must be sent to fence off
-// earlier start messages.
+// earlier start messages. A leader that was replaced must not stop what its successor runs.
 func (a *agent) needsFence(k runKey) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	od := a.orders[k]
-	return od != nil && od.refused && od.startAckedAt.IsZero() && od.stopSentAt.IsZero()
+	return od != nil && od.refused && !od.staleEpoch && od.startAckedAt.IsZero() && od.stopSentAt.IsZero()
 }
 
 // snapshot builds the planner's input from the committed state and the agents. It also
