--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -55,7 +55,11 @@
 	log        logr.Logger
 	ctx        context.Context
 	cancel     context.CancelFunc
+	holdCtx    context.Context // of holds; ends later than ctx, see retire
+	abortHold  context.CancelFunc
+	ended      chan struct{} // closed when run returns
 	wake       chan struct{}
+	begunAt    time.Time // when the agent was created
 
 	mu               sync.Mutex // guards the fields below
 	worker           batch.Worker
@@ -88,9 +92,11 @@
 
 func (l *Leadership) newAgent(w batch.Worker, fences []runKey) *agent {
 	ctx, cancel := context.WithCancel(l.ctx)
+	holdCtx, abortHold := context.WithCancel(l.ctx)
 	a := &agent{
+		holdCtx: holdCtx, abortHold: abortHold, ended: make(chan struct{}),
 		leadership: l, log: l.log.WithValues("worker", w.ID, "life", w.Incarnation), ctx: ctx, cancel: cancel,
-		wake: make(chan struct{}, 1), worker: w,
+		wake: make(chan struct{}, 1), begunAt: l.cfg.Now(), worker: w,
 		orders: map[runKey]*order{}, reportedRuns: map[runKey]workerapi.UnitRun{}, progress: map[runKey]*runProgress{},
 		endFirstReported: map[runKey]time.Time{}, rates: map[runKey]*runRate{},
 		pendingFences: fences,
@@ -118,7 +124,7 @@
 	defer a.mu.Unlock()
 	var out []runKey
 	for k, od := range a.orders {
-		if !od.startUnansweredAt.IsZero() && a.leadership.cfg.Now().Sub(od.startUnansweredAt) < maxOrderDelay {
+		if od.sending || !od.startUnansweredAt.IsZero() && a.leadership.cfg.Now().Sub(od.startUnansweredAt) < maxOrderDelay {
 			out = append(out, k)
 		}
 	}
@@ -137,9 +143,29 @@
 	}
 }
 
+// retire ends the agent of a worker that was removed or has another incarnation or address.
+// The report of a hold that is on its way may list ends, so the hold ends with callTimeout.
+func (a *agent) retire() {
+	a.cancel()
+	time.AfterFunc(callTimeout, a.abortHold)
+}
+
+// hasEnded reports whether the agent can commit no more ends.
+func (a *agent) hasEnded() bool {
+	select {
+	case <-a.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 // run renews the lease and processes reports until the agent is cancelled.
 func (a *agent) run() {
 	defer a.leadership.wg.Done()
+	defer a.leadership.Wake()
+	defer close(a.ended)
+	defer a.abortHold()
 	if !a.fenceEarlierIncarnations() {
 		return
 	}
@@ -310,11 +336,11 @@
 // none of this incarnation's earlier runs is still in progress. The caller holds mu.
 func (a *agent) leaseExpired(now time.Time) bool {
 	if a.clockReadAt.IsZero() || a.leaseUntilMS == 0 {
-		// This leader has granted no lease, and those of earlier leaders are not known. A
-		// deposed leader may have granted one of the maximum length just before it stepped
-		// down.
+		// This agent has granted no lease. Those of earlier leaders are not known, nor those of an
+		// earlier agent for this incarnation, which ends when the worker's address changes. A
+		// deposed leader may have granted one of the maximum length just before it stepped down.
 		limit := a.leadership.cfg.MaxLease.Seconds() / minClockRate
-		return now.Sub(a.leadership.startedAt).Seconds() > limit+maxStepDownTime.Seconds()
+		return now.Sub(a.begunAt).Seconds() > limit+maxStepDownTime.Seconds()
 	}
 	return a.workerNowMS(now) > a.leaseUntilMS+leaseSlack.Milliseconds()
 }
@@ -339,9 +365,12 @@
 	h := workerapi.UnitHold{UntilMS: a.extendLease(now), Epoch: a.leadership.cfg.Epoch, AckedEnds: a.endsToAck(), WaitMS: wait.Milliseconds()}
 	t := a.target()
 	a.mu.Unlock()
-	ctx, cancel := context.WithTimeout(a.ctx, wait+callTimeout)
+	ctx, cancel := context.WithTimeout(a.holdCtx, wait+callTimeout)
 	rep, err := a.leadership.cfg.Client.Hold(ctx, t, h)
 	cancel()
+	if err != nil && a.ctx.Err() != nil {
+		return false // the next agent of the worker may have extended the lease
+	}
 	if err != nil {
 		a.recordCallError(err)
 		a.endRunsIfLeaseExpired()
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -24,23 +24,21 @@
 	workers          *fakeWorkers
 	heartbeats       *Heartbeats
 	leadership       *Leadership
+	notified         atomic.Pointer[Leadership] // leadership, for the goroutines that apply entries
 	waitingHoldLimit int
 	measureSpeeds    bool
 	preemption       place.Preemption
 	log              logr.Logger
 	lease            time.Duration
 	timeShift        atomic.Int64 // by which the leader's clock is ahead, ns
+	suspended        atomic.Int64 // time for which the leader's machine was suspended, ns
 }
 
 const testLease = 400 * time.Millisecond
 
 func newTestBed(t *testing.T, workers *fakeWorkers) *testBed {
 	b := &testBed{is: is.New(t), t: t, workers: workers, heartbeats: &Heartbeats{}, log: logr.Discard(), lease: testLease}
-	b.machine = batch.New(func() {
-		if b.leadership != nil {
-			b.leadership.Wake()
-		}
-	})
+	b.machine = batch.New(b.wake)
 	b.group = &localGroup{machine: b.machine}
 	b.apply(&batch.Command{Publish: &batch.Config{
 		Version: 1, Services: []batch.Service{{Name: "desk"}}, Document: []byte("{}"),
@@ -60,12 +58,19 @@
 	epoch := b.apply(&batch.Command{Lead: &batch.Lead{Instance: "test"}}).(uint64)
 	b.leadership = Open(Config{
 		Machine: b.machine, Group: b.group, Client: b.workers, Epoch: epoch, Heartbeats: b.heartbeats, Log: b.log,
-		MaxLease: b.lease, MaxWaitingHolds: b.waitingHoldLimit, Now: b.now,
+		MaxLease: b.lease, MaxWaitingHolds: b.waitingHoldLimit, Now: b.now, Steady: b.steady,
 		MeasureSpeeds: b.measureSpeeds, Preemption: b.preemption,
 	})
+	b.notified.Store(b.leadership)
 	b.t.Cleanup(b.leadership.Close)
 }
 
+func (b *testBed) wake() {
+	if l := b.notified.Load(); l != nil {
+		l.Wake()
+	}
+}
+
 // now returns the leader's time.
 func (b *testBed) now() time.Time { return time.Now().Add(time.Duration(b.timeShift.Load())) }
 
--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -11,6 +11,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +28,7 @@
 	"teaselpaddle.example/teaselpaddle/internal/sched/place"
 	"teaselpaddle.example/teaselpaddle/internal/sched/share"
 	"teaselpaddle.example/teaselpaddle/internal/telemetry"
+	"teaselpaddle.example/teaselpaddle/internal/timeofday"
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
 
@@ -51,12 +54,15 @@
 	// FairShareHalfLifeMS is the time in which the earlier use of customers is halved, ms;
 	// 0 means that customers do not matter for the order of steps.
 	FairShareHalfLifeMS int64
-	// ConfirmedAt is a time at which the instance was certainly the leader under Epoch; zero
-	// if none is known.
-	ConfirmedAt time.Time
+	// ConfirmedAt is a time of Steady at which no later leader than the one under Epoch had been
+	// elected; 0 if none is known.
+	ConfirmedAt time.Duration
 	// Now returns the current time; nil means time.Now. Tests replace it. Only differences
 	// between its results are used.
 	Now func() time.Time
+	// Steady returns a time that also counts while the machine is suspended; nil means
+	// timeofday.Steady. Tests replace it. Only differences between its results are used.
+	Steady func() time.Duration
 	// TimeOfDayMS returns the time of day for times that are stored, Unix ms; nil means that
 	// of Now. It must not follow short jumps of the time of day.
 	TimeOfDayMS func() int64
@@ -85,14 +91,16 @@
 	speeds    *workerSpeeds // nil if speeds are not measured
 	settled   bool          // see settle; owned by the goroutine of run
 	waitSlots chan struct{} // one element per hold that waits; nil if there is no limit
-	// confirmedAt is the latest time at which this was certainly the leader, see confirm.go.
-	confirmedAt atomic.Pointer[time.Time]
+	// confirmedAt is the latest time of cfg.Steady at which this was certainly the leader, see
+	// confirm.go.
+	confirmedAt atomic.Pointer[time.Duration]
 
 	customers       atomic.Pointer[[]CustomerView]
 	customerMetrics *metrics.Set
 
-	mu     sync.Mutex // guards agents
-	agents map[string]*agent
+	mu      sync.Mutex // guards agents and retired
+	agents  map[string]*agent
+	retired map[string][]*agent // agents that were replaced or whose worker was removed, until they have ended
 
 	removingMu sync.Mutex      // guards removing; an agent's mu may be held when it is locked
 	removing   map[string]bool // silent workers whose removal is being committed
@@ -103,17 +111,20 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	if cfg.Steady == nil {
+		cfg.Steady = timeofday.Steady
+	}
 	if cfg.TimeOfDayMS == nil {
 		cfg.TimeOfDayMS = func() int64 { return cfg.Now().UnixMilli() }
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Leadership{
 		cfg: cfg, log: cfg.Log.WithName("dispatch").WithValues("epoch", cfg.Epoch), startedAt: cfg.Now(),
-		ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1), agents: map[string]*agent{}, removing: map[string]bool{},
+		ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1), agents: map[string]*agent{}, retired: map[string][]*agent{}, removing: map[string]bool{},
 		customerMetrics: newCustomerMetrics(),
 	}
 	l.planner.leadership = l
-	if !cfg.ConfirmedAt.IsZero() {
+	if cfg.ConfirmedAt != 0 {
 		l.recordConfirmed(cfg.ConfirmedAt)
 	}
 	l.planner.shares = share.NewTracker(cfg.FairShareHalfLifeMS)
@@ -213,13 +224,17 @@
 	})
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	maps.DeleteFunc(l.retired, func(_ string, as []*agent) bool {
+		return !slices.ContainsFunc(as, func(a *agent) bool { return !a.hasEnded() })
+	})
 	for id, a := range l.agents {
 		w, ok := recorded[id]
 		if ok && w.Incarnation == a.workerRecord().Incarnation && w.Address == a.workerRecord().Address {
 			a.setWorkerRecord(w)
 			continue
 		}
-		a.cancel()
+		a.retire()
+		l.retired[id] = append(l.retired[id], a)
 		delete(l.agents, id)
 		if ok {
 			l.agents[id] = l.newAgent(w, a.unfencedRuns())
@@ -238,6 +253,20 @@
 	return l.agents[id]
 }
 
+// awaitsReport reports whether the report of a hold to a worker that was removed or has
+// another incarnation or address may still arrive, or its ends are being committed. A worker
+// that is recorded only until the next call of syncAgents counts as well.
+func (l *Leadership) awaitsReport(id string, incarnation int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if a := l.agents[id]; a != nil && a.workerRecord().Incarnation == incarnation {
+		return true
+	}
+	return slices.ContainsFunc(l.retired[id], func(a *agent) bool {
+		return a.workerRecord().Incarnation == incarnation && !a.hasEnded()
+	})
+}
+
 // propose commits a command under this leader's epoch and returns its result.
 func (l *Leadership) propose(c *batch.Command) (any, error) {
 	c.Epoch = l.cfg.Epoch
@@ -247,7 +276,7 @@
 	}
 	ctx, cancel := context.WithTimeout(l.ctx, proposeTimeout)
 	defer cancel()
-	began, begunAt := time.Now(), l.cfg.Now()
+	began, begunAt := time.Now(), l.cfg.Steady()
 	result, err := l.cfg.Group.Propose(ctx, entry)
 	if err != nil {
 		return nil, errors.Trace(err)
--- a/internal/region/control.go
+++ b/internal/region/control.go
@@ -160,7 +160,7 @@
 func (c *Control) beginLeadership() {
 	ctx, cancel := context.WithTimeout(c.ctx, attemptTimeout)
 	defer cancel()
-	began := time.Now()
+	began := timeofday.Steady()
 	result, err := c.propose(ctx, &batch.Command{Lead: &batch.Lead{Instance: c.cfg.Self}})
 	if err != nil {
 		c.log.Info("leadership could not begin", "error", err.Error())
