--- a/internal/region/cluster_test.go
+++ b/internal/region/cluster_test.go
@@ -88,8 +88,11 @@
 	if h == nil {
 		return
 	}
+	p.net.mu.Lock()
+	queue := p.net.peers[to].queue
+	p.net.mu.Unlock()
 	select {
-	case p.net.peers[to].queue <- func() { _, _ = h(context.Background(), p.name, body) }:
+	case queue <- func() { _, _ = h(context.Background(), p.name, body) }:
 	default:
 	}
 }
