--- a/internal/batch/command.go
+++ b/internal/batch/command.go
@@ -74,9 +74,10 @@
 	EndGangBroken            // another unit of the gang ended
 	EndGangIncomplete        // the other units of the gang did not start in time
 	EndLost                  // the worker disappeared or never began the run
+	EndCrashed               // the worker crashed
 )
 
-var endingNames = [...]string{"done", "failed", "stopped", "lapsed", "broken", "alone", "lost"}
+var endingNames = [...]string{"done", "failed", "stopped", "lapsed", "broken", "alone", "lost", "crashed"}
 
 func (e Ending) String() string { return nameOf(endingNames[:], uint8(e)) }
 
--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -60,6 +62,8 @@
 	ended      chan struct{} // closed when run returns
 	wake       chan struct{}
 	begunAt    time.Time // when the agent was created
+	// predecessor is the worker's earlier incarnation that this leader has driven, or nil.
+	predecessor *lostIncarnation
 
 	mu               sync.Mutex // guards the fields below
 	worker           batch.Worker
@@ -90,7 +94,7 @@
 	ratesReadAt time.Time           // when the last report was read for rates
 }
 
-func (l *Leadership) newAgent(w batch.Worker, fences []runKey) *agent {
+func (l *Leadership) newAgent(w batch.Worker, fences []runKey, predecessor *lostIncarnation) *agent {
 	ctx, cancel := context.WithCancel(l.ctx)
 	holdCtx, abortHold := context.WithCancel(l.ctx)
 	a := &agent{
@@ -99,7 +103,7 @@
 		wake: make(chan struct{}, 1), begunAt: l.cfg.Now(), worker: w,
 		orders: map[runKey]*order{}, reportedRuns: map[runKey]workerapi.UnitRun{}, progress: map[runKey]*runProgress{},
 		endFirstReported: map[runKey]time.Time{}, rates: map[runKey]*runRate{},
-		pendingFences: fences,
+		pendingFences: fences, predecessor: predecessor,
 	}
 	l.wg.Add(1)
 	go a.run()
@@ -171,7 +175,7 @@
 	}
 	for a.ctx.Err() == nil {
 		if a.isAddressReused() {
-			a.endAllRuns(batch.EndLost)
+			a.endRunsOfLostWorker()
 		}
 		wait, needed := a.nextHold()
 		if !needed {
@@ -446,6 +450,25 @@
 	}
 }
 
+// endRunsOfLostWorker commits the end of all recorded runs of a worker whose address belongs
+// to another one.
+func (a *agent) endRunsOfLostWorker() {
+	w := a.workerRecord()
+	active := a.activeRuns()
+	if len(active) == 0 {
+		return
+	}
+	how := batch.EndLost
+	if !w.Draining {
+		how = batch.EndCrashed
+		a.mu.Lock()
+		evidence := a.evidence()
+		a.mu.Unlock()
+		a.leadership.logCrash(&w, crashAddressReused, slices.Collect(maps.Keys(active)), evidence)
+	}
+	a.endAllRuns(how)
+}
+
 // endAllRuns commits the end of all recorded runs of this incarnation.
 func (a *agent) endAllRuns(how batch.Ending) {
 	var ends []batch.End
--- /dev/null
+++ b/internal/dispatch/crash.go
@@ -0,0 +1,108 @@
+package dispatch
+
+import (
+	"time"
+
+	"teaselpaddle.example/teaselpaddle/internal/batch"
+	"teaselpaddle.example/teaselpaddle/internal/telemetry"
+)
+
+// A worker has crashed if its process is gone without having drained: it has restarted under
+// its id, or another worker answers at its address. A worker that is only silent may be cut
+// off, and its runs end with its lease.
+const (
+	crashRestarted     = "restarted"
+	crashAddressReused = "address_reused"
+)
+
+// runEvidence is what this leader knows of a run on a worker that has crashed.
+type runEvidence struct {
+	startAcked bool          // the worker has acknowledged its start
+	atWork     time.Duration // for which it was seen at work, by the worker's reports
+}
+
+// evidence returns what is known of the runs that this leader has started on the worker, or
+// that the worker has reported to it. The caller holds mu.
+func (a *agent) evidence() map[runKey]runEvidence {
+	out := map[runKey]runEvidence{}
+	for k, od := range a.orders {
+		if !od.startAckedAt.IsZero() {
+			out[k] = runEvidence{startAcked: true}
+		}
+	}
+	for k := range a.reportedRuns {
+		e := out[k]
+		if p := a.progress[k]; p != nil {
+			e.atWork = max(a.reportSentAt.Sub(p.firstSeenAt), 0)
+		}
+		out[k] = e
+	}
+	return out
+}
+
+// lostIncarnation is an earlier incarnation of a worker.
+type lostIncarnation struct {
+	worker   batch.Worker
+	evidence map[runKey]runEvidence
+}
+
+// predecessorOf returns what the agent of the worker's next record needs to know of the
+// incarnation of this one, or nil if the record is of the same incarnation.
+func (a *agent) predecessorOf(next *batch.Worker) *lostIncarnation {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.worker.Incarnation == next.Incarnation {
+		return a.predecessor
+	}
+	return &lostIncarnation{worker: a.worker, evidence: a.evidence()}
+}
+
+// lostRuns are the runs of an incarnation of a worker that is gone.
+type lostRuns struct {
+	incarnation int64
+	restarted   bool     // another incarnation is recorded under the worker's id
+	runs        []runKey // all that are recorded
+	declarable  []runKey // those whose end may be committed
+}
+
+// endLostRuns commits the ends of runs whose worker was removed or has another incarnation.
+func (p *planner) endLostRuns(id string, lost *lostRuns) {
+	if len(lost.declarable) == 0 {
+		return
+	}
+	how := batch.EndLost
+	if w, evidence, crashed := p.crashedIncarnation(id, lost); crashed {
+		how = batch.EndCrashed
+		p.leadership.logCrash(&w, crashRestarted, lost.runs, evidence)
+	}
+	ends := make([]batch.End, 0, len(lost.declarable))
+	for _, k := range lost.declarable {
+		ends = append(ends, batch.End{Unit: k.unit, Run: k.run, How: how})
+	}
+	p.leadership.commitEnds(id, ends)
+}
+
+// crashedIncarnation returns the lost incarnation of a worker and what is known of its runs.
+// crashed is false if it has left or drained. An earlier leader may have driven it; then
+// only its id is known.
+func (p *planner) crashedIncarnation(id string, lost *lostRuns) (w batch.Worker, evidence map[runKey]runEvidence, crashed bool) {
+	w = batch.Worker{ID: id, Incarnation: lost.incarnation}
+	if !lost.restarted {
+		return w, nil, false
+	}
+	if a := p.leadership.agent(id); a != nil && a.predecessor != nil && a.predecessor.worker.Incarnation == lost.incarnation {
+		w, evidence = a.predecessor.worker, a.predecessor.evidence
+	}
+	return w, evidence, !w.Draining
+}
+
+// logCrash logs and counts the crash of a worker with each run that was on it.
+func (l *Leadership) logCrash(w *batch.Worker, cause string, runs []runKey, evidence map[runKey]runEvidence) {
+	telemetry.Count("teaselpaddle_workers_crashed_total{cause=\"" + cause + "\"}")
+	l.log.Info("worker crashed", "worker", w.ID, "life", w.Incarnation, "cause", cause, "runs", len(runs))
+	for _, k := range runs {
+		e := evidence[k]
+		l.log.Info("run was on a crashed worker", "job", k.unit.Job, "unit", k.unit, "run", k.run, "worker", w.ID,
+			"startAcked", e.startAcked, "atWorkMS", e.atWork.Milliseconds(), "others", len(runs)-1)
+	}
+}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -562,7 +562,7 @@
 	f.mu.Lock()
 	f.byID["w1"].dropCalls = true
 	f.mu.Unlock()
-	a := b.leadership.newAgent(w, []runKey{{unit: batch.UnitRef{Job: "j1"}, run: 1}})
+	a := b.leadership.newAgent(w, []runKey{{unit: batch.UnitRef{Job: "j1"}, run: 1}}, nil)
 	defer a.cancel()
 	for end := time.Now().Add(200 * time.Millisecond); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		w.Draining = !w.Draining
--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -237,12 +237,12 @@
 		l.retired[id] = append(l.retired[id], a)
 		delete(l.agents, id)
 		if ok {
-			l.agents[id] = l.newAgent(w, a.unfencedRuns())
+			l.agents[id] = l.newAgent(w, a.unfencedRuns(), a.predecessorOf(&w))
 		}
 	}
 	for id, w := range recorded {
 		if l.agents[id] == nil {
-			l.agents[id] = l.newAgent(w, nil)
+			l.agents[id] = l.newAgent(w, nil, nil)
 		}
 	}
 }
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -86,8 +86,8 @@
 	p.keepClaims(snap)
 	p.decisionTime = time.Since(began)
 	decideTime.UpdateDuration(began)
-	for worker, ends := range lost {
-		p.leadership.commitEnds(worker, ends)
+	for worker, l := range lost {
+		p.endLostRuns(worker, l)
 	}
 	for i := range runs {
 		p.reconcileRun(&runs[i])
@@ -197,9 +197,9 @@
 }
 
 // snapshot builds the planner's input from the committed state and the agents. It also
-// returns the active runs and, by worker, the ends of lost runs: those whose worker
-// was removed or has another incarnation.
-func (p *planner) snapshot() (*place.Snapshot, []runInfo, map[string][]batch.End) {
+// returns the active runs and, by worker, the lost runs: those whose worker was removed or
+// has another incarnation.
+func (p *planner) snapshot() (*place.Snapshot, []runInfo, map[string]*lostRuns) {
 	now := p.leadership.cfg.Now()
 	speeds := p.leadership.speeds.current()
 	s := &place.Snapshot{
@@ -207,7 +207,7 @@
 	}
 	workers := map[string]*place.Worker{}
 	var runs []runInfo
-	lost := map[string][]batch.End{}
+	lost := map[string]*lostRuns{}
 	cordoned := map[string]bool{} // by worker
 	p.leadership.cfg.Machine.View(func(v *batch.View) {
 		for id, w := range v.Workers() {
@@ -242,9 +242,7 @@
 					ref := batch.UnitRef{Job: id, Occurrence: g.Occurrence, Step: g.Step, Index: i}
 					w := v.Workers()[u.Worker]
 					if w == nil || w.Incarnation != u.Incarnation {
-						if p.canDeclareLost(runKey{ref, u.Run}, u, w != nil) {
-							lost[u.Worker] = append(lost[u.Worker], batch.End{Unit: ref, Run: u.Run, How: batch.EndLost})
-						}
+						p.addLost(lost, runKey{ref, u.Run}, u, w != nil)
 						continue
 					}
 					r := runInfo{
@@ -277,6 +275,22 @@
 	return s, runs, lost
 }
 
+// addLost adds a run to the lost runs of its worker.
+func (p *planner) addLost(lost map[string]*lostRuns, k runKey, u *batch.Unit, restarted bool) {
+	l := lost[u.Worker]
+	if l == nil || l.incarnation > u.Incarnation {
+		l = &lostRuns{incarnation: u.Incarnation, restarted: restarted}
+		lost[u.Worker] = l
+	}
+	if l.incarnation < u.Incarnation {
+		return // after the runs of the earlier incarnation
+	}
+	l.runs = append(l.runs, k)
+	if p.canDeclareLost(k, u, restarted) {
+		l.declarable = append(l.declarable, k)
+	}
+}
+
 // canDeclareLost reports whether a run of an ended incarnation can be declared lost.
 // A start that was sent to that incarnation may have reached the next one, so the next
 // incarnation must have been fenced against the run, and its report after that must
