--- /dev/null
+++ b/internal/dispatch/crash_test.go
@@ -0,0 +1,164 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"teaselpaddle.example/teaselpaddle/internal/batch"
+)
+
+// maxStartsOfDeadlyUnit is the most starts of a unit that crashes each worker: after three
+// crashes it may be started twice more.
+const maxStartsOfDeadlyUnit = 5
+
+// restartCrashed restarts the workers that have crashed, under their ids or as new workers
+// at their addresses.
+func (b *testBed) restartCrashed(underNewIDs bool) {
+	b.t.Helper()
+	f := b.workers
+	f.mu.Lock()
+	crashed := f.crashed
+	f.crashed = nil
+	next := map[string]int64{}
+	for _, id := range crashed {
+		old := f.byID[id]
+		if underNewIDs {
+			old.dropCalls, old.replaced = false, true
+			id += "'"
+		}
+		f.byID[id] = newFakeWorker(old.incarnation + 1)
+		next[id] = old.incarnation + 1
+	}
+	f.mu.Unlock()
+	for id, incarnation := range next {
+		b.announce(id, incarnation)
+	}
+}
+
+// runUntilFailed restarts crashed workers until a job has failed.
+func (b *testBed) runUntilFailed(job string, underNewIDs bool) {
+	b.t.Helper()
+	b.waitFor(8*time.Second, "job failed", func() bool {
+		b.restartCrashed(underNewIDs)
+		f := b.workers
+		f.mu.Lock()
+		for u := range f.deadly {
+			if n := len(f.starts[u]); n > maxStartsOfDeadlyUnit {
+				f.mu.Unlock()
+				b.t.Fatalf("unit %v of job %s was started %d times on %v", u, u.Job, n, f.starts[u])
+			}
+		}
+		f.mu.Unlock()
+		return b.state(job) == batch.Failed
+	})
+}
+
+// A unit crashes each worker that starts it, and the workers come back. Guards against one
+// unit that crashes worker after worker, and takes the same other units along each time.
+func TestUnitThatCrashesWorkersIsGivenUp(t *testing.T) {
+	for _, underNewIDs := range []bool{false, true} {
+		t.Run(fmt.Sprint("newIDs=", underNewIDs), func(t *testing.T) {
+			f := newFakeWorkers(t, 150*time.Millisecond, "w1", "w2", "w3", "w4")
+			f.deadly = map[batch.UnitRef]bool{{Job: "deadly", Index: 1}: true}
+			b := newTestBed(t, f)
+			for i := range 4 {
+				b.submit("/b/", fmt.Sprint("good", i), unitStep(1, 1))
+			}
+			b.submit("/b/", "deadly", unitStep(2, 1))
+			b.runUntilFailed("deadly", underNewIDs)
+			b.waitFor(5*time.Second, "the other jobs completed", func() bool {
+				for i := range 4 {
+					if b.state(fmt.Sprint("good", i)) != batch.Completed {
+						return false
+					}
+				}
+				return true
+			})
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			for u, n := range f.lostTogether {
+				if u.Job != "deadly" && n > 1 {
+					t.Errorf("unit %v of job %s was lost %d times", u, u.Job, n)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a new leader that does not know how many workers a unit has crashed.
+func TestNextLeaderKnowsCrashes(t *testing.T) {
+	f := newFakeWorkers(t, 150*time.Millisecond, "w1", "w2", "w3", "w4")
+	ref := batch.UnitRef{Job: "deadly"}
+	f.deadly = map[batch.UnitRef]bool{ref: true}
+	b := newTestBed(t, f)
+	b.submit("/b/", "deadly", unitStep(1, 1))
+	for n := 1; n < maxStartsOfDeadlyUnit && b.state("deadly") != batch.Failed; n++ {
+		b.waitFor(3*time.Second, "crashed again", func() bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return len(f.crashed) > 0 || b.state("deadly") == batch.Failed
+		})
+		b.leadership.Close()
+		b.restartCrashed(false)
+		b.open()
+	}
+	b.runUntilFailed("deadly", false)
+}
+
+// Guards against a gang that is started again and again with a member that crashes its worker.
+func TestGangThatCrashesWorkersIsGivenUp(t *testing.T) {
+	f := newFakeWorkers(t, 5*time.Second, "w1", "w2", "w3", "w4")
+	f.deadly = map[batch.UnitRef]bool{{Job: "gang", Index: 1}: true}
+	b := newTestBed(t, f)
+	b.submit("/u/", "gang", wholeWorkerGang(2))
+	b.runUntilFailed("gang", true)
+	b.waitFor(2*time.Second, "the other member stopped", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for _, w := range f.byID {
+			if !w.dropCalls && len(w.running) > 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Guards against a lasting step, which is restarted however its runs end, that crashes
+// worker after worker.
+func TestLastingUnitThatCrashesWorkersIsGivenUp(t *testing.T) {
+	f := newFakeWorkers(t, 5*time.Second, "w1", "w2", "w3")
+	f.deadly = map[batch.UnitRef]bool{{Job: "lasting"}: true}
+	b := newTestBed(t, f)
+	st := unitStep(1, 1)
+	st.LongRunning = true
+	b.submit("/b/", "lasting", st)
+	b.runUntilFailed("lasting", true)
+}
+
+// A worker crashes before it answers a start, and is back under its id. Guards against
+// sending the start to the next incarnation, which would crash as well.
+func TestUnansweredStartIsNotSentToNextIncarnation(t *testing.T) {
+	is := is.New(t)
+	f := newFakeWorkers(t, 150*time.Millisecond, "w1")
+	ref := batch.UnitRef{Job: "j1"}
+	f.deadly = map[batch.UnitRef]bool{ref: true}
+	f.byID["w1"].loseStartAnswers = 1
+	b := newTestBed(t, f)
+	b.submit("/b/", "j1", unitStep(1, 8))
+	b.waitFor(time.Second, "crashed", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.crashed) == 1
+	})
+	f.mu.Lock()
+	f.byID["w1"] = newFakeWorker(2) // back, but it has not announced itself yet
+	f.mu.Unlock()
+	time.Sleep(4 * retryInterval)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	is.Equal(len(f.starts[ref]), 1)
+}
--- a/internal/dispatch/workers_test.go
+++ b/internal/dispatch/workers_test.go
@@ -95,12 +95,15 @@
 	slowWorker   string                     // worker on which runs and stops take three times as long
 	exclusive    bool                       // a worker runs only one unit at a time
 	stopDuration time.Duration              // time that a stop takes
+	deadly       map[batch.UnitRef]bool     // units that crash each worker that starts them
+	crashed      []string                   // workers that have crashed and are not back yet
+	lostTogether map[batch.UnitRef]int      // number of crashes of workers that ran each unit
 
 	waitingHolds, maxWaitingHolds int // number of holds that wait for an end
 }
 
 func newFakeWorkers(t *testing.T, duration time.Duration, ids ...string) *fakeWorkers {
-	f := &fakeWorkers{t: t, byID: map[string]*fakeWorker{}, duration: duration, starts: map[batch.UnitRef][]string{}}
+	f := &fakeWorkers{t: t, byID: map[string]*fakeWorker{}, duration: duration, starts: map[batch.UnitRef][]string{}, lostTogether: map[batch.UnitRef]int{}}
 	for _, id := range ids {
 		f.byID[id] = newFakeWorker(1)
 	}
@@ -169,6 +172,9 @@
 		return &workerapi.OrderRefusedError{Reason: workerapi.RefusedExpiredLease}
 	}
 	f.recordStart(t.ID, k)
+	if f.deadly[k.unit] {
+		return f.crash(t.ID, w, k)
+	}
 	if f.exclusive && len(w.running) > 0 {
 		f.t.Errorf("%v starts on %s, which already runs a unit", k, t.ID)
 	}
@@ -186,6 +192,22 @@
 	return nil
 }
 
+// crash ends a worker that begins a run. The start is still answered unless the worker
+// loses answers.
+func (f *fakeWorkers) crash(id string, w *fakeWorker, k runKey) error {
+	w.dropCalls = true
+	f.crashed = append(f.crashed, id)
+	f.lostTogether[k.unit]++
+	for r := range w.running {
+		f.lostTogether[r.unit]++
+	}
+	clear(w.running)
+	if w.loseStartAnswers > 0 {
+		return &workerapi.NoAnswerError{Cause: context.DeadlineExceeded}
+	}
+	return nil
+}
+
 // durationOn returns how long a run takes on a worker with a speed.
 func (f *fakeWorkers) durationOn(w *fakeWorker) time.Duration {
 	return time.Duration(float64(f.duration) / w.speed)
