--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -99,6 +99,20 @@
 // Final reports whether a job in this state never changes again.
 func (s State) Final() bool { return s >= Completed }
 
+// FailCause tells why a job has failed.
+type FailCause uint8
+
+// The causes of a failure.
+const (
+	NotFailed        FailCause = iota
+	FailedByAttempts           // a unit or gang has failed as often as its queue allows
+	FailedByCrashes            // a unit has crashed the workers that started it
+)
+
+var failCauseNames = [...]string{"", "attempts_used_up", "crashes_workers"}
+
+func (c FailCause) String() string { return nameOf(failCauseNames[:], uint8(c)) }
+
 // UnitState is the state of a unit.
 type UnitState uint8
 
@@ -118,6 +132,8 @@
 	Failed      int       `cbor:"5,keyasint,omitempty"` // number of failed runs
 	Checkpoint  string    `cbor:"6,keyasint,omitempty"` // last checkpoint; "" for none
 	RecordedMS  int64     `cbor:"7,keyasint,omitempty"` // when the last run was recorded, Unix ms
+	// Crashes is nil unless a worker was lost with a run of the unit.
+	Crashes *CrashRecord `cbor:"8,keyasint,omitempty"`
 }
 
 // UnitGroup holds the units of one step in one occurrence of a job.
@@ -150,6 +166,7 @@
 	EndedMS    int64       `cbor:"10,keyasint,omitempty"`
 	UnitGroups []UnitGroup `cbor:"11,keyasint"`
 	Active     int         `cbor:"12,keyasint,omitempty"` // number of units in state Active
+	FailedBy   FailCause   `cbor:"13,keyasint,omitempty"` // set in state Failed
 }
 
 // Progress holds the number of a job's units by state.
--- a/internal/batch/command.go
+++ b/internal/batch/command.go
@@ -93,6 +93,9 @@
 	Run        int     `cbor:"2,keyasint"`
 	How        Ending  `cbor:"3,keyasint,omitempty"`
 	Checkpoint string  `cbor:"4,keyasint,omitempty"` // last checkpoint; "" keeps the previous one
+	Blame      Blame   `cbor:"5,keyasint,omitempty"` // of a run that crashed with its worker
+	// Silent is set if the lease of the run expired while its worker did not answer.
+	Silent bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Ends records ends of runs. Ends of runs that are not active are ignored.
--- a/internal/batch/machine.go
+++ b/internal/batch/machine.go
@@ -27,6 +27,8 @@
 	NextSeq uint64             `cbor:"7,keyasint"`
 	// Zones holds the availability zones that have been cordoned at least once, by name.
 	Zones map[string]*ZoneState `cbor:"8,keyasint,omitempty"`
+	// Silent holds what ran on workers that have stopped answering, by worker.
+	Silent map[string]*silentRuns `cbor:"9,keyasint,omitempty"`
 }
 
 // Machine is the state machine of a region's group. It implements
@@ -312,6 +314,7 @@
 	u.Worker = s.Worker
 	u.Incarnation = s.Incarnation
 	u.RecordedMS = atMS
+	delete(m.state.Silent, s.Worker) // it answers again
 	j.Active++
 	m.addActive(s.Unit, s.Worker)
 	if j.State == Queued {
@@ -343,6 +346,12 @@
 		m.unitDone(j, g, u, atMS)
 	case EndFailed:
 		m.unitFailed(j, g, u, atMS)
+	case EndCrashed:
+		m.unitCrashed(j, u, e.Blame, atMS-u.RecordedMS, atMS)
+	case EndLeaseExpired:
+		if e.Silent {
+			m.unitSilenced(e.Unit, u, atMS)
+		}
 	}
 	m.removeIfInactive(j)
 }
@@ -393,6 +402,7 @@
 	if st.LongRunning || j.State.Final() || n < m.maxAttempts(j) {
 		return
 	}
+	j.FailedBy = FailedByAttempts
 	m.conclude(j, Failed, atMS)
 }
 
@@ -428,5 +438,8 @@
 	if cur != nil && cur.Incarnation == w.Incarnation {
 		w.Speed = cur.Speed
 	}
+	if cur == nil || cur.Incarnation != w.Incarnation || cur.Address != w.Address {
+		m.explainSilence(&w)
+	}
 	m.state.Workers[w.ID] = &w
 }
--- a/internal/batch/machine_test.go
+++ b/internal/batch/machine_test.go
@@ -150,8 +150,10 @@
 				}
 				apply(t, m, &Command{Starts: c})
 			case 2, 3:
-				how := Ending(rapid.IntRange(0, 6).Draw(t, "how"))
-				apply(t, m, &Command{Ends: &Ends{Ends: []End{{Unit: ref, Run: run, How: how, Checkpoint: "s"}}}})
+				e := End{Unit: ref, Run: run, How: Ending(rapid.IntRange(0, 7).Draw(t, "how")), Checkpoint: "s"}
+				e.Blame = Blame(rapid.IntRange(0, 2).Draw(t, "blame"))
+				e.Silent = rapid.Bool().Draw(t, "silent")
+				apply(t, m, &Command{Ends: &Ends{Ends: []End{e}}})
 			case 4:
 				apply(t, m, &Command{Cancel: &Cancel{Call: Call{Host: "h", Path: "/q/" + id, Key: "k1"}, ID: id}})
 			case 5:
--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -438,18 +438,6 @@
 	a.lastAnswer = now
 }
 
-// endRunsIfLeaseExpired commits the end of the recorded runs if the worker's lease
-// has expired.
-func (a *agent) endRunsIfLeaseExpired() {
-	now := a.leadership.cfg.Now()
-	a.mu.Lock()
-	expired := a.leaseExpired(now)
-	a.mu.Unlock()
-	if expired {
-		a.endAllRuns(batch.EndLeaseExpired)
-	}
-}
-
 // endRunsOfLostWorker commits the end of all recorded runs of a worker whose address belongs
 // to another one.
 func (a *agent) endRunsOfLostWorker() {
@@ -458,30 +446,43 @@
 	if len(active) == 0 {
 		return
 	}
-	how := batch.EndLost
-	if !w.Draining {
-		how = batch.EndCrashed
-		a.mu.Lock()
-		evidence := a.evidence()
-		a.mu.Unlock()
-		a.leadership.logCrash(&w, crashAddressReused, slices.Collect(maps.Keys(active)), evidence)
+	if w.Draining {
+		a.endRuns(active, func(runKey) batch.End { return batch.End{How: batch.EndLost} })
+		return
 	}
-	a.endAllRuns(how)
+	a.mu.Lock()
+	evidence := a.evidence()
+	a.mu.Unlock()
+	blame := a.leadership.recordCrash(&w, crashAddressReused, slices.Collect(maps.Keys(active)), evidence)
+	a.endRuns(active, func(k runKey) batch.End { return batch.End{How: batch.EndCrashed, Blame: blame[k]} })
 }
 
-// endAllRuns commits the end of all recorded runs of this incarnation.
-func (a *agent) endAllRuns(how batch.Ending) {
-	var ends []batch.End
-	for k := range a.activeRuns() {
-		a.mu.Lock()
-		checkpoint := a.reportedRuns[k].Checkpoint
-		a.mu.Unlock()
-		ends = append(ends, batch.End{Unit: k.unit, Run: k.run, How: how, Checkpoint: checkpoint})
+// endRunsIfLeaseExpired commits the end of the recorded runs if the worker's lease
+// has expired.
+func (a *agent) endRunsIfLeaseExpired() {
+	now := a.leadership.cfg.Now()
+	a.mu.Lock()
+	expired := a.leaseExpired(now)
+	a.mu.Unlock()
+	if expired {
+		a.endRuns(a.activeRuns(), func(runKey) batch.End { return batch.End{How: batch.EndLeaseExpired, Silent: true} })
 	}
-	if len(ends) == 0 {
+}
+
+// endRuns commits the ends of runs of this incarnation with what endOf tells of each.
+func (a *agent) endRuns(runs map[runKey]bool, endOf func(runKey) batch.End) {
+	if len(runs) == 0 {
 		return
 	}
-	a.log.Info("ending all runs of the worker", "runs", len(ends), "how", how.String())
+	ends := make([]batch.End, 0, len(runs))
+	a.mu.Lock()
+	for k := range runs {
+		e := endOf(k)
+		e.Unit, e.Run, e.Checkpoint = k.unit, k.run, a.reportedRuns[k].Checkpoint
+		ends = append(ends, e)
+	}
+	a.mu.Unlock()
+	a.log.Info("ending all runs of the worker", "runs", len(ends), "how", ends[0].How.String())
 	if a.leadership.commitEnds(a.workerRecord().ID, ends) {
 		a.mu.Lock()
 		a.synced = false // nothing starts there before the next report
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -15,6 +15,10 @@
 	crashAddressReused = "address_reused"
 )
 
+// provenAfter is the time at work, by a worker's reports, after which a run that crashes it is
+// unlikely. Reports are up to maxHoldWait apart.
+const provenAfter = 2 * time.Second
+
 // runEvidence is what this leader knows of a run on a worker that has crashed.
 type runEvidence struct {
 	startAcked bool          // the worker has acknowledged its start
@@ -25,21 +29,27 @@
 // that the worker has reported to it. The caller holds mu.
 func (a *agent) evidence() map[runKey]runEvidence {
 	out := map[runKey]runEvidence{}
-	for k, od := range a.orders {
-		if !od.startAckedAt.IsZero() {
-			out[k] = runEvidence{startAcked: true}
-		}
+	for k := range a.orders {
+		out[k] = a.evidenceOf(k)
 	}
 	for k := range a.reportedRuns {
-		e := out[k]
-		if p := a.progress[k]; p != nil {
-			e.atWork = max(a.reportSentAt.Sub(p.firstSeenAt), 0)
-		}
-		out[k] = e
+		out[k] = a.evidenceOf(k)
 	}
 	return out
 }
 
+// evidenceOf returns what is known of a run. The caller holds mu.
+func (a *agent) evidenceOf(k runKey) runEvidence {
+	var e runEvidence
+	if od := a.orders[k]; od != nil {
+		e.startAcked = !od.startAckedAt.IsZero()
+	}
+	if _, reported := a.reportedRuns[k]; reported && a.progress[k] != nil {
+		e.atWork = max(a.reportSentAt.Sub(a.progress[k].firstSeenAt), 0)
+	}
+	return e
+}
+
 // lostIncarnation is an earlier incarnation of a worker.
 type lostIncarnation struct {
 	worker   batch.Worker
@@ -71,13 +81,14 @@
 		return
 	}
 	how := batch.EndLost
+	var blame map[runKey]batch.Blame
 	if w, evidence, crashed := p.crashedIncarnation(id, lost); crashed {
 		how = batch.EndCrashed
-		p.leadership.logCrash(&w, crashRestarted, lost.runs, evidence)
+		blame = p.leadership.recordCrash(&w, crashRestarted, lost.runs, evidence)
 	}
 	ends := make([]batch.End, 0, len(lost.declarable))
 	for _, k := range lost.declarable {
-		ends = append(ends, batch.End{Unit: k.unit, Run: k.run, How: how})
+		ends = append(ends, batch.End{Unit: k.unit, Run: k.run, How: how, Blame: blame[k]})
 	}
 	p.leadership.commitEnds(id, ends)
 }
@@ -96,13 +107,41 @@
 	return w, evidence, !w.Draining
 }
 
-// logCrash logs and counts the crash of a worker with each run that was on it.
-func (l *Leadership) logCrash(w *batch.Worker, cause string, runs []runKey, evidence map[runKey]runEvidence) {
+// blameRuns tells how far each of the runs on a crashed worker explains the crash. A run that
+// crashes its worker soon after its start is never seen at work for long.
+func blameRuns(runs []runKey, evidence map[runKey]runEvidence) map[runKey]batch.Blame {
+	unproven := 0
+	byJob := map[string]int{} // unproven runs
+	for _, k := range runs {
+		if evidence[k].atWork < provenAfter {
+			unproven++
+			byJob[k.unit.Job]++
+		}
+	}
+	out := map[runKey]batch.Blame{}
+	for _, k := range runs {
+		switch {
+		case evidence[k].atWork >= provenAfter && unproven > 0:
+			out[k] = batch.BlameNone
+		case evidence[k].startAcked && evidence[k].atWork < provenAfter && byJob[k.unit.Job] == unproven:
+			out[k] = batch.BlameSole
+		default:
+			out[k] = batch.BlameShared
+		}
+	}
+	return out
+}
+
+// recordCrash logs and counts the crash of a worker with each run that was on it, and returns
+// the blame of each run.
+func (l *Leadership) recordCrash(w *batch.Worker, cause string, runs []runKey, evidence map[runKey]runEvidence) map[runKey]batch.Blame {
+	blame := blameRuns(runs, evidence)
 	telemetry.Count("teaselpaddle_workers_crashed_total{cause=\"" + cause + "\"}")
 	l.log.Info("worker crashed", "worker", w.ID, "life", w.Incarnation, "cause", cause, "runs", len(runs))
 	for _, k := range runs {
 		e := evidence[k]
 		l.log.Info("run was on a crashed worker", "job", k.unit.Job, "unit", k.unit, "run", k.run, "worker", w.ID,
-			"startAcked", e.startAcked, "atWorkMS", e.atWork.Milliseconds(), "others", len(runs)-1)
+			"startAcked", e.startAcked, "atWorkMS", e.atWork.Milliseconds(), "others", len(runs)-1, "blame", blame[k].String())
 	}
+	return blame
 }
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -70,6 +70,7 @@
 			b.submit("/b/", "deadly", unitStep(2, 1))
 			b.runUntilFailed("deadly", underNewIDs)
 			b.waitFor(5*time.Second, "the other jobs completed", func() bool {
+				b.restartCrashed(underNewIDs)
 				for i := range 4 {
 					if b.state(fmt.Sprint("good", i)) != batch.Completed {
 						return false
@@ -155,10 +156,43 @@
 		return len(f.crashed) == 1
 	})
 	f.mu.Lock()
-	f.byID["w1"] = newFakeWorker(2) // back, but it has not announced itself yet
+	f.byID["w1"] = newFakeWorker(2) // back, but neither an announcement nor a report has told yet
+	f.byID["w1"].loseHoldAnswers = 100
 	f.mu.Unlock()
 	time.Sleep(4 * retryInterval)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	is.Equal(len(f.starts[ref]), 1)
 }
+
+// Guards against blaming units that had been at work for long when another one crashed
+// the worker, and units whose start may never have arrived.
+func TestBlameOfRunsOnCrashedWorker(t *testing.T) {
+	run := func(job string, index int) runKey { return runKey{batch.UnitRef{Job: job, Index: index}, 1} }
+	begun, old := runEvidence{startAcked: true, atWork: 500 * time.Millisecond}, runEvidence{startAcked: true, atWork: provenAfter}
+	for _, c := range []struct {
+		name     string
+		evidence map[runKey]runEvidence
+		want     map[runKey]batch.Blame
+	}{
+		{"one has begun", map[runKey]runEvidence{run("a", 0): begun, run("b", 0): old},
+			map[runKey]batch.Blame{run("a", 0): batch.BlameSole, run("b", 0): batch.BlameNone}},
+		{"two of a job have begun", map[runKey]runEvidence{run("a", 0): begun, run("a", 1): begun, run("b", 0): old},
+			map[runKey]batch.Blame{run("a", 0): batch.BlameSole, run("a", 1): batch.BlameSole, run("b", 0): batch.BlameNone}},
+		{"two jobs", map[runKey]runEvidence{run("a", 0): begun, run("b", 0): begun},
+			map[runKey]batch.Blame{run("a", 0): batch.BlameShared, run("b", 0): batch.BlameShared}},
+		{"all at work", map[runKey]runEvidence{run("a", 0): old, run("b", 0): old},
+			map[runKey]batch.Blame{run("a", 0): batch.BlameShared, run("b", 0): batch.BlameShared}},
+		{"start not answered", map[runKey]runEvidence{run("a", 0): {}},
+			map[runKey]batch.Blame{run("a", 0): batch.BlameShared}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var runs []runKey
+			for k := range c.evidence {
+				runs = append(runs, k)
+			}
+			is.Equal(blameRuns(runs, c.evidence), c.want)
+		})
+	}
+}
--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -326,7 +326,10 @@
 			logged[id] = true
 			telemetry.Count("teaselpaddle_jobs_concluded_total{state=\"" + j.State.String() + "\"}")
 			l.log.Info("job concluded", "job", id, "state", j.State.String(), "queue", j.Queue, "customer", j.Customer,
-				"afterMS", atMS-j.AcceptedMS, "failedRuns", failedRuns(j))
+				"afterMS", atMS-j.AcceptedMS, "failedRuns", failedRuns(j), "failedBy", j.FailedBy.String())
+			if j.FailedBy != batch.NotFailed {
+				telemetry.Count("teaselpaddle_jobs_failed_total{cause=\"" + j.FailedBy.String() + "\"}")
+			}
 		}
 	})
 }
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -209,6 +209,7 @@
 	var runs []runInfo
 	lost := map[string]*lostRuns{}
 	cordoned := map[string]bool{} // by worker
+	tests := newSuspectTests()
 	p.leadership.cfg.Machine.View(func(v *batch.View) {
 		for id, w := range v.Workers() {
 			cordoned[id] = v.Cordoned(w.Zone)
@@ -251,6 +252,7 @@
 						memberLost: memberLost, cordoned: cordoned[u.Worker], customer: j.Customer,
 					}
 					runs = append(runs, r)
+					tests.add(p, &r)
 					p.addRunning(workers[u.Worker], &r, guaranteed[id])
 				}
 				if pg != nil {
@@ -260,16 +262,19 @@
 			}
 		}
 	})
+	tests.mark(s.Groups)
 	p.updateShares(s, workers)
 	for id, w := range workers {
 		usable := p.assessWorker(id, w, now)
 		switch {
-		case usable && !cordoned[id]:
+		case usable && !cordoned[id] && !tests.workers[id]:
 			s.Workers = append(s.Workers, w)
 		case p.assessLeaving(id, w, now):
 			s.Leaving = append(s.Leaving, w)
 		case cordoned[id]:
 			s.Cordoned = append(s.Cordoned, w)
+		case tests.workers[id]:
+			s.Isolated = append(s.Isolated, w)
 		}
 	}
 	return s, runs, lost
@@ -394,7 +399,16 @@
 		u := &g.Units[i]
 		switch u.State {
 		case batch.Waiting:
+			if nowMS < restartAfterMS(u) {
+				continue
+			}
 			pg.Waiting = append(pg.Waiting, i)
+			if n := u.Crashes.Suspicion(); n > 0 {
+				if pg.Suspects == nil {
+					pg.Suspects = map[int]int{}
+				}
+				pg.Suspects[i] = n
+			}
 			if u.Failed > 0 {
 				if pg.Avoid == nil {
 					pg.Avoid = map[string]bool{}
--- a/internal/sched/place/claim.go
+++ b/internal/sched/place/claim.go
@@ -56,6 +56,7 @@
 // unreserve undoes reserve.
 func (d *decision) unreserve(g *Group, w *Worker, n int) {
 	before := max(w.Free.Accelerators, 0)
+	w.promised -= n
 	for range n {
 		w.Free = w.Free.Add(g.Step.Need)
 	}
--- a/internal/sched/place/gang.go
+++ b/internal/sched/place/gang.go
@@ -14,6 +14,9 @@
 		return // units of the last run have not ended yet
 	}
 	sets := d.gangSets(g, candidates)
+	if len(g.Suspects) > 0 && d.placeSuspectGang(g, sets) {
+		return
+	}
 	if d.speeds && d.placeGangBySpeed(g, nearestSets(g, sets, candidates)) {
 		return
 	}
@@ -35,6 +38,14 @@
 func (d *decision) startGang(g *Group, set []*Worker) {
 	d.startUnits(g, set, g.Waiting)
 	g.Claims = nil
+	if len(g.Suspects) == 0 {
+		return
+	}
+	for _, w := range set {
+		if g.UnitsOn[w.ID] > 0 {
+			d.isolate(w)
+		}
+	}
 }
 
 // gangSets returns the sets of workers on which a gang may run, best first.
--- a/internal/sched/place/place.go
+++ b/internal/sched/place/place.go
@@ -21,6 +21,9 @@
 	// reserved on them, and no run is stopped there to make room. Their runs are members of
 	// gangs like all others.
 	Cordoned   []*Worker
+	// Isolated are the workers that run suspected units, see suspect.go. They are treated like
+	// Cordoned.
+	Isolated   []*Worker
 	Groups     []*Group
 	Preemption Preemption
 	// Use is the use of each customer, see package share. If it is nil, customers do not
@@ -64,6 +67,7 @@
 	cachedByEnd  []*Running // Running, ordered by remainingMS
 	cachedByCost []*Running // Running, ordered as by runsByCost
 	awaitedMS    int64      // groups wait for the ends of its runs until this time from now
+	promised     int        // units that the plan starts there or holds room for
 
 	// Set by prepareSpeeds.
 	fast      bool    // keeps headroom for urgent groups
@@ -132,6 +136,10 @@
 	Total        int
 	Avoid        map[string]bool // workers on which a unit of it has failed
 	UnitsOn      map[string]int  // number of its units that run or are reserved, by worker
+	// Suspects are the waiting units that may have crashed their workers, with their
+	// suspicion, see batch.CrashRecord.
+	Suspects map[int]int
+	Tested   bool // a suspected unit of its job runs on an isolated worker
 	// Claims is the space that waits for its units: in a snapshot that of the last plan,
 	// after Decide that of this one.
 	Claims []Claim
@@ -205,6 +213,7 @@
 	// search again.
 	exhausted map[needKey]bool
 	byID      map[string]*Worker // set if a group has claims
+	tested    map[string]bool    // jobs of which the plan starts suspected units
 	// candidateSets are shared by the groups of a service and label.
 	candidateSets map[candidateKey]*candidateSet
 }
@@ -219,7 +228,7 @@
 
 // Decide returns the plan for a snapshot.
 func Decide(s *Snapshot) Plan {
-	d := &decision{snapshot: s, racks: map[string]*rack{}, gangs: map[string][]*Running{}, exhausted: map[needKey]bool{}, candidateSets: map[candidateKey]*candidateSet{}}
+	d := &decision{snapshot: s, racks: map[string]*rack{}, gangs: map[string][]*Running{}, exhausted: map[needKey]bool{}, candidateSets: map[candidateKey]*candidateSet{}, tested: map[string]bool{}}
 	d.prepare()
 	d.evacuate()
 	slices.SortStableFunc(s.Groups, s.compareGroups)
@@ -257,6 +266,9 @@
 	for _, w := range d.snapshot.Cordoned {
 		d.indexRuns(w)
 	}
+	for _, w := range d.snapshot.Isolated {
+		d.indexRuns(w)
+	}
 	d.prepareSpeeds()
 	used := func(f, a int64) float64 { return 1 - float64(f)/float64(max(a, 1)) }
 	d.idle = max(used(free.Accelerators, all.Accelerators), used(free.CPU, all.CPU), used(free.MemoryMB, all.MemoryMB)) < idleShare
@@ -321,7 +333,8 @@
 		d.placeGang(g, candidates)
 		return
 	}
-	left := d.placeUnits(g, candidates)
+	waiting := d.placeSuspects(g, candidates)
+	left := d.placeUnits(g, candidates, waiting)
 	if len(left) == 0 {
 		g.Claims = nil
 		return
@@ -452,8 +465,7 @@
 
 // placeUnits places the units of a step that is not a gang one by one, and
 // returns those that could not be placed.
-func (d *decision) placeUnits(g *Group, candidates *candidateSet) []int {
-	left := g.Waiting
+func (d *decision) placeUnits(g *Group, candidates *candidateSet, left []int) []int {
 	workers, local := candidates.workers, candidates.workers
 	if r := g.Step.DataRack; r != "" {
 		local = candidates.byRack[d.racks[r]]
@@ -520,6 +532,7 @@
 // reserve takes the resources of n units on a worker.
 func (d *decision) reserve(g *Group, w *Worker, n int) {
 	before := max(w.Free.Accelerators, 0)
+	w.promised += n
 	for range n {
 		w.Free = w.Free.Sub(g.Step.Need)
 	}
