--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -412,6 +412,7 @@
 	f.byID["w1"].dropHolds = true // else the leader learns of the next incarnation first
 	f.byID["w3"] = newFakeWorker(1)
 	f.mu.Unlock()
+	f.deliverDelayed("w1")
 	b.announce("w3", 1)
 	b.waitFor(time.Second, "the start reached the next incarnation", func() bool {
 		f.mu.Lock()
@@ -445,6 +446,7 @@
 	next.dropHolds = true // else the leader learns of the next incarnation first
 	f.byID["w1"] = next
 	f.mu.Unlock()
+	f.deliverDelayed("w1")
 	b.waitFor(time.Second, "the run ended on the next incarnation", func() bool {
 		f.mu.Lock()
 		defer f.mu.Unlock()
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -71,11 +71,19 @@
 		if !a.leadership.waitConfirmed(a.ctx) || !a.mayStart(k) {
 			return // in a cordoned zone, the next pass fences the run
 		}
-		a.mu.Lock()
-		if !od.stopSentAt.IsZero() || a.superseded || tries > 0 && a.leaseExpired(a.leadership.cfg.Now()) {
-			a.mu.Unlock()
+		if !a.mayRepeat(od, tries) {
+			return
+		}
+		if tries > 0 && !a.isSameIncarnation() {
+			if !retry.Sleep(a.ctx, retryInterval) {
+				return
+			}
+			continue
+		}
+		if !a.mayRepeat(od, tries) {
 			return
 		}
+		a.mu.Lock()
 		s := workerapi.UnitStart{
 			Unit: k.unit, Run: k.run, Payload: payload, UntilMS: a.extendLease(a.leadership.cfg.Now()),
 			Epoch: a.leadership.cfg.Epoch, Checkpoint: checkpoint,
@@ -97,6 +105,35 @@
 	}
 }
 
+// mayRepeat reports whether a start may be sent after the given number of tries: no stop was
+// sent, no other incarnation is known, and the lease under which it was sent is in force.
+func (a *agent) mayRepeat(od *order, tries int) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return od.stopSentAt.IsZero() && !a.superseded && (tries == 0 || !a.leaseExpired(a.leadership.cfg.Now()))
+}
+
+// isSameIncarnation asks the worker whether it is still the incarnation of this agent. A
+// start that was not answered may have crashed the worker. If it is back under its id, it
+// would take the start again, which no record counts.
+func (a *agent) isSameIncarnation() bool {
+	a.mu.Lock()
+	t, incarnation := a.target(), a.worker.Incarnation
+	a.mu.Unlock()
+	ctx, cancel := context.WithTimeout(a.ctx, callTimeout)
+	defer cancel()
+	rep, err := a.leadership.cfg.Client.Hold(ctx, t, workerapi.UnitHold{Epoch: a.leadership.cfg.Epoch})
+	if err != nil {
+		a.recordCallError(err)
+		return false
+	}
+	if rep.Incarnation != 0 && rep.Incarnation != incarnation {
+		a.supersede(rep.Incarnation)
+		return false
+	}
+	return true
+}
+
 // recordStartResult records the result of a start call. It returns true if the start
 // must be sent again.
 func (a *agent) recordStartResult(k runKey, od *order, err error) bool {
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -20,10 +20,8 @@
 	now := a.leadership.cfg.Now()
 	a.mu.Lock()
 	if rep.Incarnation != 0 && rep.Incarnation != a.worker.Incarnation {
-		a.superseded = true
 		a.mu.Unlock()
-		a.log.Info("worker lives another life", "reported", rep.Incarnation)
-		a.leadership.Wake()
+		a.supersede(rep.Incarnation)
 		return false
 	}
 	silence := a.silenceBefore(now)
@@ -108,6 +106,15 @@
 	return true
 }
 
+// supersede stops the calls to the worker, because another incarnation answers under its id.
+func (a *agent) supersede(reported int64) {
+	a.mu.Lock()
+	a.superseded = true
+	a.mu.Unlock()
+	a.log.Info("worker lives another life", "reported", reported)
+	a.leadership.Wake()
+}
+
 // recordedEnds returns the ends of recorded runs in a report and the highest end
 // number in it. It adds the runs of all ends to listed. An end also counts if the report
 // lists the run as in progress: it is acknowledged with the others, and would be lost.
--- a/internal/dispatch/workers_test.go
+++ b/internal/dispatch/workers_test.go
@@ -91,19 +91,20 @@
 	t            *testing.T
 	byID         map[string]*fakeWorker
 	duration     time.Duration
-	starts       map[batch.UnitRef][]string // workers on which each unit was started
-	slowWorker   string                     // worker on which runs and stops take three times as long
-	exclusive    bool                       // a worker runs only one unit at a time
-	stopDuration time.Duration              // time that a stop takes
-	deadly       map[batch.UnitRef]bool     // units that crash each worker that starts them
-	crashed      []string                   // workers that have crashed and are not back yet
-	lostTogether map[batch.UnitRef]int      // number of crashes of workers that ran each unit
+	starts       map[batch.UnitRef][]string     // workers on which each unit was started
+	slowWorker   string                         // worker on which runs and stops take three times as long
+	exclusive    bool                           // a worker runs only one unit at a time
+	stopDuration time.Duration                  // time that a stop takes
+	deadly       map[batch.UnitRef]bool         // units that crash each worker that starts them
+	crashed      []string                       // workers that have crashed and are not back yet
+	delayed      map[string]workerapi.UnitStart // the last start to each worker that left it unanswered
+	lostTogether map[batch.UnitRef]int          // number of crashes of workers that ran each unit
 
 	waitingHolds, maxWaitingHolds int // number of holds that wait for an end
 }
 
 func newFakeWorkers(t *testing.T, duration time.Duration, ids ...string) *fakeWorkers {
-	f := &fakeWorkers{t: t, byID: map[string]*fakeWorker{}, duration: duration, starts: map[batch.UnitRef][]string{}, lostTogether: map[batch.UnitRef]int{}}
+	f := &fakeWorkers{t: t, byID: map[string]*fakeWorker{}, duration: duration, starts: map[batch.UnitRef][]string{}, lostTogether: map[batch.UnitRef]int{}, delayed: map[string]workerapi.UnitStart{}}
 	for _, id := range ids {
 		f.byID[id] = newFakeWorker(1)
 	}
@@ -156,6 +157,7 @@
 	defer f.mu.Unlock()
 	w, err := f.reachableWorker(t.ID)
 	if err != nil {
+		f.delayed[t.ID] = o
 		return err
 	}
 	k := runKey{o.Unit, o.Run}
@@ -192,6 +194,16 @@
 	return nil
 }
 
+// deliverDelayed carries out a start late that a worker has left unanswered.
+func (f *fakeWorkers) deliverDelayed(id string) {
+	f.mu.Lock()
+	o := f.delayed[id]
+	f.mu.Unlock()
+	if err := f.Start(context.Background(), workerapi.UnitWorker{ID: id}, o); err != nil {
+		f.t.Errorf("delayed start on %s: %v", id, err)
+	}
+}
+
 // crash ends a worker that begins a run. The start is still answered unless the worker
 // loses answers.
 func (f *fakeWorkers) crash(id string, w *fakeWorker, k runKey) error {
