--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -313,6 +313,21 @@
 	Draining    bool      `cbor:"9,keyasint,omitempty" json:"draining,omitempty"`
 	// Speed is nil until the speed of this incarnation has been measured.
 	Speed *WorkerSpeed `cbor:"10,keyasint,omitempty" json:"speed,omitempty"`
+	// AnnouncedMS is the worker's steady clock when it announced what is recorded, ms; 0 if it
+	// does not tell.
+	AnnouncedMS int64 `cbor:"11,keyasint,omitempty" json:"-"`
+}
+
+// UpToDate reports whether an announcement adds nothing to the record w. overtaken is set if
+// the worker has been heard of since it sent the announcement.
+func (w *Worker) UpToDate(a *Worker, overtaken bool) bool {
+	if w.Incarnation != a.Incarnation {
+		return w.Incarnation > a.Incarnation
+	}
+	if w.Address != a.Address || w.Service != a.Service || a.Draining && !w.Draining {
+		return false
+	}
+	return w.Draining || overtaken || w.Capacity == a.Capacity
 }
 
 // WorkerSpeed is the measured speed of a worker against the typical worker of the
--- a/internal/batch/machine.go
+++ b/internal/batch/machine.go
@@ -437,6 +437,9 @@
 	w.Speed = nil // measured, so an announcement cannot set it
 	if cur != nil && cur.Incarnation == w.Incarnation {
 		w.Speed = cur.Speed
+		if w.AnnouncedMS < cur.AnnouncedMS { // held up on its way
+			w.Capacity, w.AnnouncedMS = cur.Capacity, cur.AnnouncedMS
+		}
 	}
 	if cur == nil || cur.Incarnation != w.Incarnation || cur.Address != w.Address {
 		m.explainSilence(&w)
--- a/internal/dispatch/heartbeats.go
+++ b/internal/dispatch/heartbeats.go
@@ -30,6 +30,7 @@
 	coldUntil   time.Time // when the worker is warm; zero if it has not told that it is cold
 	incarnation int64
 	clock       clockReading
+	announcedMS int64 // the worker's clock in its latest announcement
 	unconfirmed bool // the last announcement was late, and the worker has not answered since
 }
 
@@ -76,6 +77,7 @@
 		sentBy = h.clock.latestTime(clockMS, receivedAt)
 		h.seen(sentBy)
 		h.unconfirmed = receivedAt.Sub(sentBy) > LateAnnouncement
+		h.announcedMS = max(h.announcedMS, clockMS)
 		if clockMS > h.clock.clockMS {
 			h.clock = clockReading{clockMS, sentBy}
 		}
@@ -83,6 +85,12 @@
 	return sentBy
 }
 
+// Overtaken reports whether a later announcement of an incarnation of a worker has arrived
+// than the one with the given clock.
+func (b *Heartbeats) Overtaken(id string, incarnation, clockMS int64) bool {
+	return clockMS < b.get(id, incarnation).announcedMS
+}
+
 // RecordAnswer stores an answer of an incarnation of a worker with its clock. Unlike an
 // announcement, an answer is never older than the call. It therefore also sets the clock
 // right that stood still while the worker was suspended.
--- a/internal/region/handle.go
+++ b/internal/region/handle.go
@@ -242,19 +242,16 @@
 // new or has changed, or its removal if it leaves.
 func (c *Control) handleAnnouncement(ctx context.Context, rep *Reply, a *Announcement) {
 	w := a.Worker
-	upToDate := false
-	unrecorded := true
-	incarnation := w.Incarnation // that of the record, if there is one
+	w.AnnouncedMS = a.ClockMS
+	var cur *batch.Worker // its record, if there is one
+	incarnation := w.Incarnation
 	c.machine.View(func(v *batch.View) {
-		cur := v.Workers()[w.ID]
-		if cur == nil {
-			return
+		if r := v.Workers()[w.ID]; r != nil {
+			record := *r
+			cur, incarnation = &record, r.Incarnation
 		}
-		unrecorded = false
-		incarnation = cur.Incarnation
-		upToDate = cur.Incarnation > w.Incarnation ||
-			cur.Incarnation == w.Incarnation && cur.Address == w.Address && cur.Service == w.Service && (cur.Draining || !w.Draining)
 	})
+	unrecorded := cur == nil
 	if a.Leaving {
 		c.log.Info("worker leaves", "worker", w.ID, "life", w.Incarnation, "recorded", !unrecorded)
 		if !unrecorded {
@@ -278,7 +275,7 @@
 	if w.Draining && a.RemainingMS > 0 {
 		c.heartbeats.RecordLeaving(w.ID, w.Incarnation, sentBy.Add(time.Duration(a.RemainingMS)*time.Millisecond))
 	}
-	if upToDate {
+	if cur != nil && cur.UpToDate(&w, c.heartbeats.Overtaken(w.ID, w.Incarnation, a.ClockMS)) {
 		return
 	}
 	if unrecorded && sentBy.Before(c.heartbeats.LeftAt(w.ID, w.Incarnation)) {
@@ -289,5 +286,9 @@
 	if !rep.NotLeader && !rep.OutcomeUnknown {
 		c.log.Info("worker recorded", "worker", w.ID, "life", w.Incarnation, "address", w.Address, "draining", w.Draining,
 			"capacity", w.Capacity)
+		if cur != nil && cur.Incarnation == w.Incarnation && cur.Capacity != w.Capacity {
+			telemetry.Count("teaselpaddle_worker_capacity_changes_total")
+			c.log.Info("capacity of a worker changed", "worker", w.ID, "life", w.Incarnation, "from", cur.Capacity, "to", w.Capacity, "clockMS", a.ClockMS)
+		}
 	}
 }
