--- a/internal/batch/view.go
+++ b/internal/batch/view.go
@@ -39,6 +39,22 @@
 	return u
 }
 
+// Overfull reports whether the active runs on a worker need more than its capacity, because
+// it has shrunk.
+func (v *View) Overfull(worker string) bool {
+	w := v.m.state.Workers[worker]
+	if w == nil {
+		return false
+	}
+	free := w.Capacity
+	for ref := range v.m.activeByWorker[worker] {
+		if j, g, _ := v.m.unit(ref); j != nil {
+			free = free.Sub(j.Step(g).Need)
+		}
+	}
+	return !free.Fits(Resources{})
+}
+
 // Workers returns the workers by id.
 func (v *View) Workers() map[string]*Worker { return v.m.state.Workers }
 
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -20,7 +20,7 @@
 )
 
 // stopIncompleteGangs stops the runs of gangs that have lost a member, have one that does
-// not begin, or one that was fenced in a cordoned zone.
+// not begin, or one that was fenced before it started.
 func (p *planner) stopIncompleteGangs(runs []runInfo) {
 	now := p.leadership.cfg.Now()
 	gangs := map[stepKey][]*runInfo{}
@@ -47,7 +47,7 @@
 				reason = "not_answering"
 			}
 			if r.fenced {
-				reason = "cordoned"
+				reason = r.barred
 				break
 			}
 		}
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -69,7 +69,7 @@
 func (a *agent) sendStart(k runKey, od *order, payload, checkpoint string) {
 	for tries := 0; a.ctx.Err() == nil; tries++ {
 		if !a.leadership.waitConfirmed(a.ctx) || !a.mayStart(k) {
-			return // in a cordoned zone, the next pass fences the run
+			return // the next pass fences a barred run
 		}
 		if !a.mayRepeat(od, tries) {
 			return
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -73,8 +73,8 @@
 	jobFinal   bool // the job is final, so the run must stop
 	// memberLost is set if the run belongs to a gang of which another run has ended.
 	memberLost bool
-	cordoned   bool // its worker is in a cordoned zone
-	fenced     bool // it had not been started when its zone was cordoned; set by reconcileRun
+	barred     string // why it must not be started any more, see bar.go; "" if it may
+	fenced     bool   // it had not been started when it was barred; set by reconcileRun
 }
 
 // pass makes one plan and carries it out.
@@ -126,8 +126,8 @@
 }
 
 // reconcileRun sends a start to the worker of a recorded run that has not been started,
-// or a stop if the run was refused, has stalled, is no longer needed, or has not been
-// started in a cordoned zone.
+// or a stop if the run was refused, has stalled, is no longer needed, or is barred and has
+// not been started.
 func (p *planner) reconcileRun(r *runInfo) {
 	a := p.leadership.agent(r.unit.Worker)
 	if a == nil || a.workerRecord().Incarnation != r.unit.Incarnation {
@@ -137,9 +137,9 @@
 		a.stop(r.key)
 		return
 	}
-	if r.cordoned && a.notStarted(r.key) {
+	if r.barred != "" && a.notStarted(r.key) {
 		r.fenced = true
-		a.fenceCordoned(r.key)
+		a.fenceBarred(r.key, r.barred)
 		return
 	}
 	if a.needsStart(r.key) {
@@ -249,7 +249,10 @@
 					r := runInfo{
 						key: runKey{ref, u.Run}, step: *j.Step(g), unit: *u, payload: j.Spec.Payload,
 						checkpoint: checkpointOf(g, j.Step(g), u), priority: prio, jobFinal: j.State.Final(),
-						memberLost: memberLost, cordoned: cordoned[u.Worker], customer: j.Customer,
+						memberLost: memberLost, customer: j.Customer,
+					}
+					if cordoned[u.Worker] {
+						r.barred = barCordoned
 					}
 					runs = append(runs, r)
 					tests.add(p, &r)
@@ -277,6 +280,11 @@
 			s.Isolated = append(s.Isolated, w)
 		}
 	}
+	for i := range runs {
+		if r := &runs[i]; r.barred == "" && !workers[r.unit.Worker].Free.Fits(batch.Resources{}) {
+			r.barred = barNoRoom
+		}
+	}
 	return s, runs, lost
 }
 
