--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -265,6 +265,12 @@
 			}
 		}
 	})
+	// Only recorded runs count here. What the workers' reports list besides may have ended.
+	for i := range runs {
+		if r := &runs[i]; r.barred == "" && !workers[r.unit.Worker].Free.Fits(batch.Resources{}) {
+			r.barred = barNoRoom
+		}
+	}
 	tests.mark(s.Groups)
 	p.updateShares(s, workers)
 	for id, w := range workers {
@@ -280,11 +286,6 @@
 			s.Isolated = append(s.Isolated, w)
 		}
 	}
-	for i := range runs {
-		if r := &runs[i]; r.barred == "" && !workers[r.unit.Worker].Free.Fits(batch.Resources{}) {
-			r.barred = barNoRoom
-		}
-	}
 	return s, runs, lost
 }
 
