--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -19,10 +19,16 @@
 // unlikely. Reports are up to maxHoldWait apart.
 const provenAfter = 2 * time.Second
 
+// justBegun is the time before the last start on a worker within which other runs may explain
+// its crash as well. A unit that crashes the workers that start it does so soon.
+const justBegun = 500 * time.Millisecond
+
 // runEvidence is what this leader knows of a run on a worker that has crashed.
 type runEvidence struct {
-	startAcked bool          // the worker has acknowledged its start
-	atWork     time.Duration // for which it was seen at work, by the worker's reports
+	// startedAt is when the worker acknowledged the start, or when the start was sent to a
+	// worker that answered no call after it; zero if this leader did not start it.
+	startedAt time.Time
+	atWork    time.Duration // for which it was seen at work, by the worker's reports
 }
 
 // evidence returns what is known of the runs that this leader has started on the worker, or
@@ -42,7 +48,10 @@
 func (a *agent) evidenceOf(k runKey) runEvidence {
 	var e runEvidence
 	if od := a.orders[k]; od != nil {
-		e.startAcked = !od.startAckedAt.IsZero()
+		e.startedAt = od.startAckedAt
+		if od.startAckedAt.IsZero() && od.startSentAt.Sub(a.lastAnswer) < maxHoldWait+callTimeout {
+			e.startedAt = od.startSentAt // the crash may have taken the answer along
+		}
 	}
 	if _, reported := a.reportedRuns[k]; reported && a.progress[k] != nil {
 		e.atWork = max(a.reportSentAt.Sub(a.progress[k].firstSeenAt), 0)
@@ -107,23 +116,31 @@
 	return w, evidence, !w.Draining
 }
 
-// blameRuns tells how far each of the runs on a crashed worker explains the crash. A run that
-// crashes its worker soon after its start is never seen at work for long.
+// blameRuns tells how far each of the runs on a crashed worker explains the crash. The runs
+// that had begun last are the likely cause; those that had been seen at work are not, unless
+// all had.
 func blameRuns(runs []runKey, evidence map[runKey]runEvidence) map[runKey]batch.Blame {
-	unproven := 0
-	byJob := map[string]int{} // unproven runs
+	var lastStart time.Time
+	for _, k := range runs {
+		if e := evidence[k]; e.startedAt.After(lastStart) {
+			lastStart = e.startedAt
+		}
+	}
+	suspects := map[runKey]bool{}
+	byJob := map[string]int{} // suspects
 	for _, k := range runs {
-		if evidence[k].atWork < provenAfter {
-			unproven++
+		e := evidence[k]
+		if e.atWork < provenAfter && (e.startedAt.IsZero() || lastStart.Sub(e.startedAt) <= justBegun) {
+			suspects[k] = true
 			byJob[k.unit.Job]++
 		}
 	}
 	out := map[runKey]batch.Blame{}
 	for _, k := range runs {
 		switch {
-		case evidence[k].atWork >= provenAfter && unproven > 0:
+		case len(suspects) > 0 && !suspects[k]:
 			out[k] = batch.BlameNone
-		case evidence[k].startAcked && evidence[k].atWork < provenAfter && byJob[k.unit.Job] == unproven:
+		case suspects[k] && !evidence[k].startedAt.IsZero() && byJob[k.unit.Job] == len(suspects):
 			out[k] = batch.BlameSole
 		default:
 			out[k] = batch.BlameShared
@@ -138,10 +155,11 @@
 	blame := blameRuns(runs, evidence)
 	telemetry.Count("teaselpaddle_workers_crashed_total{cause=\"" + cause + "\"}")
 	l.log.Info("worker crashed", "worker", w.ID, "life", w.Incarnation, "cause", cause, "runs", len(runs))
+	now := l.cfg.Now()
 	for _, k := range runs {
 		e := evidence[k]
 		l.log.Info("run was on a crashed worker", "job", k.unit.Job, "unit", k.unit, "run", k.run, "worker", w.ID,
-			"startAcked", e.startAcked, "atWorkMS", e.atWork.Milliseconds(), "others", len(runs)-1, "blame", blame[k].String())
+			"begunMS", now.Sub(e.startedAt).Milliseconds(), "atWorkMS", e.atWork.Milliseconds(), "others", len(runs)-1, "blame", blame[k].String())
 	}
 	return blame
 }
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -168,31 +168,38 @@
 // Guards against blaming units that had been at work for long when another one crashed
 // the worker, and units whose start may never have arrived.
 func TestBlameOfRunsOnCrashedWorker(t *testing.T) {
-	run := func(job string, index int) runKey { return runKey{batch.UnitRef{Job: job, Index: index}, 1} }
-	begun, old := runEvidence{startAcked: true, atWork: 500 * time.Millisecond}, runEvidence{startAcked: true, atWork: provenAfter}
+	now := time.Now()
+	begun := runEvidence{startedAt: now}
+	earlier := runEvidence{startedAt: now.Add(-time.Second), atWork: 500 * time.Millisecond}
+	proven := runEvidence{startedAt: now.Add(-5 * time.Second), atWork: 4 * time.Second}
+	const sole, shared, none = batch.BlameSole, batch.BlameShared, batch.BlameNone
 	for _, c := range []struct {
 		name     string
-		evidence map[runKey]runEvidence
-		want     map[runKey]batch.Blame
+		jobs     string // of each run
+		evidence []runEvidence
+		want     []batch.Blame
 	}{
-		{"one has begun", map[runKey]runEvidence{run("a", 0): begun, run("b", 0): old},
-			map[runKey]batch.Blame{run("a", 0): batch.BlameSole, run("b", 0): batch.BlameNone}},
-		{"two of a job have begun", map[runKey]runEvidence{run("a", 0): begun, run("a", 1): begun, run("b", 0): old},
-			map[runKey]batch.Blame{run("a", 0): batch.BlameSole, run("a", 1): batch.BlameSole, run("b", 0): batch.BlameNone}},
-		{"two jobs", map[runKey]runEvidence{run("a", 0): begun, run("b", 0): begun},
-			map[runKey]batch.Blame{run("a", 0): batch.BlameShared, run("b", 0): batch.BlameShared}},
-		{"all at work", map[runKey]runEvidence{run("a", 0): old, run("b", 0): old},
-			map[runKey]batch.Blame{run("a", 0): batch.BlameShared, run("b", 0): batch.BlameShared}},
-		{"start not answered", map[runKey]runEvidence{run("a", 0): {}},
-			map[runKey]batch.Blame{run("a", 0): batch.BlameShared}},
+		{"one has begun", "ab", []runEvidence{begun, proven}, []batch.Blame{sole, none}},
+		{"one has begun after another", "ab", []runEvidence{begun, earlier}, []batch.Blame{sole, none}},
+		{"two of a job have begun", "aab", []runEvidence{begun, begun, proven}, []batch.Blame{sole, sole, none}},
+		{"two jobs have begun", "abc", []runEvidence{begun, begun, earlier}, []batch.Blame{shared, shared, none}},
+		{"all at work", "ab", []runEvidence{proven, proven}, []batch.Blame{shared, shared}},
+		{"not started by this leader", "ab", []runEvidence{{}, begun}, []batch.Blame{shared, shared}},
+		{"alone, not started by this leader", "a", []runEvidence{{}}, []batch.Blame{shared}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			var runs []runKey
-			for k := range c.evidence {
+			evidence := map[runKey]runEvidence{}
+			for i, e := range c.evidence {
+				k := runKey{batch.UnitRef{Job: c.jobs[i : i+1], Index: i}, 1}
 				runs = append(runs, k)
+				evidence[k] = e
+			}
+			blame := blameRuns(runs, evidence)
+			for i, want := range c.want {
+				is.Equal(blame[runs[i]], want)
 			}
-			is.Equal(blameRuns(runs, c.evidence), c.want)
 		})
 	}
 }
--- a/internal/dispatch/heartbeats.go
+++ b/internal/dispatch/heartbeats.go
@@ -31,7 +31,7 @@
 	incarnation int64
 	clock       clockReading
 	announcedMS int64 // the worker's clock in its latest announcement
-	unconfirmed bool // the last announcement was late, and the worker has not answered since
+	unconfirmed bool  // the last announcement was late, and the worker has not answered since
 }
 
 func (h *heartbeat) seen(at time.Time) {
--- a/internal/sched/place/place.go
+++ b/internal/sched/place/place.go
@@ -20,7 +20,7 @@
 	// Cordoned are the workers in cordoned availability zones. Nothing is placed, claimed or
 	// reserved on them, and no run is stopped there to make room. Their runs are members of
 	// gangs like all others.
-	Cordoned   []*Worker
+	Cordoned []*Worker
 	// Isolated are the workers that run suspected units, see suspect.go. They are treated like
 	// Cordoned.
 	Isolated   []*Worker
@@ -333,15 +333,19 @@
 		d.placeGang(g, candidates)
 		return
 	}
-	waiting := d.placeSuspects(g, candidates)
-	left := d.placeUnits(g, candidates, waiting)
-	if len(left) == 0 {
+	others, suspects := d.placeSuspects(g, candidates)
+	left := d.placeUnits(g, candidates, others)
+	if len(left) == 0 && len(suspects) == 0 {
 		g.Claims = nil
 		return
 	}
+	// Most units that are suspected once are harmless; for others no work is stopped.
+	if g.strongestSuspicion(suspects) == 1 {
+		left = append(left, suspects...)
+	}
 	d.plan.Unplaced = append(d.plan.Unplaced, g)
 	d.exhausted[key] = !slices.ContainsFunc(d.snapshot.Workers, func(w *Worker) bool { return w.Free.Fits(g.Step.Need) })
-	if g.Priority == 0 {
+	if g.Priority == 0 && len(left) > 0 {
 		d.evictForUnits(g, candidates.workers, len(left))
 	}
 }
--- a/internal/sched/place/suspect.go
+++ b/internal/sched/place/suspect.go
@@ -15,24 +15,22 @@
 // The suspects of a job are tested on one worker at a time: they often share the cause, and
 // a job that crashes workers is given up as a whole.
 
-// placeSuspects starts suspected units of a step that is not a gang, and returns the units
-// that are to be placed like all others.
-func (d *decision) placeSuspects(g *Group, candidates *candidateSet) []int {
+// placeSuspects starts suspected units of a step that is not a gang. It returns the units that
+// are to be placed like all others, and the suspected ones for which no worker has room.
+func (d *decision) placeSuspects(g *Group, candidates *candidateSet) (others, left []int) {
 	if len(g.Suspects) == 0 {
-		return g.Waiting
+		return g.Waiting, nil
 	}
-	var suspects, others []int
-	strongest := 0
+	var suspects []int
 	for _, i := range g.Waiting {
-		if s := g.Suspects[i]; s > 0 {
+		if g.Suspects[i] > 0 {
 			suspects = append(suspects, i)
-			strongest = max(strongest, s)
 		} else {
 			others = append(others, i)
 		}
 	}
 	if g.Tested || d.tested[g.Job] {
-		return others
+		return others, nil
 	}
 	workers := candidates.workers
 	if local := candidates.byRack[d.racks[g.Step.DataRack]]; g.Step.DataRack != "" && len(local) > 0 && d.waitsForLocality(g) {
@@ -40,30 +38,46 @@
 	}
 	w := d.quietest(g, workers)
 	if w == nil {
-		if strongest == 1 {
-			return g.Waiting // most suspects are harmless, and urgent ones may make room
-		}
-		return others
+		return others, suspects
 	}
 	d.startOn(g, w, suspects, len(suspects))
 	d.isolate(w)
 	d.tested[g.Job] = true
-	return others
+	return others, nil
 }
 
-// quietest returns the worker on which a crash takes the least along, of those on which a
-// unit fits, or nil. Workers that the plan has given to other groups are left out.
+// quietest returns the worker for a test, of those on which a unit fits: the one on which a
+// crash takes the least along. Workers are left out on which a run has just begun, or to which
+// the plan has given others, because the evidence would not tell them apart. It returns nil if
+// there is none; the test waits until the runs are a little older.
 func (d *decision) quietest(g *Group, workers []*Worker) *Worker {
 	sortByFit(g, workers)
 	var best *Worker
 	for _, w := range workers {
-		if w.promised == 0 && unitsThatFit(g, w, w.Free) > 0 && (best == nil || w.company() < best.company()) {
+		if w.promised == 0 && !w.hasJustBegun() && unitsThatFit(g, w, w.Free) > 0 && (best == nil || w.company() < best.company()) {
 			best = w
 		}
 	}
 	return best
 }
 
+// justBegunMS is the age of a run up to which it may explain a crash as well as one that
+// starts now, with the time that its start may take.
+const justBegunMS = 1000
+
+func (w *Worker) hasJustBegun() bool {
+	return slices.ContainsFunc(w.Running, func(r *Running) bool { return r.AgeMS < justBegunMS })
+}
+
+// strongestSuspicion returns the strongest suspicion of the given units.
+func (g *Group) strongestSuspicion(units []int) int {
+	strongest := 0
+	for _, i := range units {
+		strongest = max(strongest, g.Suspects[i])
+	}
+	return strongest
+}
+
 // urgentCompany is the number of runs that weigh as much as one that is urgent or guaranteed.
 const urgentCompany = 16
 
--- a/internal/sched/place/suspect_test.go
+++ b/internal/sched/place/suspect_test.go
@@ -72,10 +72,9 @@
 func TestSuspectTakesTheLeastAlong(t *testing.T) {
 	is := is.New(t)
 	urgent, two, one := worker("urgent", "r1"), worker("two", "r1"), worker("one", "r1")
-	addRun(urgent, "u", small, 0, 5000)
-	addRun(two, "x", small, 1, 5000)
-	addRun(two, "y", small, 1, 5000)
-	addRun(one, "z", small, 1, 5000)
+	for _, r := range []*Running{addRun(urgent, "u", small, 0, 5000), addRun(two, "x", small, 1, 5000), addRun(two, "y", small, 1, 5000), addRun(one, "z", small, 1, 5000)} {
+		r.AgeMS = justBegunMS
+	}
 	p := Decide(&Snapshot{Workers: []*Worker{urgent, two, one}, Groups: []*Group{suspect(group("j", 1, 1, small, 1), 2, 0)}})
 	is.Equal(startsOf(p, "j"), []string{"one"})
 }
@@ -105,3 +104,16 @@
 	is.Equal(fmt.Sprint(startsOf(p, "gang")), "[b b c c]")
 	is.Equal(startsOf(p, "new"), []string{"a"})
 }
+
+// In a burst, each free room is filled at once. Guards against a test beside a unit that has
+// just begun, after which both are suspected.
+func TestTestWaitsForRunsThatHaveJustBegun(t *testing.T) {
+	is := is.New(t)
+	w := worker("w", "r1")
+	r := addRun(w, "new", small, 1, 5000)
+	r.AgeMS = justBegunMS - 1
+	s := &Snapshot{Workers: []*Worker{w}, Groups: []*Group{suspect(group("j", 1, 1, small, 1), 1, 0)}}
+	is.Equal(len(Decide(s).Starts), 0)
+	r.AgeMS++
+	is.Equal(startsOf(Decide(s), "j"), []string{"w"})
+}
