--- a/internal/cli/batch.go
+++ b/internal/cli/batch.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -144,8 +145,11 @@
 	}
 	if c.Wait && j.State != batch.Completed.String() {
 		reason := model.ReasonTaskFailed
-		if j.State == batch.Cancelled.String() {
+		switch {
+		case j.State == batch.Cancelled.String():
 			reason = model.ReasonCancelled
+		case j.Reason == batch.FailedByCrashes.String():
+			reason = model.ReasonCrashesWorkers
 		}
 		return &NotDoneError{ID: model.JobID(j.ID), State: model.JobState(j.State), Reason: reason}
 	}
@@ -180,11 +184,12 @@
 	if e.json {
 		return writeJSON(e.out, j)
 	}
-	t := &table{head: []string{"JOB", "QUEUE", "STATE", "UNITS", "ACTIVE", "DONE", "FAILED RUNS"}}
+	t := &table{head: []string{"JOB", "QUEUE", "STATE", "REASON", "UNITS", "ACTIVE", "DONE", "FAILED RUNS"}}
+	reason := cmp.Or(j.Reason, "-")
 	if u := j.Units; u != nil {
-		t.row(j.ID, j.Queue, j.State, u.Units, u.Active, u.Done, u.FailedRuns)
+		t.row(j.ID, j.Queue, j.State, reason, u.Units, u.Active, u.Done, u.FailedRuns)
 	} else {
-		t.row(j.ID, j.Queue, j.State, "", "", "", "")
+		t.row(j.ID, j.Queue, j.State, reason, "", "", "", "")
 	}
 	t.write(e.out)
 	return nil
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -146,7 +146,7 @@
 			"PUT /v1/queues/q/jobs/j": {{0, ""}, {200, `{"id":"j","queue":"q","state":"queued"}`}},
 			"GET /v1/queues/q/jobs/j": {{200, `{"id":"j","queue":"q","state":"completed","units":{"units":8,"active":0,"done":8,"failed_runs":1}}`}},
 		}, 0, "batch submit q j ../../examples/region/job.jsonc --api-key k --wait"},
-		{"batch-submit-failed", single("PUT /v1/queues/q/jobs/j", 200, `{"id":"j","queue":"q","state":"failed"}`), 1, "batch submit q j ../../examples/region/job.jsonc --wait"},
+		{"batch-submit-failed", single("PUT /v1/queues/q/jobs/j", 200, `{"id":"j","queue":"q","state":"failed","reason":"crashes_workers"}`), 1, "batch submit q j ../../examples/region/job.jsonc --wait"},
 		{"batch-submit-unknown", single("PUT /v1/queues/q/jobs/j", 503, outcomeUnknown), 3, "--timeout 500ms batch submit q j ../../examples/region/job.jsonc"},
 		{"batch-submit-undecodable", single("PUT /v1/queues/q/jobs/j", 200, "<html>"), 3, "--timeout 500ms batch submit q j ../../examples/region/job.jsonc"},
 		{"batch-submit-cancelled", single("PUT /v1/queues/q/jobs/j", 200, `{"id":"j","queue":"q","state":"cancelled"}`), 1, "batch submit q j ../../examples/region/job.jsonc --wait"},
--- a/internal/httpapi/region.go
+++ b/internal/httpapi/region.go
@@ -37,10 +37,12 @@
 
 // BatchJob is the callers' view of a job of a region.
 type BatchJob struct {
-	ID    string          `json:"id"`
-	Queue string          `json:"queue"`
-	State string          `json:"state"`
-	Units *batch.Progress `json:"units,omitempty"`
+	ID    string `json:"id"`
+	Queue string `json:"queue"`
+	State string `json:"state"`
+	// Reason tells why the job has failed; it is empty in other states.
+	Reason string          `json:"reason,omitempty"`
+	Units  *batch.Progress `json:"units,omitempty"`
 }
 
 // Pending is the number of jobs in a queue that have not started any unit.
@@ -126,7 +128,7 @@
 }
 
 func (a *RegionAPI) jobView(r *http.Request, rep *region.Reply) *BatchJob {
-	return &BatchJob{ID: chi.URLParam(r, "id"), Queue: chi.URLParam(r, "queue"), State: rep.State.String(), Units: rep.Progress}
+	return &BatchJob{ID: chi.URLParam(r, "id"), Queue: chi.URLParam(r, "queue"), State: rep.State.String(), Reason: rep.FailedBy.String(), Units: rep.Progress}
 }
 
 func (a *RegionAPI) getPending(w http.ResponseWriter, r *http.Request) {
--- a/internal/model/reason.go
+++ b/internal/model/reason.go
@@ -43,6 +43,7 @@
 	ReasonDeadlinePassed Reason = "deadline_passed"
 	ReasonTaskFailed     Reason = "task_failed"
 	ReasonTooManyFails   Reason = "failed_on_several_workers"
+	ReasonCrashesWorkers Reason = "crashes_workers"
 	ReasonWorkerLost     Reason = "worker_lost"
 	ReasonReserveFailed  Reason = "reserve_failed"
 	ReasonStartFailed    Reason = "start_failed"
@@ -89,6 +90,7 @@
 	ReasonDeadlinePassed,
 	ReasonTaskFailed,
 	ReasonTooManyFails,
+	ReasonCrashesWorkers,
 	ReasonOverTime,
 	ReasonOverMemory,
 }
--- a/internal/region/handle.go
+++ b/internal/region/handle.go
@@ -196,7 +196,7 @@
 				rep.Verdict = batch.NoJob
 				return
 			}
-			rep.State = j.State
+			rep.State, rep.FailedBy = j.State, j.FailedBy
 			if req.Job.Progress {
 				p := j.Progress()
 				rep.Progress = &p
