--- a/internal/batch/crash.go
+++ b/internal/batch/crash.go
@@ -16,9 +16,10 @@
 	// unit is given up. A worker may crash by itself just after a start; two in a row, the
 	// second with the unit kept apart, do not.
 	soleCrashesToGiveUp = 2
-	// crashesToGiveUp bounds the crashes of a unit that always has company, or whose starts
-	// are never acknowledged.
-	crashesToGiveUp = 4
+	// suspectCrashesToGiveUp bounds the crashes for which a unit is one explanation of several.
+	suspectCrashesToGiveUp = 4
+	// crashesToGiveUp bounds all crashes, for units that take their time to crash a worker.
+	crashesToGiveUp = 5
 	// crashRecordMS is the time after which a run that crashes with its worker begins a new
 	// record: a unit that has run for that long does not crash the workers that start it.
 	crashRecordMS = 60 * 1000
@@ -32,9 +33,9 @@
 
 // The degrees of blame.
 const (
-	BlameShared Blame = iota // it, or a run of another job
-	BlameSole                // nothing else that is known
-	BlameNone                // it had been at work, and another run had just begun
+	BlameShared Blame = iota // it, a run of another job, or something else
+	BlameSole                // nothing else that is known: the worker was lost just after its start
+	BlameNone                // it had been at work, or another run had begun later
 )
 
 var blameNames = [...]string{"shared", "sole", "none"}
@@ -70,7 +71,8 @@
 }
 
 func (r *CrashRecord) givenUp() bool {
-	return r.Sole >= soleCrashesToGiveUp || r.Sole+r.Shared+r.None >= crashesToGiveUp
+	return r.Sole >= soleCrashesToGiveUp || r.Sole+r.Shared >= suspectCrashesToGiveUp ||
+		r.Sole+r.Shared+r.None >= crashesToGiveUp
 }
 
 // silentRuns are the units whose runs were ended because their worker had stopped answering.
--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -76,7 +76,8 @@
 	clockReadAt      time.Time // when workerClockMS was received
 	leaseUntilMS     int64     // latest lease end that was sent, on the worker's clock
 	lastAnswer       time.Time
-	unansweredCalls  int // calls without an answer since the last answer
+	unansweredCalls  int       // calls without an answer since the last answer
+	silentSince      time.Time // when the first of them failed; zero if there is none
 	// mayHaveRestartedAt is when a call last went unanswered: the worker may have restarted
 	// then. It is zero once a report to a hold sent later has shown this incarnation.
 	mayHaveRestartedAt time.Time
@@ -414,6 +415,7 @@
 		a.unansweredCalls++
 		a.mayHaveRestartedAt = now
 		if a.unansweredCalls == 1 {
+			a.silentSince = now
 			a.log.Info("worker does not answer", "error", err.Error(), "answered", !a.lastAnswer.IsZero(),
 				"lastAnswerMS", now.Sub(a.lastContact()).Milliseconds())
 			telemetry.Count("teaselpaddle_workers_lost_total")
@@ -435,6 +437,7 @@
 		a.log.Info("worker answers again", "failures", a.unansweredCalls)
 	}
 	a.unansweredCalls = 0
+	a.silentSince = time.Time{}
 	a.lastAnswer = now
 }
 
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -19,16 +19,20 @@
 // unlikely. Reports are up to maxHoldWait apart.
 const provenAfter = 2 * time.Second
 
-// justBegun is the time before the last start on a worker within which other runs may explain
-// its crash as well. A unit that crashes the workers that start it does so soon.
+// justBegun is the time after a start within which it may explain a crash. A unit that crashes
+// the workers that start it does so soon.
 const justBegun = 500 * time.Millisecond
 
 // runEvidence is what this leader knows of a run on a worker that has crashed.
 type runEvidence struct {
-	// startedAt is when the worker acknowledged the start, or when the start was sent to a
-	// worker that answered no call after it; zero if this leader did not start it.
-	startedAt time.Time
-	atWork    time.Duration // for which it was seen at work, by the worker's reports
+	startedAt time.Time     // when this leader's start was acknowledged, or sent if it was not; zero if it sent none
+	silent    time.Duration // from startedAt until the worker fell silent; negative if it was silent before
+	atWork    time.Duration // for which the run was seen at work, by the worker's reports
+}
+
+// prompt reports whether the worker fell silent just after the start of the run.
+func (e *runEvidence) prompt() bool {
+	return !e.startedAt.IsZero() && e.silent >= 0 && e.silent <= justBegun
 }
 
 // evidence returns what is known of the runs that this leader has started on the worker, or
@@ -49,9 +53,13 @@
 	var e runEvidence
 	if od := a.orders[k]; od != nil {
 		e.startedAt = od.startAckedAt
-		if od.startAckedAt.IsZero() && od.startSentAt.Sub(a.lastAnswer) < maxHoldWait+callTimeout {
+		if e.startedAt.IsZero() {
 			e.startedAt = od.startSentAt // the crash may have taken the answer along
 		}
+		e.silent = -1
+		if !a.silentSince.IsZero() {
+			e.silent = a.silentSince.Sub(e.startedAt)
+		}
 	}
 	if _, reported := a.reportedRuns[k]; reported && a.progress[k] != nil {
 		e.atWork = max(a.reportSentAt.Sub(a.progress[k].firstSeenAt), 0)
@@ -116,9 +124,8 @@
 	return w, evidence, !w.Draining
 }
 
-// blameRuns tells how far each of the runs on a crashed worker explains the crash. The runs
-// that had begun last are the likely cause; those that had been seen at work are not, unless
-// all had.
+// blameRuns tells how far each of the runs on a crashed worker explains the crash: those that
+// had begun last are the likely cause, and those that had been seen at work are not.
 func blameRuns(runs []runKey, evidence map[runKey]runEvidence) map[runKey]batch.Blame {
 	var lastStart time.Time
 	for _, k := range runs {
@@ -137,10 +144,11 @@
 	}
 	out := map[runKey]batch.Blame{}
 	for _, k := range runs {
+		e := evidence[k]
 		switch {
-		case len(suspects) > 0 && !suspects[k]:
+		case !suspects[k]:
 			out[k] = batch.BlameNone
-		case suspects[k] && !evidence[k].startedAt.IsZero() && byJob[k.unit.Job] == len(suspects):
+		case e.prompt() && byJob[k.unit.Job] == len(suspects):
 			out[k] = batch.BlameSole
 		default:
 			out[k] = batch.BlameShared
@@ -155,11 +163,10 @@
 	blame := blameRuns(runs, evidence)
 	telemetry.Count("teaselpaddle_workers_crashed_total{cause=\"" + cause + "\"}")
 	l.log.Info("worker crashed", "worker", w.ID, "life", w.Incarnation, "cause", cause, "runs", len(runs))
-	now := l.cfg.Now()
 	for _, k := range runs {
 		e := evidence[k]
 		l.log.Info("run was on a crashed worker", "job", k.unit.Job, "unit", k.unit, "run", k.run, "worker", w.ID,
-			"begunMS", now.Sub(e.startedAt).Milliseconds(), "atWorkMS", e.atWork.Milliseconds(), "others", len(runs)-1, "blame", blame[k].String())
+			"silentAfterMS", e.silent.Milliseconds(), "atWorkMS", e.atWork.Milliseconds(), "others", len(runs)-1, "blame", blame[k].String())
 	}
 	return blame
 }
