--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -416,6 +416,7 @@
 		a.mayHaveRestartedAt = now
 		if a.unansweredCalls == 1 {
 			a.silentSince = now
+			a.leadership.silences.add(a.worker.ID, now, a.hasJustBegun(now))
 			a.log.Info("worker does not answer", "error", err.Error(), "answered", !a.lastAnswer.IsZero(),
 				"lastAnswerMS", now.Sub(a.lastContact()).Milliseconds())
 			telemetry.Count("teaselpaddle_workers_lost_total")
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -26,13 +26,16 @@
 // runEvidence is what this leader knows of a run on a worker that has crashed.
 type runEvidence struct {
 	startedAt time.Time     // when this leader's start was acknowledged, or sent if it was not; zero if it sent none
-	silent    time.Duration // from startedAt until the worker fell silent; negative if it was silent before
 	atWork    time.Duration // for which the run was seen at work, by the worker's reports
+	// silentAfter is the time from the acknowledged start until the worker fell silent; -1 if
+	// there was none before it did.
+	silentAfter time.Duration
+	wave        bool // other workers fell silent at the same time
 }
 
-// prompt reports whether the worker fell silent just after the start of the run.
+// prompt reports whether the worker, and no other, fell silent just after the start of the run.
 func (e *runEvidence) prompt() bool {
-	return !e.startedAt.IsZero() && e.silent >= 0 && e.silent <= justBegun
+	return e.silentAfter >= 0 && e.silentAfter <= justBegun && !e.wave
 }
 
 // evidence returns what is known of the runs that this leader has started on the worker, or
@@ -50,15 +53,14 @@
 
 // evidenceOf returns what is known of a run. The caller holds mu.
 func (a *agent) evidenceOf(k runKey) runEvidence {
-	var e runEvidence
+	e := runEvidence{silentAfter: -1}
 	if od := a.orders[k]; od != nil {
 		e.startedAt = od.startAckedAt
 		if e.startedAt.IsZero() {
 			e.startedAt = od.startSentAt // the crash may have taken the answer along
-		}
-		e.silent = -1
-		if !a.silentSince.IsZero() {
-			e.silent = a.silentSince.Sub(e.startedAt)
+		} else if !a.silentSince.IsZero() {
+			e.silentAfter = max(a.silentSince.Sub(e.startedAt), -1)
+			e.wave = a.leadership.silences.isWave(a.worker.ID, a.silentSince)
 		}
 	}
 	if _, reported := a.reportedRuns[k]; reported && a.progress[k] != nil {
@@ -166,7 +168,7 @@
 	for _, k := range runs {
 		e := evidence[k]
 		l.log.Info("run was on a crashed worker", "job", k.unit.Job, "unit", k.unit, "run", k.run, "worker", w.ID,
-			"silentAfterMS", e.silent.Milliseconds(), "atWorkMS", e.atWork.Milliseconds(), "others", len(runs)-1, "blame", blame[k].String())
+			"silentAfterMS", e.silentAfter.Milliseconds(), "wave", e.wave, "atWorkMS", e.atWork.Milliseconds(), "others", len(runs)-1, "blame", blame[k].String())
 	}
 	return blame
 }
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -169,10 +169,12 @@
 // when it crashed by itself, and against sure blame for what may be coincidence.
 func TestBlameOfRunsOnCrashedWorker(t *testing.T) {
 	now := time.Now()
-	begun := runEvidence{startedAt: now, silent: 10 * time.Millisecond}
-	earlier := runEvidence{startedAt: now.Add(-time.Second), silent: 1010 * time.Millisecond, atWork: 500 * time.Millisecond}
-	proven := runEvidence{startedAt: now.Add(-5 * time.Second), silent: 5010 * time.Millisecond, atWork: 4 * time.Second}
-	silentBefore := runEvidence{startedAt: now, silent: -10 * time.Millisecond}
+	begun := runEvidence{startedAt: now, silentAfter: 10 * time.Millisecond}
+	earlier := runEvidence{startedAt: now.Add(-time.Second), silentAfter: 1010 * time.Millisecond, atWork: 500 * time.Millisecond}
+	proven := runEvidence{startedAt: now.Add(-5 * time.Second), silentAfter: 5010 * time.Millisecond, atWork: 4 * time.Second}
+	notAcked := runEvidence{startedAt: now, silentAfter: -1}
+	inWave := begun
+	inWave.wave = true
 	const sole, shared, none = batch.BlameSole, batch.BlameShared, batch.BlameNone
 	for _, c := range []struct {
 		name     string
@@ -185,10 +187,11 @@
 		{"two of a job have begun", "aab", []runEvidence{begun, begun, proven}, []batch.Blame{sole, sole, none}},
 		{"two jobs have begun", "abc", []runEvidence{begun, begun, earlier}, []batch.Blame{shared, shared, none}},
 		{"alone, for a second", "a", []runEvidence{earlier}, []batch.Blame{shared}},
-		{"alone, the start met a silent worker", "a", []runEvidence{silentBefore}, []batch.Blame{shared}},
+		{"alone, the start was not answered", "a", []runEvidence{notAcked}, []batch.Blame{shared}},
+		{"alone, other workers were lost as well", "a", []runEvidence{inWave}, []batch.Blame{shared}},
 		{"all at work", "ab", []runEvidence{proven, proven}, []batch.Blame{none, none}},
-		{"not started by this leader", "ab", []runEvidence{{}, begun}, []batch.Blame{shared, shared}},
-		{"alone, not started by this leader", "a", []runEvidence{{}}, []batch.Blame{shared}},
+		{"not started by this leader", "ab", []runEvidence{{silentAfter: -1}, begun}, []batch.Blame{shared, shared}},
+		{"alone, not started by this leader", "a", []runEvidence{{silentAfter: -1}}, []batch.Blame{shared}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -206,3 +209,22 @@
 		})
 	}
 }
+
+// A rack loses its power just after starts on one of its workers. Guards against blaming the
+// unit, and against clearing one whose worker is lost at the same time as that of another unit
+// which has just begun.
+func TestWorkersLostAtTheSameTime(t *testing.T) {
+	is := is.New(t)
+	var s silences
+	at := time.Now()
+	s.add("w1", at, true)
+	is.True(!s.isWave("w1", at))
+	s.add("w2", at.Add(waveWindow/2), true)
+	is.True(!s.isWave("w1", at))
+	s.add("w3", at.Add(2*waveWindow), false)
+	is.True(!s.isWave("w1", at))
+	s.add("w4", at.Add(waveWindow), false)
+	is.True(s.isWave("w1", at))
+	s.add("w5", at.Add(2*silenceMemory), false)
+	is.Equal(len(s.recent), 1)
+}
--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -91,6 +91,7 @@
 	speeds    *workerSpeeds // nil if speeds are not measured
 	settled   bool          // see settle; owned by the goroutine of run
 	waitSlots chan struct{} // one element per hold that waits; nil if there is no limit
+	silences  silences
 	// confirmedAt is the latest time of cfg.Steady at which this was certainly the leader, see
 	// confirm.go.
 	confirmedAt atomic.Pointer[time.Duration]
