--- a/internal/control/attempt.go
+++ b/internal/control/attempt.go
@@ -33,6 +33,8 @@
 	reservedIncarnation uint64
 	// started is set once the worker has confirmed that it started the task.
 	started bool
+	// crashed is set if another incarnation of the worker answers than reserved the task.
+	crashed bool
 	// leaseEnd is the latest time at which the worker may still run the task.
 	leaseEnd time.Time
 	result   *model.TaskResult
@@ -200,6 +202,7 @@
 	if cmd.Op == workerapi.Reserve && r.Refused == "" {
 		t.reservedIncarnation = r.Incarnation
 	}
+	t.crashed = t.reservedIncarnation != 0 && r.Incarnation != t.reservedIncarnation
 	if r.State == workerapi.TaskRunning || r.State == workerapi.TaskFinished {
 		t.started = true
 	}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -31,6 +31,7 @@
 	// ignore all commands after its first start.
 	refuse, loseReply workerapi.Operation
 	silentAfterStart  bool
+	crashes           bool // restarts after each start
 	incarnation       uint64
 	clock             int64
 }
@@ -60,6 +61,10 @@
 		return r, nil
 	}
 	w.execute(c, r)
+	if c.Op == workerapi.Start && w.crashes {
+		w.states = map[uint64]workerapi.TaskState{}
+		w.incarnation++
+	}
 	if c.Op == w.loseReply {
 		w.loseReply = ""
 		return nil, &workerapi.UnreachableError{Address: address, Cause: noAnswerError{}}
@@ -231,6 +236,16 @@
 	f.waitForState(model.Unknown)
 }
 
+// A repeatable job crashes a worker each time it is started. Guards against attempts that leave
+// no trace.
+func TestAttemptsThatCrashWorkersAreCounted(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, func(a, _ *fakeWorker) { a.crashes = true })
+	f.submit(true)
+	j := f.waitFor("a second crash", func(j *model.Job) bool { return j.Crashes == 2 })
+	is.Equal(j.Attempts, 2)
+}
+
 // Guards against the state unknown where it is certain that nothing ran: every
 // member refused its start or reports that it did not start.
 func TestRefusedStartIsNotRun(t *testing.T) {
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -27,6 +27,9 @@
 			if !j.Spec.Repeatable && !durable {
 				continue // its start could not be made durable now
 			}
+			if now.Before(j.RetryAt) {
+				continue
+			}
 			s.Waiting = append(s.Waiting, sched.Waiting{
 				ID: j.ID, Spec: j.Spec, Seq: j.Seq, SubmittedAt: j.SubmittedAt, Avoid: j.FailedOn,
 			})
--- a/internal/control/stop.go
+++ b/internal/control/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"teaselpaddle.example/teaselpaddle/internal/jobs"
@@ -34,7 +35,7 @@
 	a.controller.Log.Info("attempt ended", "job", a.job, "customer", a.spec.Customer, "zone", a.controller.Zone,
 		"reason", reason, "outcome", out.String())
 	telemetry.CountRetry(reason)
-	cmd := &jobs.Command{Kind: jobs.KindEndAttempt, Outcome: out, Reason: reason}
+	cmd := &jobs.Command{Kind: jobs.KindEndAttempt, Outcome: out, Reason: reason, Crashed: out == jobs.Lost && a.hasCrashedWorker()}
 	if reason == model.ReasonDeadlinePassed || reason == a.overuseReason() {
 		cmd.State = model.Failed // do not queue it again if all tasks have stopped
 	}
@@ -120,6 +121,13 @@
 	return jobs.Stopped
 }
 
+// hasCrashedWorker reports whether a worker has restarted under a task without a result.
+func (a *attempt) hasCrashedWorker() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.ContainsFunc(a.tasks, func(t *task) bool { return t.crashed && t.result == nil })
+}
+
 // hasEnded reports whether a worker has confirmed that a task ran and has
 // ended.
 func hasEnded(s workerapi.TaskState) bool {
--- a/internal/jobs/apply.go
+++ b/internal/jobs/apply.go
@@ -2,8 +2,11 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"teaselpaddle.example/teaselpaddle/internal/model"
 )
 
@@ -252,9 +255,34 @@
 		finish(c, j, model.Failed, c.Reason)
 		return
 	}
+	if c.Crashed {
+		j.Crashes++
+		j.RetryAt = c.At.Add(crashDelay(j))
+	}
+	if j.Crashes >= maxCrashes {
+		finish(c, j, model.Failed, model.ReasonCrashesWorkers)
+		return
+	}
 	requeue(j)
 }
 
+const (
+	// maxCrashes is the number of attempts that crash a worker after which a job is given up.
+	// One that is lost with its worker because of another job has the same count until
+	// crashDelay separates them, hence more than two.
+	maxCrashes = 5
+	// crashDelayStep is the longest delay after the first crash; it grows with each further
+	// one.
+	crashDelayStep = time.Second
+)
+
+// crashDelay returns how long a job waits after a crash. Jobs that were lost with the same
+// worker get different delays, so that only the cause crashes the next one.
+func crashDelay(j *model.Job) time.Duration {
+	h := xxhash.Sum64String(string(j.ID) + strconv.Itoa(j.Crashes))
+	return time.Duration(h % uint64(time.Duration(j.Crashes)*crashDelayStep))
+}
+
 func endStopped(c *Command, j *model.Job) {
 	j.EverRan = true
 	if j.CancelRequested {
--- a/internal/jobs/command.go
+++ b/internal/jobs/command.go
@@ -74,6 +74,9 @@
 	// queue the job again.
 	State  model.JobState `cbor:"9,keyasint,omitempty"`
 	Reason model.Reason   `cbor:"10,keyasint,omitempty"`
+	// Crashed is set for KindEndAttempt with the outcome Lost if a worker has restarted under a
+	// task.
+	Crashed bool `cbor:"13,keyasint,omitempty"`
 	// Config is set for KindAdoptConfig.
 	Config *model.ConfigChange `cbor:"11,keyasint,omitempty"`
 }
--- a/internal/jobs/machine_test.go
+++ b/internal/jobs/machine_test.go
@@ -120,6 +120,36 @@
 	}
 }
 
+// Guards against a job that crashes one worker after the other, and against two jobs that were
+// lost with the same worker and start together again.
+func TestJobThatCrashesWorkersIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	a, b := f.submit("a", true, 1).Job.ID, f.submit("b", true, 1).Job.ID
+	// crash ends an attempt and returns the job and the delay of its next one.
+	crash := func(id model.JobID, crashed bool) (*model.Job, time.Duration) {
+		fence := f.startAttempt(id, "w")
+		j := f.apply(&Command{Kind: KindEndAttempt, ID: id, Fence: fence, Outcome: Lost, Reason: model.ReasonWorkerLost, Crashed: crashed}).Job
+		return j, j.RetryAt.Sub(f.now)
+	}
+	for range 2 * maxCrashes {
+		j, _ := crash(b, false) // the worker is only silent
+		is.Equal(j.State, model.Queued)
+	}
+	apart := false
+	for n := 1; n < maxCrashes; n++ {
+		j, delay := crash(a, true)
+		_, otherDelay := crash(b, true)
+		is.Equal(j.State, model.Queued)
+		is.True(delay >= 0 && delay <= time.Duration(n)*crashDelayStep)
+		apart = apart || (delay-otherDelay).Abs() > crashDelayStep/2
+	}
+	is.True(apart)
+	j, _ := crash(a, true)
+	is.Equal(j.State, model.Failed)
+	is.Equal(j.Reason, model.ReasonCrashesWorkers)
+}
+
 // Guards against a job that is done although a task's result is missing, and
 // against late or duplicate reports that change a recorded result.
 func TestIncompleteLateAndDuplicateResults(t *testing.T) {
--- a/internal/model/job.go
+++ b/internal/model/job.go
@@ -154,6 +154,10 @@
 	Failures    int       `json:"failures"` // attempts that ended in a task failure
 	// FailedOn lists the workers on which a task of the job failed.
 	FailedOn []string `json:"failed_on,omitempty"`
+	// Crashes is the number of attempts during which a worker restarted under a task.
+	Crashes int `json:"crashes,omitempty"`
+	// RetryAt is the time before which the job is not placed again after a crash.
+	RetryAt time.Time `json:"retry_at,omitzero"`
 	// EverRan is set once a task of the job may have run.
 	EverRan bool `json:"ever_ran,omitempty"`
 	// Expired is set when the results have been dropped after the retention
