--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -57,6 +57,7 @@
 	stepsWaitingGauge     = metrics.GetOrCreateGauge("teaselpaddle_steps_waiting", nil)
 	workersUsableGauge    = metrics.GetOrCreateGauge("teaselpaddle_workers_usable", nil)
 	acceleratorsFreeGauge = metrics.GetOrCreateGauge("teaselpaddle_accelerators_free", nil)
+	workersIsolatedGauge  = metrics.GetOrCreateGauge("teaselpaddle_workers_isolated", nil)
 	queueWaitTime         = metrics.GetOrCreateHistogram("teaselpaddle_queue_wait_seconds")
 	guaranteedStartTime   = metrics.GetOrCreateHistogram("teaselpaddle_guaranteed_start_seconds")
 )
@@ -628,6 +629,10 @@
 	if placed.Speed > 0 {
 		log = log.WithValues("speed", math.Round(placed.Speed*100)/100)
 	}
+	if n := pg.Suspects[s.Unit.Index]; n > 0 {
+		log = log.WithValues("suspicion", n)
+		telemetry.Count("teaselpaddle_suspect_starts_total")
+	}
 	log.Info("run started", "job", s.Unit.Job, "unit", s.Unit, "run", s.Run, "worker", s.Worker, "life", s.Incarnation,
 		"customer", customer, "accelerators", pg.Step.Need.Accelerators, "priority", pg.Priority, "guaranteed", pg.Guaranteed, "waitedMS", waited,
 		"workerHeardMS", a.timeSinceAnswer().Milliseconds(), "lastSeenMS", a.sinceLastSeenMS())
--- a/internal/dispatch/waiting.go
+++ b/internal/dispatch/waiting.go
@@ -22,6 +22,7 @@
 	stepsWaitingGauge.Set(float64(len(waiting)))
 	workersUsableGauge.Set(float64(len(s.Workers)))
 	acceleratorsFreeGauge.Set(float64(free))
+	workersIsolatedGauge.Set(float64(len(s.Isolated)))
 	current := map[stepKey]loggedWait{}
 	for _, g := range waiting {
 		k := stepKey{g.Job, g.Occurrence, g.StepIndex}
@@ -37,7 +38,8 @@
 		p.leadership.log.Info("step waits for room", "job", g.Job, "occurrence", g.Occurrence, "step", g.StepIndex, "units", len(g.Waiting),
 			"need", g.Step.Need, "gang", g.Step.Gang, "sameRack", g.Step.SameRack, "dataRack", g.Step.DataRack,
 			"priority", g.Priority, "guaranteed", g.Guaranteed, "workersUsable", len(s.Workers), "workersCordoned", len(s.Cordoned),
-			"acceleratorsLeft", free, "waitsFor", g.Waits)
+			"workersIsolated", len(s.Isolated),
+			"acceleratorsLeft", free, "waitsFor", g.Waits, "suspects", len(g.Suspects), "tested", g.Tested)
 	}
 	p.waitingSteps = current
 }
