--- a/internal/region/message.go
+++ b/internal/region/message.go
@@ -73,7 +73,7 @@
 	State          batch.State   `cbor:"6,keyasint,omitempty"`
 	// FailedBy tells why a job has failed; it is set with State.
 	FailedBy batch.FailCause `cbor:"15,keyasint,omitempty"`
-	Pending        int           `cbor:"7,keyasint,omitempty"`
+	Pending  int             `cbor:"7,keyasint,omitempty"`
 	// Document is the configuration in the form that its operator published; nil if
 	// there is none yet.
 	Document  []byte                  `cbor:"8,keyasint,omitempty"`
