--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -31,7 +31,9 @@
 func (s *silences) add(worker string, at time.Time, begun bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.recent = slices.DeleteFunc(s.recent, func(o silence) bool { return at.Sub(o.at) > silenceMemory })
+	for len(s.recent) > 0 && at.Sub(s.recent[0].at) > silenceMemory {
+		s.recent = s.recent[1:]
+	}
 	s.recent = append(s.recent, silence{worker, at, begun})
 }
 
--- a/internal/sched/place/place.go
+++ b/internal/sched/place/place.go
@@ -340,7 +340,7 @@
 		return
 	}
 	// Most units that are suspected once are harmless; for others no work is stopped.
-	if g.strongestSuspicion(suspects) == 1 {
+	if !d.isTested(g) && g.strongestSuspicion(suspects) == 1 {
 		left = append(left, suspects...)
 	}
 	d.plan.Unplaced = append(d.plan.Unplaced, g)
--- a/internal/sched/place/suspect.go
+++ b/internal/sched/place/suspect.go
@@ -16,8 +16,8 @@
 // a job that crashes workers is given up as a whole.
 
 // placeSuspects starts suspected units of a step that is not a gang. It returns the units that
-// are to be placed like all others, and the suspected ones for which no worker has room.
-func (d *decision) placeSuspects(g *Group, candidates *candidateSet) (others, left []int) {
+// are to be placed like all others, and the suspected ones that wait.
+func (d *decision) placeSuspects(g *Group, candidates *candidateSet) (others, waiting []int) {
 	if len(g.Suspects) == 0 {
 		return g.Waiting, nil
 	}
@@ -29,8 +29,8 @@
 			others = append(others, i)
 		}
 	}
-	if g.Tested || d.tested[g.Job] {
-		return others, nil
+	if d.isTested(g) {
+		return others, suspects
 	}
 	workers := candidates.workers
 	if local := candidates.byRack[d.racks[g.Step.DataRack]]; g.Step.DataRack != "" && len(local) > 0 && d.waitsForLocality(g) {
@@ -40,12 +40,18 @@
 	if w == nil {
 		return others, suspects
 	}
-	d.startOn(g, w, suspects, len(suspects))
+	n := min(unitsThatFit(g, w, w.Free), len(suspects)) // also in the headroom, which a test needs for seconds only
+	for _, i := range suspects[:n] {
+		d.startUnit(g, i, w)
+	}
 	d.isolate(w)
 	d.tested[g.Job] = true
-	return others, nil
+	return others, suspects[n:]
 }
 
+// isTested reports whether suspected units of a group's job run or start on an isolated worker.
+func (d *decision) isTested(g *Group) bool { return g.Tested || d.tested[g.Job] }
+
 // quietest returns the worker for a test, of those on which a unit fits: the one on which a
 // crash takes the least along. Workers are left out on which a run has just begun, or to which
 // the plan has given others, because the evidence would not tell them apart. It returns nil if
--- a/internal/sched/place/suspect_test.go
+++ b/internal/sched/place/suspect_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"teaselpaddle.example/teaselpaddle/internal/batch"
 )
 
 // suspect marks units of a group as suspected.
@@ -63,10 +65,22 @@
 	g := suspect(group("j", 1, 3, large, 1), 1, 0, 1)
 	g.Tested = true
 	p = Decide(&Snapshot{Workers: []*Worker{worker("a", "r1"), worker("b", "r1")}, Groups: []*Group{g}})
+	is.Equal(len(p.Stops), 0)
 	is.Equal(len(p.Starts), 1) // the one that is not suspected
 	is.Equal(p.Starts[0].Unit, 2)
 }
 
+// Guards against a suspect of the least urgent step that is kept from the headroom of urgent
+// gangs, on the one worker that is chosen for it again and again.
+func TestTestMayUseHeadroom(t *testing.T) {
+	is := is.New(t)
+	w := worker("w", "r1")
+	addRun(w, "old", batch.Resources{CPU: 1000, MemoryMB: 1000, Accelerators: 7}, 1, 60000).AgeMS = justBegunMS
+	g := suspect(group("j", leastUrgent, 1, small, 1), 1, 0)
+	g.CompleteByMS = 60000
+	is.Equal(startsOf(Decide(&Snapshot{NowMS: 1, Workers: []*Worker{w}, Groups: []*Group{g}}), "j"), []string{"w"})
+}
+
 // Guards against a suspect that waits for an empty worker on a busy deployment, and
 // against one that joins urgent work.
 func TestSuspectTakesTheLeastAlong(t *testing.T) {
