--- a/internal/batch/crash.go
+++ b/internal/batch/crash.go
@@ -21,7 +21,8 @@
 	// crashesToGiveUp bounds all crashes, for units that take their time to crash a worker.
 	crashesToGiveUp = 5
 	// crashRecordMS is the time after which a run that crashes with its worker begins a new
-	// record: a unit that has run for that long does not crash the workers that start it.
+	// record, unless the worker was lost just after its start: a unit that has run for that long
+	// does not crash the workers that start it.
 	crashRecordMS = 60 * 1000
 	// silentRunsMS is how long the runs on a silent worker are remembered. If the worker is
 	// found to have crashed later, their units are not blamed any more.
@@ -87,7 +88,7 @@
 // given up. ageMS is the time for which the run was recorded.
 func (m *Machine) unitCrashed(j *Job, u *Unit, blame Blame, ageMS, atMS int64) {
 	r := CrashRecord{}
-	if u.Crashes != nil && ageMS < crashRecordMS {
+	if u.Crashes != nil && (ageMS < crashRecordMS || blame == BlameSole) {
 		r = *u.Crashes
 	}
 	switch blame {
--- a/internal/batch/crash_test.go
+++ b/internal/batch/crash_test.go
@@ -65,13 +65,17 @@
 	}
 }
 
-// Guards against giving up a lasting unit for crashes that are hours apart.
+// Guards against giving up a lasting unit for crashes that are hours apart, and against
+// starting one for ever that crashes workers which take long to come back.
 func TestCrashAfterLongRunBeginsNewRecord(t *testing.T) {
 	b := newCrashBed(t)
-	for range 10 {
-		b.loseRun(crashRecordMS, End{How: EndCrashed, Blame: BlameSole})
+	for i := range 10 {
+		b.loseRun(crashRecordMS, End{How: EndCrashed, Blame: []Blame{BlameShared, BlameNone}[i%2]})
 	}
 	b.Equal(b.job().State, Running)
+	b.loseRun(crashRecordMS, End{How: EndCrashed, Blame: BlameSole})
+	b.loseRun(crashRecordMS, End{How: EndCrashed, Blame: BlameSole})
+	b.Equal(b.job().State, Failed)
 }
 
 // Guards against taking a worker that is cut off for one that has crashed, and against
--- a/internal/dispatch/bar.go
+++ b/internal/dispatch/bar.go
@@ -19,8 +19,8 @@
 
 // mayStart reports whether a run is still recorded for the worker and not barred. A plan may
 // be older than the commit of the run's end, and a start that went unanswered may have been
-// carried out; the worker need not refuse a start of a run whose end was acknowledged. The caller must not hold mu: the state machine may be locked by a
-// reader that waits for it.
+// carried out; the worker need not refuse a start of a run whose end was acknowledged. The
+// caller must not hold mu: the state machine may be locked by a reader that waits for it.
 func (a *agent) mayStart(k runKey) bool {
 	w := a.workerRecord()
 	ok := false
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -35,7 +35,7 @@
 
 // prompt reports whether the worker, and no other, fell silent just after the start of the run.
 func (e *runEvidence) prompt() bool {
-	return e.silentAfter >= 0 && e.silentAfter <= justBegun && !e.wave
+	return !e.startedAt.IsZero() && e.silentAfter >= 0 && e.silentAfter <= justBegun && !e.wave
 }
 
 // evidence returns what is known of the runs that this leader has started on the worker, or
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -191,6 +191,7 @@
 		{"alone, other workers were lost as well", "a", []runEvidence{inWave}, []batch.Blame{shared}},
 		{"all at work", "ab", []runEvidence{proven, proven}, []batch.Blame{none, none}},
 		{"not started by this leader", "ab", []runEvidence{{silentAfter: -1}, begun}, []batch.Blame{shared, shared}},
+		{"alone, nothing is known", "a", []runEvidence{{}}, []batch.Blame{shared}},
 		{"alone, not started by this leader", "a", []runEvidence{{silentAfter: -1}}, []batch.Blame{shared}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
