--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -68,21 +68,16 @@
 
 func (a *agent) sendStart(k runKey, od *order, payload, checkpoint string) {
 	for tries := 0; a.ctx.Err() == nil; tries++ {
-		if !a.leadership.waitConfirmed(a.ctx) || !a.mayStart(k) {
+		known := tries == 0 || a.isSameIncarnation()
+		if !a.leadership.waitConfirmed(a.ctx) || !a.mayStart(k) || !a.mayRepeat(od, tries) {
 			return // the next pass fences a barred run
 		}
-		if !a.mayRepeat(od, tries) {
-			return
-		}
-		if tries > 0 && !a.isSameIncarnation() {
+		if !known {
 			if !retry.Sleep(a.ctx, retryInterval) {
 				return
 			}
 			continue
 		}
-		if !a.mayRepeat(od, tries) {
-			return
-		}
 		a.mu.Lock()
 		s := workerapi.UnitStart{
 			Unit: k.unit, Run: k.run, Payload: payload, UntilMS: a.extendLease(a.leadership.cfg.Now()),
@@ -123,6 +118,11 @@
 	ctx, cancel := context.WithTimeout(a.ctx, callTimeout)
 	defer cancel()
 	rep, err := a.leadership.cfg.Client.Hold(ctx, t, workerapi.UnitHold{Epoch: a.leadership.cfg.Epoch})
+	var refused *workerapi.OrderRefusedError
+	var unhealthy *workerapi.UnhealthyError
+	if errors.As(err, &refused) || errors.As(err, &unhealthy) {
+		return true // it refuses the start as well
+	}
 	if err != nil {
 		a.recordCallError(err)
 		return false
--- a/internal/sched/place/place.go
+++ b/internal/sched/place/place.go
@@ -347,6 +347,8 @@
 	d.exhausted[key] = !slices.ContainsFunc(d.snapshot.Workers, func(w *Worker) bool { return w.Free.Fits(g.Step.Need) })
 	if g.Priority == 0 && len(left) > 0 {
 		d.evictForUnits(g, candidates.workers, len(left))
+	} else {
+		g.Claims = nil
 	}
 }
 
