raft: short election timeouts after a start

Change: a voter that starts with state uses short timeouts, at most four, until a leader is known. Pre-votes do not disturb a live leader.

--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -86,6 +86,7 @@
 	// leaderlessTimeouts counts the election timeouts since the last message of a
 	// leader.
 	leaderlessTimeouts int
+	hurriedTimeouts    int // short timeouts that are left, see hurryTimeout
 
 	votes      map[ID]bool
 	superseded map[string]ID // live incarnation by instance, for voters known to be dead
@@ -167,6 +168,10 @@
 	n.cfg.Snapshot = Snapshot{}
 	n.cfg.Entries = nil
 	n.resetTimeout()
+	if n.activeMembership().hasVoter(n.id) {
+		n.hurriedTimeouts = maxHurriedTimeouts
+		n.hurryTimeout()
+	}
 	return n
 }
 
@@ -197,6 +202,19 @@
 	n.timeout = n.cfg.ElectionTicks + 1 + n.cfg.Random(n.cfg.ElectionTicks)
 }
 
+// maxHurriedTimeouts bounds the short timeouts after a start.
+const maxHurriedTimeouts = 4
+
+// hurryTimeout shortens the timeout after a start until a leader is known. If all members
+// were restarted, none of them leads, and waiting for a leader's message only prolongs the
+// outage. Otherwise nothing is lost: pre-votes do not disturb a live leader.
+func (n *Node) hurryTimeout() {
+	if n.hurriedTimeouts > 0 {
+		n.hurriedTimeouts--
+		n.timeout = n.cfg.ElectionTicks/6 + 1 + n.cfg.Random(n.cfg.ElectionTicks/3)
+	}
+}
+
 // activeMembership returns the membership in force.
 func (n *Node) activeMembership() activeMembership {
 	all := n.log.memberships
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -462,3 +462,19 @@
 	is.Equal(l.node.pendingChange(), uint64(0))
 	c.healAndCheck()
 }
+
+// Guards against an outage that lasts for a whole election timeout after all members were
+// restarted at once: none of them leads, so there is no leader to wait for.
+func TestRestartedGroupElectsBeforeAnElectionTimeout(t *testing.T) {
+	for seed := range uint64(50) {
+		is := is.New(t)
+		c := newCluster(t, seed, true, true, true, true, true)
+		c.run(40)
+		for _, name := range c.names {
+			c.crash(c.hosts[name], false)
+		}
+		c.inFlight = nil
+		c.run(c.hosts["n0"].node.cfg.ElectionTicks)
+		is.True(c.readyLeader() != nil)
+	}
+}
