dispatch: start nothing in a zone that has fallen silent; switches for mechanisms; delays command

A worker that is cut off counts as missing only after 2 s (used last) and 4 s (not used), or after a call of 0.6 s; until then a quarter of the members of urgent gangs were started there, and each such gang waits until the lease of its member has certainly expired, some 6.5 s.

Change: the signs of life of a zone's workers are looked at together. Nothing is started in a zone of four workers or more from which none has come for longer than happens by chance, at least 0.3 s, while another zone is heard.

Besides: package mechanism and the setting switched_off leave out single mechanisms to measure what they are worth (unknown names are refused at start); teaselpaddle delays tells from logs why jobs were late and why work was lost.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -43,6 +43,7 @@
 	Explain       *explainCmd       `arg:"subcommand:explain" help:"show the timeline of a job from the instances' logs"`
 	Report        *reportCmd        `arg:"subcommand:report" help:"write an HTML page that plots what happened, from the instances' logs"`
 	Bound         *boundCmd         `arg:"subcommand:bound" help:"compare the jobs that a region completed on time with an upper bound, from its logs"`
+	Delays        *delaysCmd        `arg:"subcommand:delays" help:"show why the jobs of a region were late or failed, from its logs"`
 	Replay        *ReplayOptions    `arg:"subcommand:replay" help:"replay a recorded trace through the decision code"`
 	Version       *versionCmd       `arg:"subcommand:version" help:"print the version"`
 }
@@ -92,6 +93,7 @@
 	"explain":         "teaselpaddle explain 5c0e7a21d94b36f8 control-1.log control-2.log entry-*.log",
 	"report":          "teaselpaddle report control-1.log control-2.log entry-*.log --out report.html",
 	"bound":           "teaselpaddle bound control-*.log",
+	"delays":          "teaselpaddle delays --window 5s control-*.log entry-*.log",
 	"replay":          "teaselpaddle replay monday.trace --policy policy.jsonc",
 	"version":         "teaselpaddle version",
 }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -350,3 +350,14 @@
 	is.NoErr(json.Unmarshal([]byte(out), &errs))
 	is.Equal(len(errs), 3)
 }
+
+// Guards against a table without totals, and against a window that groups nothing.
+func TestDelays(t *testing.T) {
+	is := is.New(t)
+	code, out, _ := run(t, "", "delays", "../explain/testdata/control.log", "../explain/testdata/entry.log")
+	is.Equal(code, exitOK)
+	is.True(strings.Contains(out, "WORK LOST"))
+	code, _, errOut := run(t, "", "delays", "--window", "0s", "../explain/testdata/control.log")
+	is.Equal(code, exitRefused)
+	is.True(strings.Contains(errOut, "--window must be positive"))
+}
--- a/internal/daemon/region.go
+++ b/internal/daemon/region.go
@@ -31,7 +31,7 @@
 		return err
 	}
 	links := link.New(link.Config{Self: s.Name, Addresses: s.PeerAddresses(), Logger: log})
-	router := &region.Router{Self: s.Name, Peers: links, Log: log.WithName("router")}
+	router := &region.Router{Self: s.Name, Peers: links, Log: log.WithName("router"), Off: s.Off()}
 	router.SetSeeds(s.WithDisk())
 	var control *region.Control
 	if self.Disk {
@@ -39,7 +39,7 @@
 			Self: s.Name, Seeds: s.WithDisk(), Form: s.FirstStart, DiskLosses: (len(s.WithDisk()) - 1) / 2, DataFolder: s.DataFolder, Zones: s.Zones(), Peers: links,
 			Client: workerapi.NewUnitHTTPClient(), MaxLease: time.Duration(s.LeaseSeconds * float64(time.Second)),
 			MeasureSpeeds: s.WorkerSpeeds == settings.SpeedsMeasured,
-			Preemption:    s.Preemption, FairShareHalfLifeMS: s.FairShareHalfLifeMS, Log: log,
+			Preemption:    s.Preemption, Off: s.Off(), FairShareHalfLifeMS: s.FairShareHalfLifeMS, Log: log,
 		}, router)
 		if err != nil {
 			_ = clientLn.Close()
--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -25,6 +25,7 @@
 	"teaselpaddle.example/teaselpaddle/internal/codec"
 	"teaselpaddle.example/teaselpaddle/internal/replica"
 	"teaselpaddle.example/teaselpaddle/internal/retry"
+	"teaselpaddle.example/teaselpaddle/internal/sched/mechanism"
 	"teaselpaddle.example/teaselpaddle/internal/sched/place"
 	"teaselpaddle.example/teaselpaddle/internal/sched/share"
 	"teaselpaddle.example/teaselpaddle/internal/telemetry"
@@ -51,6 +52,8 @@
 	MeasureSpeeds bool
 	// Preemption tells when runs are stopped for urgent groups.
 	Preemption place.Preemption
+	// Off are the mechanisms that are switched off.
+	Off mechanism.Set
 	// FairShareHalfLifeMS is the time in which the earlier use of customers is halved, ms;
 	// 0 means that customers do not matter for the order of steps.
 	FairShareHalfLifeMS int64
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"teaselpaddle.example/teaselpaddle/internal/batch"
+	"teaselpaddle.example/teaselpaddle/internal/sched/mechanism"
 	"teaselpaddle.example/teaselpaddle/internal/sched/place"
 	"teaselpaddle.example/teaselpaddle/internal/sched/share"
 	"teaselpaddle.example/teaselpaddle/internal/telemetry"
@@ -43,6 +44,7 @@
 	held         map[string]holding    // by customer, in the last snapshot
 	customersAt  time.Time             // last call of customerViews
 	lostMembers  map[stepKey]time.Time // when a member of a running gang was first found lost
+	silentZones  map[string]bool       // zones whose workers give no signs of life
 }
 
 // stepKey identifies a step of one occurrence of a job.
@@ -91,7 +93,9 @@
 	for i := range runs {
 		p.reconcileRun(&runs[i])
 	}
-	p.stopIncompleteGangs(runs)
+	if !p.isOff(mechanism.GangStops) {
+		p.stopIncompleteGangs(runs)
+	}
 	for _, r := range plan.Stops {
 		if a := p.leadership.agent(r.Worker); a != nil {
 			p.leadership.log.Info("run stopped to make room", "job", r.Ref.Job, "unit", r.Ref, "run", r.Run, "priority", r.Priority,
@@ -114,9 +118,15 @@
 	p.publishCustomers(snap)
 }
 
+// isOff reports whether a mechanism is switched off.
+func (p *planner) isOff(n mechanism.Name) bool { return p.leadership.cfg.Off[n] }
+
 // keepClaims keeps the room that waits for steps for the next snapshot.
 func (p *planner) keepClaims(s *place.Snapshot) {
 	p.claims = map[stepKey][]place.Claim{}
+	if p.isOff(mechanism.Claims) {
+		return
+	}
 	for _, g := range s.Groups {
 		if len(g.Claims) > 0 {
 			p.claims[stepKey{g.Job, g.Occurrence, g.StepIndex}] = g.Claims
@@ -203,15 +213,18 @@
 	speeds := p.leadership.speeds.current()
 	s := &place.Snapshot{
 		NowMS: p.leadership.cfg.TimeOfDayMS(), SpeedSpread: speeds.spread, Preemption: p.leadership.cfg.Preemption,
+		Off: p.leadership.cfg.Off,
 	}
 	workers := map[string]*place.Worker{}
 	var runs []runInfo
 	lost := map[string]*lostRuns{}
 	cordoned := map[string]bool{} // by worker
+	zoneOf := map[string]string{} // by worker
 	tests := newSuspectTests()
 	p.leadership.cfg.Machine.View(func(v *batch.View) {
 		for id, w := range v.Workers() {
 			cordoned[id] = v.Cordoned(w.Zone)
+			zoneOf[id] = w.Zone
 			e := speeds.of(id, w.Incarnation)
 			workers[id] = &place.Worker{
 				ID: id, Rack: w.Rack, Service: w.Service, Labels: w.Labels, Capacity: w.Capacity, Free: w.Capacity,
@@ -254,7 +267,9 @@
 						r.barred = barCordoned
 					}
 					runs = append(runs, r)
-					tests.add(p, &r)
+					if !p.isOff(mechanism.Isolation) {
+						tests.add(p, &r)
+					}
 					p.addRunning(workers[u.Worker], &r, guaranteed[id])
 				}
 				if pg != nil {
@@ -272,9 +287,14 @@
 	}
 	tests.mark(s.Groups)
 	p.updateShares(s, workers)
+	if !p.isOff(mechanism.SilentZones) {
+		p.updateSilentZones(zoneOf, now)
+	}
 	for id, w := range workers {
 		usable := p.assessWorker(id, w, now)
 		switch {
+		case usable && p.silentZones[zoneOf[id]]:
+			s.Silent = append(s.Silent, w)
 		case usable && !cordoned[id] && !tests.workers[id]:
 			s.Workers = append(s.Workers, w)
 		case p.assessLeaving(id, w, now):
@@ -407,11 +427,11 @@
 		u := &g.Units[i]
 		switch u.State {
 		case batch.Waiting:
-			if nowMS < restartAfterMS(u) {
+			if nowMS < restartAfterMS(u) && !p.isOff(mechanism.SilenceDelay) {
 				continue
 			}
 			pg.Waiting = append(pg.Waiting, i)
-			if n := u.Crashes.Suspicion(); n > 0 {
+			if n := u.Crashes.Suspicion(); n > 0 && !p.isOff(mechanism.Isolation) {
 				if pg.Suspects == nil {
 					pg.Suspects = map[int]int{}
 				}
@@ -506,7 +526,7 @@
 		p.leadership.removeSilentWorker(a.worker)
 		return false
 	}
-	w.Suspect = now.Before(a.history.suspectUntil) || now.Sub(lastSeen) > overdueAfter || cold
+	w.Suspect = now.Before(a.history.suspectUntil) && !p.isOff(mechanism.SuspectWorkers) || now.Sub(lastSeen) > overdueAfter || cold
 	return a.synced && !a.superseded && !a.worker.Draining && a.unansweredCalls == 0 && now.After(a.suspendedUntil) &&
 		now.Sub(lastSeen) < maxSilence && len(a.pendingFences) == 0
 }
--- a/internal/region/control.go
+++ b/internal/region/control.go
@@ -17,6 +17,7 @@
 	"teaselpaddle.example/teaselpaddle/internal/dispatch"
 	"teaselpaddle.example/teaselpaddle/internal/link"
 	"teaselpaddle.example/teaselpaddle/internal/replica"
+	"teaselpaddle.example/teaselpaddle/internal/sched/mechanism"
 	"teaselpaddle.example/teaselpaddle/internal/sched/place"
 	"teaselpaddle.example/teaselpaddle/internal/timeofday"
 	"teaselpaddle.example/teaselpaddle/internal/wal"
@@ -51,6 +52,7 @@
 	MaxWaitingHolds int           // maximum number of waiting holds, see dispatch.Config; 0 means no limit
 	MeasureSpeeds   bool          // the workers may differ in speed, see dispatch.Config
 	Preemption      place.Preemption
+	Off             mechanism.Set // mechanisms that are switched off
 	// FairShareHalfLifeMS is as in dispatch.Config.
 	FairShareHalfLifeMS int64
 	Log                 logr.Logger
@@ -170,7 +172,7 @@
 		Machine: c.machine, Group: c.group, Client: c.cfg.Client, MaxLease: c.cfg.MaxLease, MaxWaitingHolds: c.cfg.MaxWaitingHolds,
 		Log: c.cfg.Log, Epoch: result.(uint64), ConfirmedAt: began, Heartbeats: &c.heartbeats, TimeOfDayMS: c.clock.NowMS,
 		MeasureSpeeds: c.cfg.MeasureSpeeds,
-		Preemption:    c.cfg.Preemption, FairShareHalfLifeMS: c.cfg.FairShareHalfLifeMS,
+		Preemption:    c.cfg.Preemption, Off: c.cfg.Off, FairShareHalfLifeMS: c.cfg.FairShareHalfLifeMS,
 	})
 	c.mu.Lock()
 	c.leadership = l
--- a/internal/region/router.go
+++ b/internal/region/router.go
@@ -13,6 +13,7 @@
 	"teaselpaddle.example/teaselpaddle/internal/batch"
 	"teaselpaddle.example/teaselpaddle/internal/codec"
 	"teaselpaddle.example/teaselpaddle/internal/link"
+	"teaselpaddle.example/teaselpaddle/internal/sched/mechanism"
 	"teaselpaddle.example/teaselpaddle/internal/telemetry"
 )
 
@@ -54,6 +55,8 @@
 	// Local handles requests on this instance if it is a member of the group, and is nil
 	// otherwise.
 	Local func(ctx context.Context, req []byte) *Reply
+	// Off are the mechanisms that are switched off.
+	Off mechanism.Set
 
 	mu               sync.Mutex // guards the fields below
 	seeds            []string
@@ -168,7 +171,7 @@
 		return nil, &UnavailableError{Cause: err}
 	}
 	failure := &UnavailableError{}
-	oneRound := r.leaderLost()
+	oneRound := r.leaderLost() && !r.Off[mechanism.EarlyRefusal]
 	for round := 0; ; round++ {
 		asked := map[string]bool{}
 		for _, c := range r.candidates() {
--- a/internal/sched/place/economical.go
+++ b/internal/sched/place/economical.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"teaselpaddle.example/teaselpaddle/internal/batch"
+	"teaselpaddle.example/teaselpaddle/internal/sched/mechanism"
 )
 
 // Preemption tells when runs are stopped for a group that may have them stopped.
@@ -57,6 +58,9 @@
 	wait := g.CompleteByMS - d.snapshot.NowMS - int64(lengthMargin*float64(scaledMS(g.LengthMS, logSpeed)))
 	if g.Guaranteed {
 		wait = min(wait, g.SinceMS+guaranteedWaitMS-d.snapshot.NowMS)
+		if d.snapshot.Off[mechanism.GuaranteeWait] {
+			return -1
+		}
 	}
 	return wait
 }
--- a/internal/sched/place/evacuate.go
+++ b/internal/sched/place/evacuate.go
@@ -1,5 +1,7 @@
 package place
 
+import "teaselpaddle.example/teaselpaddle/internal/sched/mechanism"
+
 // A worker that leaves takes with it what it runs. A run that cannot complete there in
 // time is stopped while the worker is still there, for three reasons: its unit can start
 // elsewhere at once, while the end of a run on a lost worker is certain only after its
@@ -19,6 +21,9 @@
 // evacuate orders the stop of the runs that cannot complete on workers that leave. A
 // gang is stopped as a whole.
 func (d *decision) evacuate() {
+	if d.snapshot.Off[mechanism.Evacuation] {
+		return
+	}
 	for _, w := range d.snapshot.Leaving {
 		for _, r := range w.Running {
 			if !r.Stopping && isDoomed(r, w.LeavesInMS) {
--- a/internal/sched/place/gang.go
+++ b/internal/sched/place/gang.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"teaselpaddle.example/teaselpaddle/internal/batch"
+	"teaselpaddle.example/teaselpaddle/internal/sched/mechanism"
 )
 
 // placeGang places all units or none.
@@ -17,7 +18,7 @@
 	if len(g.Suspects) > 0 && d.placeSuspectGang(g, sets) {
 		return
 	}
-	if d.speeds && d.placeGangBySpeed(g, nearestSets(g, sets, candidates)) {
+	if d.speeds && !d.snapshot.Off[mechanism.FinishTime] && d.placeGangBySpeed(g, nearestSets(g, sets, candidates)) {
 		return
 	}
 	for _, set := range sets {
--- a/internal/sched/place/place.go
+++ b/internal/sched/place/place.go
@@ -9,6 +9,7 @@
 	"slices"
 
 	"teaselpaddle.example/teaselpaddle/internal/batch"
+	"teaselpaddle.example/teaselpaddle/internal/sched/mechanism"
 )
 
 // Snapshot is the input of a decision. Decide changes the Free of its workers.
@@ -23,9 +24,13 @@
 	Cordoned []*Worker
 	// Isolated are the workers that run suspected units, see suspect.go. They are treated like
 	// Cordoned.
-	Isolated   []*Worker
+	Isolated []*Worker
+	// Silent are the workers of availability zones that may be cut off. They are treated like
+	// Isolated.
+	Silent     []*Worker
 	Groups     []*Group
 	Preemption Preemption
+	Off        mechanism.Set // mechanisms that are switched off
 	// Use is the use of each customer, see package share. If it is nil, customers do not
 	// matter for the order of groups.
 	Use map[string]float64
@@ -269,6 +274,9 @@
 	for _, w := range d.snapshot.Isolated {
 		d.indexRuns(w)
 	}
+	for _, w := range d.snapshot.Silent {
+		d.indexRuns(w)
+	}
 	d.prepareSpeeds()
 	used := func(f, a int64) float64 { return 1 - float64(f)/float64(max(a, 1)) }
 	d.idle = max(used(free.Accelerators, all.Accelerators), used(free.CPU, all.CPU), used(free.MemoryMB, all.MemoryMB)) < idleShare
@@ -295,7 +303,7 @@
 func (s *Snapshot) compareGroups(a, b *Group) int {
 	return cmp.Or(
 		cmp.Compare(priorityRank(a), priorityRank(b)),
-		cmp.Compare(latenessRank(a, s.NowMS), latenessRank(b, s.NowMS)),
+		cmp.Compare(s.latenessRank(a), s.latenessRank(b)),
 		cmp.Compare(a.Seq, b.Seq),
 		cmp.Compare(a.Occurrence, b.Occurrence),
 		cmp.Compare(a.StepIndex, b.StepIndex),
@@ -309,10 +317,10 @@
 	return g.Priority
 }
 
-func latenessRank(g *Group, nowMS int64) int {
+func (s *Snapshot) latenessRank(g *Group) int {
 	// A guarantee has its own bound on the start, whatever the job's estimate
 	// says.
-	if !g.Guaranteed && g.CompleteByMS > 0 && nowMS > g.CompleteByMS {
+	if !g.Guaranteed && g.CompleteByMS > 0 && s.NowMS > g.CompleteByMS && !s.Off[mechanism.LatenessOrder] {
 		return 1
 	}
 	return 0
@@ -427,6 +435,9 @@
 // waitsForLocality reports whether a group still waits for a place near its
 // data or on a single rack.
 func (d *decision) waitsForLocality(g *Group) bool {
+	if d.snapshot.Off[mechanism.Locality] {
+		return false
+	}
 	limit := int64(busyLocalityWaitMS)
 	if d.idle || g.Priority == 0 {
 		limit = idleLocalityWaitMS
@@ -495,7 +506,7 @@
 // up so much of its time that it can hardly wait any longer.
 func (d *decision) leavesHeadroom(g *Group, r *rack) bool {
 	need := g.Step.Need.Accelerators
-	if g.Priority < leastUrgent || g.Step.Gang || need == 0 || g.Step.DataRack == r.name || r.total-r.headroom() < need {
+	if d.snapshot.Off[mechanism.Headroom] || g.Priority < leastUrgent || g.Step.Gang || need == 0 || g.Step.DataRack == r.name || r.total-r.headroom() < need {
 		return false
 	}
 	return float64(d.snapshot.NowMS-g.SinceMS) <= headroomWaitShare*float64(g.CompleteByMS-g.SinceMS)
--- a/internal/sched/place/reserve.go
+++ b/internal/sched/place/reserve.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"math"
 	"slices"
+
+	"teaselpaddle.example/teaselpaddle/internal/sched/mechanism"
 )
 
 // A gang that may not stop other runs waits until enough workers become free.
@@ -41,7 +43,7 @@
 // reserveForGang reserves the set of slots that is expected to be free first
 // for a gang. If workers differ in speed, it is the set on which the gang completes first.
 func (d *decision) reserveForGang(g *Group, sets [][]*Worker) {
-	if !d.mayReserve(g) {
+	if !d.mayReserve(g) || d.snapshot.Off[mechanism.Reservations] {
 		return
 	}
 	d.countReservation(g)
--- a/internal/sched/place/shares.go
+++ b/internal/sched/place/shares.go
@@ -82,7 +82,7 @@
 	return cmp.Or(
 		cmp.Compare(priorityRank(a), priorityRank(b)),
 		cmp.Compare(btoi(b.promoted), btoi(a.promoted)),
-		cmp.Compare(latenessRank(a, s.NowMS), latenessRank(b, s.NowMS)),
+		cmp.Compare(s.latenessRank(a), s.latenessRank(b)),
 		cmp.Compare(a.share, b.share),
 		s.compareGroups(a, b),
 	)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"strings"
 
+	"teaselpaddle.example/teaselpaddle/internal/sched/mechanism"
 	"teaselpaddle.example/teaselpaddle/internal/sched/place"
 	"teaselpaddle.example/teaselpaddle/internal/strictjson"
 	"teaselpaddle.example/teaselpaddle/internal/telemetry"
@@ -120,6 +121,11 @@
 	case s.FairShareHalfLifeMS != 0 && s.Extent == ExtentZone:
 		c.add("fair_share_half_life_ms", "must not be set with extent %q", s.Extent)
 	}
+	if _, err := mechanism.NewSet(s.SwitchedOff); err != nil {
+		c.add("switched_off", "%s", err)
+	} else if len(s.SwitchedOff) > 0 && s.Extent == ExtentZone {
+		c.add("switched_off", "must not be set with extent %q", s.Extent)
+	}
 }
 
 func (c *checker) checkInstance(i int) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 	"github.com/tailscale/hujson"
 
+	"teaselpaddle.example/teaselpaddle/internal/sched/mechanism"
 	"teaselpaddle.example/teaselpaddle/internal/sched/place"
 	"teaselpaddle.example/teaselpaddle/internal/strictjson"
 )
@@ -85,8 +86,17 @@
 	// FairShareHalfLifeMS is the time in which the earlier use of customers is halved, ms;
 	// 0 means that customers do not matter for the order of steps; only with the extent
 	// region; default: 0.
-	FairShareHalfLifeMS int64      `json:"fair_share_half_life_ms,omitempty"`
-	Instances           []Instance `json:"instances"`
+	FairShareHalfLifeMS int64 `json:"fair_share_half_life_ms,omitempty"`
+	// SwitchedOff are mechanisms of the scheduler that are not to be used, see package
+	// mechanism; only with the extent region; default: none.
+	SwitchedOff []mechanism.Name `json:"switched_off,omitempty"`
+	Instances   []Instance       `json:"instances"`
+}
+
+// Off returns the mechanisms that are switched off.
+func (s *Settings) Off() mechanism.Set {
+	off, _ := mechanism.NewSet(s.SwitchedOff) // checked when the settings are loaded
+	return off
 }
 
 // Defaults.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -51,6 +51,8 @@
 		"preemption":         {edited(`"name": "a", "inst`, `"name": "a", "preemption": "never", "inst`), []string{`line 1: preemption: must be "eager" or "economical", not "never"`}},
 		"zone's preemption":  {edited(`"name": "a", "inst`, `"name": "a", "preemption": "eager", "inst`), []string{`preemption: must not be set with extent "zone"`}},
 		"half-life":          {edited(`"name": "a", "inst`, `"name": "a", "fair_share_half_life_ms": -1, "inst`), []string{`line 1: fair_share_half_life_ms: must be between 0 and`}},
+		"mechanism":          {edited(`"name": "a", "inst`, `"name": "a", "switched_off": ["claim"], "inst`), []string{`switched_off: "claim" is not a mechanism`}},
+		"zone's mechanism":   {edited(`"name": "a", "inst`, `"name": "a", "switched_off": ["claims"], "inst`), []string{`switched_off: must not be set with extent "zone"`}},
 		"zone's half-life":   {edited(`"name": "a", "inst`, `"name": "a", "fair_share_half_life_ms": 10000, "inst`), []string{`fair_share_half_life_ms: must not be set with extent "zone"`}},
 		"too large":          {minimal + strings.Repeat(" ", maxFileBytes), []string{"larger than 256 KiB"}},
 	} {
