region: an entry instance that is cut off refuses at once and is not ready

Cause: in a cut zone, entry instances waited for a leader for up to 1.6 s a request and stayed ready for 2.5 s after the leader's last answer, so callers there were sent to them until they gave up after 3 s.

Change: a call without a reply for 0.35 s makes the instance ask all control instances. If none replies within 0.3 s, it is isolated: it refuses (503, reason isolated) and is not ready until one replies. A leader that is missing alone changes nothing.

--- a/internal/region/readiness.go
+++ b/internal/region/readiness.go
@@ -33,18 +33,22 @@
 )
 
 // RetryAfter returns the time after which a caller that was refused for want of a leader
-// should come back. Half of the time without a leader so far is about when the chance that
+// should come back. A caller of an isolated instance may be served by another one at once.
+// Otherwise half of the time without a leader so far is about when the chance that
 // there is one again has grown enough to ask; the random part spreads the returns.
 func (r *Router) RetryAfter() time.Duration {
-	if !r.leaderLost() {
+	if !r.leaderLost() || r.isolation.isolated.Load() {
 		return minRetryAfter
 	}
 	d := min(max(r.LeaderAge()/2, minRetryAfter), maxRetryAfter)
 	return d + rand.N(time.Second)
 }
 
-// Ready reports whether a leader has answered this instance within maxReadyAge.
-func (r *Router) Ready() bool { return time.Since(r.LastLeaderAnswer()) <= maxReadyAge }
+// Ready reports whether a leader has answered this instance within maxReadyAge and it is not
+// cut off from all control instances.
+func (r *Router) Ready() bool {
+	return time.Since(r.LastLeaderAnswer()) <= maxReadyAge && !r.isolation.isolated.Load()
+}
 
 // Watch pings the leader whenever it has not answered a request for pingInterval, and
 // logs changes of readiness. It returns when ctx ends.
@@ -52,12 +56,17 @@
 	t := time.NewTicker(pingInterval / 4)
 	defer t.Stop()
 	ready := false
+	r.isolation.watched.Store(true)
+	defer r.isolation.watched.Store(false)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
+		if r.isolation.isolated.Load() {
+			r.checkIsolation()
+		}
 		if time.Since(r.LastLeaderAnswer()) > pingInterval {
 			pctx, cancel := context.WithTimeout(ctx, pingInterval)
 			err := r.Ping(pctx)
--- a/internal/region/router.go
+++ b/internal/region/router.go
@@ -58,6 +58,8 @@
 	// Off are the mechanisms that are switched off.
 	Off mechanism.Set
 
+	isolation isolation
+
 	mu               sync.Mutex // guards the fields below
 	seeds            []string
 	members          []string
@@ -173,9 +175,13 @@
 	failure := &UnavailableError{}
 	oneRound := r.leaderLost() && !r.Off[mechanism.EarlyRefusal]
 	for round := 0; ; round++ {
+		if r.isolation.isolated.Load() {
+			failure.Cause = &IsolatedError{}
+			return nil, failure
+		}
 		asked := map[string]bool{}
 		for _, c := range r.candidates() {
-			for hinted := false; c != "" && !asked[c] && ctx.Err() == nil; hinted = true {
+			for hinted := false; c != "" && !asked[c] && ctx.Err() == nil && !r.isolation.isolated.Load(); hinted = true {
 				if hinted && r.recentlyFailed(c) {
 					break
 				}
@@ -281,7 +287,9 @@
 		}
 		return r.Local(ctx, body), nil
 	}
+	stop := r.watchCall()
 	data, err := r.Peers.Call(ctx, to, link.KindRequest, body)
+	stop()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/region/router_test.go
+++ b/internal/region/router_test.go
@@ -179,3 +179,49 @@
 	}
 	is.True(len(spread) > 3)
 }
+
+// A zone is cut off while its callers go on. Guards against an entry instance there that keeps
+// them waiting for a leader and stays ready, against one that is not ready or refuses at once
+// because only the leader is missing, and against one that does not notice the end of the cut.
+func TestIsolatedEntryRefusesAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := &fakePeers{leader: "a", dead: map[string]bool{}, hint: map[string]string{}}
+	r := testRouter(f)
+	go r.Watch(t.Context())
+	setDead := func(names ...string) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		clear(f.dead)
+		for _, n := range names {
+			f.dead[n] = true
+		}
+	}
+	is.NoErr(r.Ping(timeoutContext(t, time.Second)))
+	is.True(r.Ready())
+
+	setDead("a")
+	is.True(r.Ping(timeoutContext(t, 900*time.Millisecond)) != nil)
+	is.True(r.Ready()) // an election may be in progress
+
+	setDead("a", "b", "c")
+	time.Sleep(minIsolationInterval)
+	began := time.Now()
+	_, err := r.Submit(timeoutContext(t, 3*time.Second), &batch.Submit{ID: "x"})
+	is.True(err != nil)
+	is.True(time.Since(began) < attemptTimeout+isolationCheckAfter)
+	is.True(!r.Ready())
+	began = time.Now()
+	_, err = r.Submit(timeoutContext(t, 3*time.Second), &batch.Submit{ID: "y"})
+	var u *UnavailableError
+	var isolated *IsolatedError
+	is.True(errors.As(err, &u) && errors.As(err, &isolated))
+	is.True(!u.MayHaveRun) // it was sent to nobody
+	is.True(time.Since(began) < 100*time.Millisecond)
+	is.Equal(r.RetryAfter(), minRetryAfter)
+
+	setDead()
+	for end := time.Now().Add(2 * time.Second); !r.Ready() && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.True(r.Ready())
+}
