region, raft: names of the new parts; a switch for refusals of entry instances that are cut off

No change of behaviour: isolation of entry instances is called cut off, as suspected units are isolated too; hurried timeouts are called startup timeouts.

--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -17,7 +17,7 @@
 	n.role = preCandidate
 	n.leader = ID{}
 	n.resetTimeout()
-	n.hurryTimeout()
+	n.useStartupTimeout()
 	n.electionsBegun++
 	n.votes = map[ID]bool{n.id: true}
 	if n.wonElection() {
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -86,7 +86,7 @@
 	// leaderlessTimeouts counts the election timeouts since the last message of a
 	// leader.
 	leaderlessTimeouts int
-	hurriedTimeouts    int // short timeouts that are left, see hurryTimeout
+	startupTimeouts    int // short timeouts that are left, see useStartupTimeout
 
 	votes      map[ID]bool
 	superseded map[string]ID // live incarnation by instance, for voters known to be dead
@@ -169,8 +169,8 @@
 	n.cfg.Entries = nil
 	n.resetTimeout()
 	if n.activeMembership().hasVoter(n.id) {
-		n.hurriedTimeouts = maxHurriedTimeouts
-		n.hurryTimeout()
+		n.startupTimeouts = maxStartupTimeouts
+		n.useStartupTimeout()
 	}
 	return n
 }
@@ -202,15 +202,15 @@
 	n.timeout = n.cfg.ElectionTicks + 1 + n.cfg.Random(n.cfg.ElectionTicks)
 }
 
-// maxHurriedTimeouts bounds the short timeouts after a start.
-const maxHurriedTimeouts = 4
+// maxStartupTimeouts bounds the short timeouts after a start.
+const maxStartupTimeouts = 4
 
-// hurryTimeout shortens the timeout after a start until a leader is known. If all members
+// useStartupTimeout shortens the timeout after a start until a leader is known. If all members
 // were restarted, none of them leads, and waiting for a leader's message only prolongs the
 // outage. Otherwise nothing is lost: pre-votes do not disturb a live leader.
-func (n *Node) hurryTimeout() {
-	if n.hurriedTimeouts > 0 {
-		n.hurriedTimeouts--
+func (n *Node) useStartupTimeout() {
+	if n.startupTimeouts > 0 {
+		n.startupTimeouts--
 		n.timeout = n.cfg.ElectionTicks/6 + 1 + n.cfg.Random(n.cfg.ElectionTicks/3)
 	}
 }
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -119,6 +119,6 @@
 	n.role = follower
 	n.leader = lead
 	n.leaderlessTimeouts = 0
-	n.hurriedTimeouts = 0
+	n.startupTimeouts = 0
 	n.resetTimeout()
 }
--- a/internal/region/isolation.go
+++ b/internal/region/cutoff.go
@@ -11,6 +11,7 @@
 
 	"teaselpaddle.example/teaselpaddle/internal/codec"
 	"teaselpaddle.example/teaselpaddle/internal/link"
+	"teaselpaddle.example/teaselpaddle/internal/sched/mechanism"
 	"teaselpaddle.example/teaselpaddle/internal/telemetry"
 )
 
@@ -21,44 +22,44 @@
 // up after 3 s, and an instance that only missed its leader stayed ready for 2.5 s.
 
 const (
-	// isolationCheckAfter is the time without a reply after which a call makes the instance ask
+	// cutOffCheckAfter is the time without a reply after which a call makes the instance ask
 	// all control instances. A commit takes less than that unless a disk is slow.
-	isolationCheckAfter = 350 * time.Millisecond
-	// isolationProbeTimeout bounds the wait for any reply. Control instances reply within
+	cutOffCheckAfter = 350 * time.Millisecond
+	// cutOffProbeTimeout bounds the wait for any reply. Control instances reply within
 	// milliseconds whether they lead or not.
-	isolationProbeTimeout = 300 * time.Millisecond
-	// minIsolationInterval is the least time between two checks that find a control instance.
-	minIsolationInterval = time.Second
+	cutOffProbeTimeout = 300 * time.Millisecond
+	// minCutOffInterval is the least time between a check that was replied to and the next one.
+	minCutOffInterval = time.Second
 )
 
-// IsolatedError reports that no control instance can be reached.
-type IsolatedError struct{}
+// CutOffError reports that no control instance can be reached.
+type CutOffError struct{}
 
-func (e *IsolatedError) Error() string { return "this instance is cut off from all control instances" }
+func (e *CutOffError) Error() string { return "this instance is cut off from all control instances" }
 
-// isolation tells whether an entry instance is cut off from all control instances.
-type isolation struct {
-	watched  atomic.Bool // Watch runs, so that the end of an isolation is noticed
-	isolated atomic.Bool
-	checking atomic.Bool
-	foundAt  atomic.Int64 // when a check found a control instance, Unix ns
+// cutOff tells whether an entry instance is cut off from all control instances.
+type cutOff struct {
+	watched   atomic.Bool // Watch runs, so that the end of a cut is noticed
+	cut       atomic.Bool // no control instance replies
+	checking  atomic.Bool
+	repliedAt atomic.Int64 // when a control instance replied to a check, Unix ns
 }
 
-// watchCall checks for isolation if a call takes long. The caller calls the result when the
+// watchCall checks for a cut if a call takes long. The caller calls the result when the
 // call has ended.
 func (r *Router) watchCall() (stop func() bool) {
-	if !r.isolation.watched.Load() {
+	if !r.cutOff.watched.Load() || r.Off[mechanism.CutOffRefusal] {
 		return func() bool { return true }
 	}
-	return time.AfterFunc(isolationCheckAfter, r.checkIsolation).Stop
+	return time.AfterFunc(cutOffCheckAfter, r.checkCutOff).Stop
 }
 
-// checkIsolation asks all known control instances at once whether they are there. It returns
+// checkCutOff asks all known control instances at once whether they are there. It returns
 // at once if another check is in progress or has lately found one.
-func (r *Router) checkIsolation() {
-	s := &r.isolation
-	recent := time.Since(time.Unix(0, s.foundAt.Load())) < minIsolationInterval
-	if recent && !s.isolated.Load() || !s.checking.CompareAndSwap(false, true) {
+func (r *Router) checkCutOff() {
+	s := &r.cutOff
+	recent := time.Since(time.Unix(0, s.repliedAt.Load())) < minCutOffInterval
+	if recent && !s.cut.Load() || !s.checking.CompareAndSwap(false, true) {
 		return
 	}
 	defer s.checking.Store(false)
@@ -66,14 +67,14 @@
 	if len(contacts) == 0 {
 		return
 	}
-	found := r.anyReply(contacts)
-	if found {
-		s.foundAt.Store(time.Now().UnixNano())
+	replied := r.anyReply(contacts)
+	if replied {
+		s.repliedAt.Store(time.Now().UnixNano())
 	}
-	if s.isolated.Swap(!found) == found {
-		r.Log.Info("reachability of the control instances changed", "reachable", found, "instances", len(contacts))
-		if !found {
-			telemetry.Count("teaselpaddle_isolations_total")
+	if s.cut.Swap(!replied) == replied {
+		r.Log.Info("reachability of the control instances changed", "reachable", replied, "instances", len(contacts))
+		if !replied {
+			telemetry.Count("teaselpaddle_entry_cut_offs_total")
 		}
 	}
 }
@@ -85,7 +86,7 @@
 	if err != nil {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), isolationProbeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), cutOffProbeTimeout)
 	defer cancel()
 	var found atomic.Bool
 	var wg sync.WaitGroup
--- a/internal/region/readiness.go
+++ b/internal/region/readiness.go
@@ -33,11 +33,11 @@
 )
 
 // RetryAfter returns the time after which a caller that was refused for want of a leader
-// should come back. A caller of an isolated instance may be served by another one at once.
+// should come back. A caller of an instance that is cut off may be served by another one at once.
 // Otherwise half of the time without a leader so far is about when the chance that
 // there is one again has grown enough to ask; the random part spreads the returns.
 func (r *Router) RetryAfter() time.Duration {
-	if !r.leaderLost() || r.isolation.isolated.Load() {
+	if !r.leaderLost() || r.cutOff.cut.Load() {
 		return minRetryAfter
 	}
 	d := min(max(r.LeaderAge()/2, minRetryAfter), maxRetryAfter)
@@ -47,7 +47,7 @@
 // Ready reports whether a leader has answered this instance within maxReadyAge and it is not
 // cut off from all control instances.
 func (r *Router) Ready() bool {
-	return time.Since(r.LastLeaderAnswer()) <= maxReadyAge && !r.isolation.isolated.Load()
+	return time.Since(r.LastLeaderAnswer()) <= maxReadyAge && !r.cutOff.cut.Load()
 }
 
 // Watch pings the leader whenever it has not answered a request for pingInterval, and
@@ -56,16 +56,16 @@
 	t := time.NewTicker(pingInterval / 4)
 	defer t.Stop()
 	ready := false
-	r.isolation.watched.Store(true)
-	defer r.isolation.watched.Store(false)
+	r.cutOff.watched.Store(true)
+	defer r.cutOff.watched.Store(false)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
-		if r.isolation.isolated.Load() {
-			r.checkIsolation()
+		if r.cutOff.cut.Load() {
+			r.checkCutOff()
 		}
 		if time.Since(r.LastLeaderAnswer()) > pingInterval {
 			pctx, cancel := context.WithTimeout(ctx, pingInterval)
--- a/internal/region/router.go
+++ b/internal/region/router.go
@@ -58,7 +58,7 @@
 	// Off are the mechanisms that are switched off.
 	Off mechanism.Set
 
-	isolation isolation
+	cutOff cutOff
 
 	mu               sync.Mutex // guards the fields below
 	seeds            []string
@@ -175,13 +175,13 @@
 	failure := &UnavailableError{}
 	oneRound := r.leaderLost() && !r.Off[mechanism.EarlyRefusal]
 	for round := 0; ; round++ {
-		if r.isolation.isolated.Load() {
-			failure.Cause = &IsolatedError{}
+		if r.cutOff.cut.Load() {
+			failure.Cause = &CutOffError{}
 			return nil, failure
 		}
 		asked := map[string]bool{}
 		for _, c := range r.candidates() {
-			for hinted := false; c != "" && !asked[c] && ctx.Err() == nil && !r.isolation.isolated.Load(); hinted = true {
+			for hinted := false; c != "" && !asked[c] && ctx.Err() == nil && !r.cutOff.cut.Load(); hinted = true {
 				if hinted && r.recentlyFailed(c) {
 					break
 				}
--- a/internal/region/router_test.go
+++ b/internal/region/router_test.go
@@ -183,7 +183,7 @@
 // A zone is cut off while its callers go on. Guards against an entry instance there that keeps
 // them waiting for a leader and stays ready, against one that is not ready or refuses at once
 // because only the leader is missing, and against one that does not notice the end of the cut.
-func TestIsolatedEntryRefusesAtOnce(t *testing.T) {
+func TestEntryThatIsCutOffRefusesAtOnce(t *testing.T) {
 	is := is.New(t)
 	f := &fakePeers{leader: "a", dead: map[string]bool{}, hint: map[string]string{}}
 	r := testRouter(f)
@@ -204,17 +204,17 @@
 	is.True(r.Ready()) // an election may be in progress
 
 	setDead("a", "b", "c")
-	time.Sleep(minIsolationInterval)
+	time.Sleep(minCutOffInterval)
 	began := time.Now()
 	_, err := r.Submit(timeoutContext(t, 3*time.Second), &batch.Submit{ID: "x"})
 	is.True(err != nil)
-	is.True(time.Since(began) < attemptTimeout+isolationCheckAfter)
+	is.True(time.Since(began) < attemptTimeout+cutOffCheckAfter)
 	is.True(!r.Ready())
 	began = time.Now()
 	_, err = r.Submit(timeoutContext(t, 3*time.Second), &batch.Submit{ID: "y"})
 	var u *UnavailableError
-	var isolated *IsolatedError
-	is.True(errors.As(err, &u) && errors.As(err, &isolated))
+	var cutOff *CutOffError
+	is.True(errors.As(err, &u) && errors.As(err, &cutOff))
 	is.True(!u.MayHaveRun) // it was sent to nobody
 	is.True(time.Since(began) < 100*time.Millisecond)
 	is.Equal(r.RetryAfter(), minRetryAfter)
--- a/internal/sched/mechanism/mechanism.go
+++ b/internal/sched/mechanism/mechanism.go
@@ -14,6 +14,7 @@
 // workers have settings of their own.
 const (
 	Claims         Name = "claims"          // room stays claimed for the group that stops were ordered for
+	CutOffRefusal  Name = "cut_off_refusal" // entry instances refuse at once while no control instance replies
 	EarlyRefusal   Name = "early_refusal"   // requests are refused at once while no leader is known
 	Evacuation     Name = "evacuation"      // runs are stopped before their worker leaves
 	FinishTime     Name = "finish_time"     // gangs are placed where they complete first, by speed
@@ -31,8 +32,8 @@
 
 // All are the names of all mechanisms that can be switched off, sorted.
 var All = []Name{
-	Claims, EarlyRefusal, Evacuation, FinishTime, GangStops, GuaranteeWait, Headroom, Isolation, LatenessOrder, Locality,
-	Reservations, SilenceDelay, SilentZones, SuspectWorkers,
+	Claims, CutOffRefusal, EarlyRefusal, Evacuation, FinishTime, GangStops, GuaranteeWait, Headroom, Isolation, LatenessOrder,
+	Locality, Reservations, SilenceDelay, SilentZones, SuspectWorkers,
 }
 
 // Set is a set of mechanisms.
