region: an instance that is cut off tells callers to come back later the longer it lasts

Cause: callers of an instance that is cut off were told to come back after 1 s, also while all control instances are down and every instance is cut off.

Change: the time grows with the time without a leader, as for other refusals; it is 1 to 2 s in the first two seconds.

--- a/internal/region/readiness.go
+++ b/internal/region/readiness.go
@@ -33,11 +33,10 @@
 )
 
 // RetryAfter returns the time after which a caller that was refused for want of a leader
-// should come back. A caller of an instance that is cut off may be served by another one at once.
-// Otherwise half of the time without a leader so far is about when the chance that
+// should come back. Half of the time without a leader so far is about when the chance that
 // there is one again has grown enough to ask; the random part spreads the returns.
 func (r *Router) RetryAfter() time.Duration {
-	if !r.leaderLost() || r.cutOff.cut.Load() {
+	if !r.leaderLost() {
 		return minRetryAfter
 	}
 	d := min(max(r.LeaderAge()/2, minRetryAfter), maxRetryAfter)
