--- a/internal/region/router_test.go
+++ b/internal/region/router_test.go
@@ -160,7 +160,7 @@
 	r.leaderAnsweredAt = time.Now().Add(-time.Second) // an election may be going on
 	is.True(r.Ping(timeoutContext(t, 300*time.Millisecond)) != nil)
 	is.True(len(f.asked) > 3) // more than one round
-	is.True(r.RetryAfter() >= minRetryAfter)
+	is.Equal(r.RetryAfter(), minRetryAfter)
 
 	r.leaderAnsweredAt = time.Now().Add(-6 * time.Second)
 	f.asked = nil
@@ -217,7 +217,7 @@
 	is.True(errors.As(err, &u) && errors.As(err, &cutOff))
 	is.True(!u.MayHaveRun) // it was sent to nobody
 	is.True(time.Since(began) < 100*time.Millisecond)
-	is.Equal(r.RetryAfter(), minRetryAfter)
+	is.True(r.RetryAfter() >= minRetryAfter)
 
 	setDead()
 	for end := time.Now().Add(2 * time.Second); !r.Ready() && time.Now().Before(end); {
