dispatch: two tests wait until a worker has left a start unanswered

The test delivered the delayed start as soon as the run was recorded, while the leader's call had not arrived yet under load, so an empty order was delivered; a new incarnation refuses as old only run 0. Both tests that deliver a delayed start wait for it now; what they check is unchanged.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -406,7 +406,7 @@
 	f.byID["w1"].dropCalls, f.byID["w2"].dropCalls = true, true
 	f.mu.Unlock()
 	b.submit("/b/", "j1", unitStep(2, 8))
-	b.waitFor(time.Second, "recorded", func() bool { return b.state("j1") == batch.Running })
+	b.waitFor(time.Second, "start left unanswered", f.hasDelayed("w1"))
 	f.mu.Lock()
 	f.byID["w1"], f.byID["w2"].dropCalls = newFakeWorker(2), false
 	f.byID["w1"].dropHolds = true // else the leader learns of the next incarnation first
@@ -440,7 +440,7 @@
 	f.byID["w1"].dropCalls = true
 	f.mu.Unlock()
 	b.submit("/b/", "j2", unitStep(1, 8))
-	b.waitFor(time.Second, "recorded", func() bool { return b.state("j2") == batch.Running })
+	b.waitFor(time.Second, "start left unanswered", f.hasDelayed("w1"))
 	f.mu.Lock()
 	next := newFakeWorker(2)
 	next.dropHolds = true // else the leader learns of the next incarnation first
--- a/internal/dispatch/workers_test.go
+++ b/internal/dispatch/workers_test.go
@@ -194,6 +194,16 @@
 	return nil
 }
 
+// hasDelayed returns a condition that holds once a worker has left a start unanswered.
+func (f *fakeWorkers) hasDelayed(id string) func() bool {
+	return func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		_, ok := f.delayed[id]
+		return ok
+	}
+}
+
 // deliverDelayed carries out a start late that a worker has left unanswered.
 func (f *fakeWorkers) deliverDelayed(id string) {
 	f.mu.Lock()
