--- a/internal/raft/policy_test.go
+++ b/internal/raft/policy_test.go
@@ -103,6 +103,9 @@
 	c.run(60)
 	l := c.readyLeader()
 	lost := c.nextHost(l)
+	if lost == standby {
+		lost = c.nextHost(lost)
+	}
 	c.isolate(lost.name)
 	c.run(60)
 	is.True(l.node.activeMembership().current.Has(standby.node.id))
