--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -357,6 +357,7 @@
 	code, out, _ := run(t, "", "delays", "../explain/testdata/control.log", "../explain/testdata/entry.log")
 	is.Equal(code, exitOK)
 	is.True(strings.Contains(out, "WORK LOST"))
+	is.True(strings.Contains(out, "\ntotal "))
 	code, _, errOut := run(t, "", "delays", "--window", "0s", "../explain/testdata/control.log")
 	is.Equal(code, exitRefused)
 	is.True(strings.Contains(errOut, "--window must be positive"))
