dispatch: a completion behind a cut counts although its run was ended as expired

Cause: a run that completes on a worker that is cut off is ended as expired by the leader, and its unit starts again. When the worker then reported the completion, the leader acknowledged it and forgot it.

Ruled out by the trace: ends lost or merged in a report, a start that was acknowledged and not taken, and a run that its worker no longer reports.

Change: the completion is committed as the end of the unit's current run, which is stopped. A unit that waits first gets a run for which no start is sent.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -67,17 +67,19 @@
 
 	mu               sync.Mutex // guards the fields below
 	worker           batch.Worker
-	synced           bool      // a report shows what the worker runs, so runs may start there
-	superseded       bool      // another incarnation or another worker answers at the worker's address
-	addressReused    bool      // the address belongs to a different worker, so no call reaches this one
-	lastCommittedEnd int64     // number of the last end that is committed
-	lastAckedEnd     int64     // number of the last end acknowledged to the worker
-	workerClockMS    int64     // the worker's clock in its last report
-	clockReadAt      time.Time // when workerClockMS was received
-	leaseUntilMS     int64     // latest lease end that was sent, on the worker's clock
-	lastAnswer       time.Time
-	unansweredCalls  int       // calls without an answer since the last answer
-	silentSince      time.Time // when the first of them failed; zero if there is none
+	synced           bool  // a report shows what the worker runs, so runs may start there
+	superseded       bool  // another incarnation or another worker answers at the worker's address
+	addressReused    bool  // the address belongs to a different worker, so no call reaches this one
+	lastCommittedEnd int64 // number of the last end that is committed
+	lastAckedEnd     int64 // number of the last end acknowledged to the worker
+	// lateCompletionsOpen is set if the last report lists late completions that are not committed.
+	lateCompletionsOpen bool
+	workerClockMS       int64     // the worker's clock in its last report
+	clockReadAt         time.Time // when workerClockMS was received
+	leaseUntilMS        int64     // latest lease end that was sent, on the worker's clock
+	lastAnswer          time.Time
+	unansweredCalls     int       // calls without an answer since the last answer
+	silentSince         time.Time // when the first of them failed; zero if there is none
 	// mayHaveRestartedAt is when a call last went unanswered: the worker may have restarted
 	// then. It is zero once a report to a hold sent later has shown this incarnation.
 	mayHaveRestartedAt time.Time
@@ -279,7 +281,7 @@
 		}
 	}
 	if active == 0 && len(a.reportedRuns) == 0 && unfinished == 0 {
-		acksDue := a.lastCommittedEnd > a.lastAckedEnd && a.leadership.cfg.Now().Sub(a.reportSentAt) >= idleAckDelay
+		acksDue := (a.lastCommittedEnd > a.lastAckedEnd || a.lateCompletionsOpen) && a.leadership.cfg.Now().Sub(a.reportSentAt) >= idleAckDelay
 		return 0, acksDue || a.unansweredCalls > 0 || a.leadership.cfg.Heartbeats.Unconfirmed(a.worker.ID, a.worker.Incarnation)
 	}
 	for _, od := range a.orders {
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -17,6 +17,7 @@
 // acknowledged. It returns false if the hold should not be repeated at once.
 func (a *agent) processReport(rep *workerapi.UnitReport, sent time.Time, ackedEnd int64) bool {
 	active, anyIncarnation := a.recordedRuns()
+	late := a.lateCompletions(rep, anyIncarnation)
 	now := a.leadership.cfg.Now()
 	a.mu.Lock()
 	if rep.Incarnation != 0 && rep.Incarnation != a.worker.Incarnation {
@@ -60,6 +61,10 @@
 	if !a.leadership.commitEnds(a.workerRecord().ID, ends) {
 		return false
 	}
+	lateCommitted := a.commitLateCompletions(late)
+	if !lateCommitted {
+		lastEnd = min(lastEnd, late[0].Number-1)
+	}
 	committed := a.leadership.cfg.Now()
 	a.mu.Lock()
 	for i := range ends {
@@ -68,6 +73,7 @@
 	clear(a.endFirstReported)
 	a.lastCommittedEnd = max(a.lastCommittedEnd, lastEnd)
 	a.lastAckedEnd = max(a.lastAckedEnd, ackedEnd)
+	a.lateCompletionsOpen = !lateCommitted
 	a.reportedRuns = reported
 	a.reportSentAt = sent
 	a.synced = true
@@ -100,7 +106,7 @@
 		a.stop(k)
 	}
 	a.stopUnrecorded(reported, active)
-	if firstReport || capacityFreed || len(ends) > 0 {
+	if firstReport || capacityFreed || len(ends) > 0 || len(late) > 0 {
 		a.leadership.Wake()
 	}
 	return true
