region: control instances that do not lead take announcements

Cause: the leader takes the announcements of all workers. With 1,800 workers they need more connections than its share, so each is closed after use, and the leader's processor goes into new connections.

Change: with more workers than the connections for them, the other control instances take the announcements. One that changes nothing in the replicated state is answered there, and the leader gets the signs of life in one message every 0.3 s. A leader of an earlier build does not confirm them, and they are forwarded as before.

--- a/internal/region/control.go
+++ b/internal/region/control.go
@@ -53,6 +53,9 @@
 	MeasureSpeeds   bool          // the workers may differ in speed, see dispatch.Config
 	Preemption      place.Preemption
 	Off             mechanism.Set // mechanisms that are switched off
+	// RelayAbove is the number of workers above which the instances that do not lead take
+	// their announcements; 0 means that the leader takes all.
+	RelayAbove int
 	// FairShareHalfLifeMS is as in dispatch.Config.
 	FairShareHalfLifeMS int64
 	Log                 logr.Logger
@@ -106,6 +109,13 @@
 	}
 	c.group = g
 	router.Local = c.serveRequest
+	router.relay = &relay{
+		router: router, machine: c.machine, log: c.log, above: cfg.RelayAbove, pending: map[string]signOfLife{},
+		members: func() []string { return memberNames(g.Status()) }, leads: func() bool { return g.Status().Leads },
+	}
+	if cfg.RelayAbove > 0 {
+		c.wg.Go(func() { router.relay.run(ctx) })
+	}
 	cfg.Peers.Handle(link.KindRequest, func(ctx context.Context, _ string, body []byte) ([]byte, error) {
 		return codec.Marshal(c.serveRequest(ctx, body))
 	})
--- a/internal/region/handle.go
+++ b/internal/region/handle.go
@@ -86,6 +86,8 @@
 		c.handleZoneChange(ctx, rep, req.Zone, st.Term)
 	case req.Announce != nil:
 		c.handleAnnouncement(ctx, rep, req.Announce)
+	case req.Signs != nil:
+		c.recordSigns(rep, req.Signs)
 	case req.Ping != nil:
 	default:
 		c.read(ctx, rep, &req)
--- a/internal/region/message.go
+++ b/internal/region/message.go
@@ -25,6 +25,8 @@
 	Zones    *ZoneQuery        `cbor:"11,keyasint,omitempty"`
 	// Customers requests the customers as the leader's last plans found them.
 	Customers *struct{} `cbor:"14,keyasint,omitempty"`
+	// Signs are signs of life of workers from a control instance that does not lead.
+	Signs *signBatch `cbor:"15,keyasint,omitempty"`
 }
 
 // JobQuery requests the state of a job.
@@ -81,4 +83,6 @@
 	Workers   []WorkerView            `cbor:"10,keyasint,omitempty"` // sorted by id
 	Zones     []ZoneView              `cbor:"11,keyasint,omitempty"` // sorted by name
 	Customers []dispatch.CustomerView `cbor:"14,keyasint,omitempty"` // sorted by name
+	// SignsTaken is set if the leader has recorded signs of life. An earlier version ignores them.
+	SignsTaken bool `cbor:"16,keyasint,omitempty"`
 }
--- a/internal/region/router.go
+++ b/internal/region/router.go
@@ -59,6 +59,7 @@
 	Off mechanism.Set
 
 	cutOff cutOff
+	relay  *relay // nil on entry instances
 
 	mu               sync.Mutex // guards the fields below
 	seeds            []string
@@ -149,11 +150,26 @@
 	return r.forward(ctx, &request{Customers: &struct{}{}})
 }
 
-// Announce forwards a worker's announcement.
+// Announce forwards a worker's announcement, or takes it as a sign of life.
 func (r *Router) Announce(ctx context.Context, a *Announcement) (*Reply, error) {
+	if r.relay.take(a) {
+		return &Reply{}, nil
+	}
 	return r.forward(ctx, &request{Announce: a})
 }
 
+// AnnounceTo returns the instance to which a worker should send its later announcements, or ""
+// if it should stay with this one.
+func (r *Router) AnnounceTo(worker string) string {
+	if r.relay.enabled() {
+		return r.relay.instanceFor(worker)
+	}
+	if l := r.Leader(); l != r.Self {
+		return l
+	}
+	return ""
+}
+
 // Ping checks whether a leader can be reached.
 func (r *Router) Ping(ctx context.Context) error {
 	_, err := r.forward(ctx, &request{Ping: &struct{}{}})
