dispatch: calls to workers in flight are limited by the scheduling lag

Cause: a leader that takes over calls all workers at once. Its heartbeats wait behind them, it is replaced, and the next one does the same.

Change: the leader measures how late its goroutines run, limits the calls in flight accordingly, starts and leases first, and rests longer after a decision while it is late. Planning does not begin while first calls wait for their turn, up to 2 s. Holds wait 2 s where workers outnumber them.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -25,6 +25,10 @@
 	// holdsPerLease is the minimum number of holds within one lease, so that losing
 	// one of them does not let the lease expire.
 	holdsPerLease = 4
+	// maxHoldWaitOfMany and holdsPerLeaseOfMany apply where there are more workers than
+	// holds may wait.
+	maxHoldWaitOfMany   = 2 * time.Second
+	holdsPerLeaseOfMany = 3
 	// callTimeout bounds a call that does not wait for an end. Worker and leader are
 	// milliseconds apart, so a missing answer means a broken connection.
 	callTimeout = 600 * time.Millisecond
@@ -245,9 +249,14 @@
 		}
 		k, t := a.pendingFences[0], a.target()
 		a.mu.Unlock()
+		release := a.acquireCall(a.ctx, callForRuns, 0)
+		if release == nil {
+			return false
+		}
 		ctx, cancel := context.WithTimeout(a.ctx, callTimeout)
 		err := a.leadership.cfg.Client.Stop(ctx, t, workerapi.UnitStop{Unit: k.unit, Run: k.run, Epoch: a.leadership.cfg.Epoch})
 		cancel()
+		release()
 		var refused *workerapi.OrderRefusedError
 		if err != nil && !errors.As(err, &refused) {
 			a.log.V(1).Info("run of an earlier incarnation could not be fenced yet", "run", k, "error", err.Error())
@@ -289,7 +298,16 @@
 			return 0, true
 		}
 	}
-	return min(maxHoldWait, a.leadership.cfg.MaxLease/holdsPerLease), true
+	return a.leadership.holdWait(), true
+}
+
+// holdWait returns how long a hold may wait for an end. Where the workers outnumber the holds that
+// may wait, each waits longer, so that calls do not use up the processor.
+func (l *Leadership) holdWait() time.Duration {
+	if limit := l.cfg.MaxWaitingHolds; limit > 0 && int(l.agentCount.Load()) > limit {
+		return min(maxHoldWaitOfMany, l.cfg.MaxLease/holdsPerLeaseOfMany)
+	}
+	return min(maxHoldWait, l.cfg.MaxLease/holdsPerLease)
 }
 
 // activeRuns returns the active runs that the group has recorded for this incarnation.
@@ -367,6 +385,10 @@
 // hold sends a hold, which extends the lease, and processes the report. It returns
 // false if the call should not be repeated at once.
 func (a *agent) hold(wait time.Duration) bool {
+	release := a.acquireCall(a.holdCtx, a.holdClass(), wait)
+	if release == nil {
+		return false
+	}
 	now := a.leadership.cfg.Now()
 	a.mu.Lock()
 	h := workerapi.UnitHold{UntilMS: a.extendLease(now), Epoch: a.leadership.cfg.Epoch, AckedEnds: a.endsToAck(), WaitMS: wait.Milliseconds()}
@@ -375,6 +397,7 @@
 	ctx, cancel := context.WithTimeout(a.holdCtx, wait+callTimeout)
 	rep, err := a.leadership.cfg.Client.Hold(ctx, t, h)
 	cancel()
+	release()
 	if err != nil && a.ctx.Err() != nil {
 		return false // the next agent of the worker may have extended the lease
 	}
@@ -386,6 +409,14 @@
 	return a.processReport(rep, now, h.AckedEnds)
 }
 
+// holdClass returns the class of a hold: leases of runs are extended first.
+func (a *agent) holdClass() callClass {
+	if len(a.activeRuns()) > 0 {
+		return callForRuns
+	}
+	return callOther
+}
+
 // recordCallError updates the worker's state after a failed call.
 func (a *agent) recordCallError(err error) {
 	if a.ctx.Err() != nil {
--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -95,6 +95,8 @@
 	settled   bool          // see settle; owned by the goroutine of run
 	waitSlots chan struct{} // one element per hold that waits; nil if there is no limit
 	silences  silences
+	load      loadMeter
+	calls     *callLimit
 	// confirmedAt is the latest time of cfg.Steady at which this was certainly the leader, see
 	// confirm.go.
 	confirmedAt atomic.Pointer[time.Duration]
@@ -102,6 +104,8 @@
 	customers       atomic.Pointer[[]CustomerView]
 	customerMetrics *metrics.Set
 
+	agentCount atomic.Int64 // length of agents
+
 	mu      sync.Mutex // guards agents and retired
 	agents  map[string]*agent
 	retired map[string][]*agent // agents that were replaced or whose worker was removed, until they have ended
@@ -125,7 +129,7 @@
 	l := &Leadership{
 		cfg: cfg, log: cfg.Log.WithName("dispatch").WithValues("epoch", cfg.Epoch), startedAt: cfg.Now(),
 		ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1), agents: map[string]*agent{}, retired: map[string][]*agent{}, removing: map[string]bool{},
-		customerMetrics: newCustomerMetrics(),
+		customerMetrics: newCustomerMetrics(), calls: newCallLimit(),
 	}
 	l.planner.leadership = l
 	if cfg.ConfirmedAt != 0 {
@@ -141,6 +145,7 @@
 	epochGauge.Set(float64(cfg.Epoch))
 	l.log.Info("leadership begun")
 	l.Wake()
+	l.wg.Go(func() { l.load.run(ctx, l.calls.adjust) })
 	l.wg.Add(2)
 	go l.run()
 	go l.keepConfirmed()
@@ -211,7 +216,11 @@
 		if l.settle() {
 			l.planner.pass()
 		}
-		if !retry.Sleep(l.ctx, max(planInterval, planRestFactor*l.planner.decisionTime)) {
+		rest := planRestFactor * l.planner.decisionTime
+		if l.load.overloaded() {
+			rest = overloadedRestFactor * l.planner.decisionTime
+		}
+		if !retry.Sleep(l.ctx, max(planInterval, rest)) {
 			return
 		}
 	}
@@ -249,6 +258,7 @@
 			l.agents[id] = l.newAgent(w, nil, nil)
 		}
 	}
+	l.agentCount.Store(int64(len(l.agents)))
 }
 
 func (l *Leadership) agent(id string) *agent {
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -78,6 +78,10 @@
 			}
 			continue
 		}
+		release := a.acquireCall(a.ctx, callForRuns, 0)
+		if release == nil {
+			return
+		}
 		a.mu.Lock()
 		s := workerapi.UnitStart{
 			Unit: k.unit, Run: k.run, Payload: payload, UntilMS: a.extendLease(a.leadership.cfg.Now()),
@@ -89,6 +93,7 @@
 		began := time.Now()
 		err := a.leadership.cfg.Client.Start(ctx, t, s)
 		cancel()
+		release()
 		startCallTime.UpdateDuration(began)
 		if !a.recordStartResult(k, od, err) {
 			return
@@ -115,6 +120,11 @@
 	a.mu.Lock()
 	t, incarnation := a.target(), a.worker.Incarnation
 	a.mu.Unlock()
+	release := a.acquireCall(a.ctx, callForRuns, 0)
+	if release == nil {
+		return false
+	}
+	defer release()
 	ctx, cancel := context.WithTimeout(a.ctx, callTimeout)
 	defer cancel()
 	rep, err := a.leadership.cfg.Client.Hold(ctx, t, workerapi.UnitHold{Epoch: a.leadership.cfg.Epoch})
@@ -201,9 +211,14 @@
 		if superseded {
 			return
 		}
+		release := a.acquireCall(a.ctx, callForRuns, 0)
+		if release == nil {
+			return
+		}
 		ctx, cancel := context.WithTimeout(a.ctx, callTimeout)
 		err := a.leadership.cfg.Client.Stop(ctx, t, workerapi.UnitStop{Unit: k.unit, Run: k.run, Epoch: a.leadership.cfg.Epoch})
 		cancel()
+		release()
 		var refused *workerapi.OrderRefusedError
 		if err == nil || errors.As(err, &refused) {
 			a.mu.Lock()
--- a/internal/dispatch/settle.go
+++ b/internal/dispatch/settle.go
@@ -12,6 +12,9 @@
 	// settledShare is the share of the workers whose first call must have ended. The
 	// calls to workers that are cut off end only with callTimeout.
 	settledShare = 0.95
+	// maxSettleTimeout bounds the time in which a new leader listens while first calls still
+	// wait for their turn: a worker that was not asked yet is not one that does not answer.
+	maxSettleTimeout = 2 * time.Second
 )
 
 // settle reports whether the leader may start and stop runs: its first calls to the
@@ -23,9 +26,9 @@
 	}
 	waited := l.cfg.Now().Sub(l.startedAt)
 	contacted, recorded := l.countContacted()
-	l.settled = waited >= settleTimeout || float64(contacted) >= settledShare*float64(recorded)
+	l.settled = waited >= settleTimeout && l.calls.queued() == 0 || waited >= maxSettleTimeout || float64(contacted) >= settledShare*float64(recorded)
 	if l.settled {
-		l.log.Info("planning begins", "workers", recorded, "contacted", contacted, "waitedMS", waited.Milliseconds())
+		l.log.Info("planning begins", "workers", recorded, "contacted", contacted, "waitedMS", waited.Milliseconds(), "lagMS", l.load.current().Milliseconds())
 	}
 	return l.settled
 }
