dispatch: a lag of 80 ms counts as overload, rests are twice a decision

Cause: one decision alone makes goroutines 30 to 60 ms late, so the leader counted as overloaded all the time and made a plan in 3 to 8 s.

--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -24,9 +24,9 @@
 	lagDecay = 0.93
 	// overloadLag is the lag from which the leader counts as overloaded. It is small against
 	// an election timeout of 600 ms.
-	overloadLag = 30 * time.Millisecond
+	overloadLag = 80 * time.Millisecond
 	// overloadedRestFactor replaces planRestFactor while the leader is overloaded.
-	overloadedRestFactor = 4
+	overloadedRestFactor = 2
 )
 
 // Limits of the calls in flight. Holds that wait for an end count only while they are sent.
