--- a/internal/sched/place/evict.go
+++ b/internal/sched/place/evict.go
@@ -152,12 +152,14 @@
 func (d *decision) evictionsOn(g *Group, set []*Worker, need int) ([]*eviction, int) {
 	sortByFit(g, set)
 	evictions := make([]*eviction, 0, len(set))
+	all := make([]eviction, len(set))
 	var chosen map[string]bool
 	if d.snapshot.Preemption == Economical {
 		chosen = map[string]bool{}
 	}
-	for _, w := range set {
-		e := &eviction{worker: w, free: freeBesideAwaited(w), chosenGangs: chosen}
+	for i, w := range set {
+		e := &all[i]
+		e.worker, e.free, e.chosenGangs = w, freeBesideAwaited(w), chosen
 		e.units = min(unitsThatFit(g, w, e.free), need)
 		need -= e.units
 		evictions = append(evictions, e)
--- a/internal/sched/place/finish.go
+++ b/internal/sched/place/finish.go
@@ -21,6 +21,9 @@
 		return true
 	case math.IsInf(g.pace.needed, -1):
 		return false
+	}
+	sets = d.setsToSearch(g, sets)
+	switch {
 	case d.speedWaitOver(g):
 		set, _ := fastestSet(g, sets)
 		if set != nil {
--- a/internal/sched/place/gang.go
+++ b/internal/sched/place/gang.go
@@ -22,12 +22,13 @@
 		return
 	}
 	for _, set := range sets {
-		if d.fits(g, set, func(w *Worker) batch.Resources { return w.Free }) {
+		if mayFitNow(g, set) && d.fits(g, set, func(w *Worker) batch.Resources { return w.Free }) {
 			d.startGang(g, set)
 			return
 		}
 	}
 	d.plan.Unplaced = append(d.plan.Unplaced, g)
+	sets = d.setsToSearch(g, sets)
 	if g.Priority == 0 {
 		d.evictForGang(g, sets)
 		return
--- a/internal/sched/place/place.go
+++ b/internal/sched/place/place.go
@@ -219,6 +219,7 @@
 	exhausted map[needKey]bool
 	byID      map[string]*Worker // set if a group has claims
 	tested    map[string]bool    // jobs of which the plan starts suspected units
+	fitting   []*Worker          // reused by startUnits
 	// candidateSets are shared by the groups of a service and label.
 	candidateSets map[candidateKey]*candidateSet
 }
@@ -249,6 +250,7 @@
 }
 
 func (d *decision) prepare() {
+	d.fitting = make([]*Worker, 0, len(d.snapshot.Workers))
 	var all, free batch.Resources
 	slices.SortFunc(d.snapshot.Workers, func(a, b *Worker) int { return cmp.Compare(a.ID, b.ID) })
 	for i, w := range d.snapshot.Workers {
@@ -517,8 +519,14 @@
 // urgent gangs.
 func (d *decision) startUnits(g *Group, workers []*Worker, left []int) []int {
 	left = d.startOnUnknown(g, workers, left)
-	sortByFit(g, workers)
+	d.fitting = d.fitting[:0]
 	for _, w := range workers {
+		if w.Free.Fits(g.Step.Need) {
+			d.fitting = append(d.fitting, w)
+		}
+	}
+	sortByFit(g, d.fitting)
+	for _, w := range d.fitting {
 		left = d.startOn(g, w, left, len(left))
 	}
 	return left
--- a/internal/sched/place/speed.go
+++ b/internal/sched/place/speed.go
@@ -288,6 +288,9 @@
 	var best []*Worker
 	bestTop := maxClass + 1
 	for _, set := range sets {
+		if !mayFitNow(g, set) {
+			continue
+		}
 		if top, ok := lowestTop(g, set, withSuspect); ok && top < bestTop {
 			best, bestTop = set, top
 		}
@@ -307,6 +310,9 @@
 func fastestSet(g *Group, sets [][]*Worker) (best []*Worker, bottom int) {
 	bottom = -maxClass - 1
 	for _, set := range sets {
+		if !mayFitNow(g, set) {
+			continue
+		}
 		if b, ok := highestBottom(g, set); ok && b > bottom {
 			best, bottom = set, b
 		}
