dispatch: one lock per worker to reconcile its runs

Cause: each plan took four locks for each run.

Change: the runs of a worker are checked under one lock, and only those that need something are acted on.

--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -43,7 +43,7 @@
 			}
 		}
 		for _, r := range members {
-			if a := p.leadership.agent(r.unit.Worker); a != nil && a.startOverdue(r.key, now) {
+			if a := p.agents[r.unit.Worker]; a != nil && a.startOverdue(r.key, now) {
 				reason = "not_answering"
 			}
 			if r.fenced {
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -75,17 +75,22 @@
 func (a *agent) isStalled(k runKey, estimateMS int64, now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if !a.stalled(k, estimateMS) {
+		return false
+	}
+	a.history.suspectUntil = now.Add(suspectTime)
+	return true
+}
+
+// stalled reports the same without an effect. The caller holds mu.
+func (a *agent) stalled(k runKey, estimateMS int64) bool {
 	p := a.progress[k]
 	if p == nil || p.percent >= 100 {
 		return false
 	}
 	limit := time.Duration(estimateMS) * time.Millisecond * stallTimeoutPercent / 100
 	limit = min(max(limit, minStallTimeout), maxStallTimeout)
-	if a.reportSentAt.Sub(p.advancedAt)-p.silence < limit {
-		return false
-	}
-	a.history.suspectUntil = now.Add(suspectTime)
-	return true
+	return a.reportSentAt.Sub(p.advancedAt)-p.silence >= limit
 }
 
 // runProgress tracks the progress of a run over several reports.
--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -261,6 +261,13 @@
 	l.agentCount.Store(int64(len(l.agents)))
 }
 
+// agentsByWorker returns the agents of the recorded workers.
+func (l *Leadership) agentsByWorker() map[string]*agent {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.agents)
+}
+
 func (l *Leadership) agent(id string) *agent {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -37,7 +37,8 @@
 // the leadership uses it.
 type planner struct {
 	leadership   *Leadership
-	decisionTime time.Duration // of the last snapshot and decision, without commits
+	agents       map[string]*agent // by worker, at the start of the pass
+	decisionTime time.Duration     // of the last snapshot and decision, without commits
 	waitingSteps map[stepKey]loggedWait
 	claims       map[stepKey][]place.Claim // room that waits for steps, by the last plan
 	shares       *share.Tracker
@@ -82,6 +83,7 @@
 func (p *planner) pass() {
 	p.leadership.updateSpeeds()
 	began := time.Now()
+	p.agents = p.leadership.agentsByWorker()
 	snap, runs, lost := p.snapshot()
 	plan := place.Decide(snap)
 	p.keepClaims(snap)
@@ -90,9 +92,7 @@
 	for worker, l := range lost {
 		p.endLostRuns(worker, l)
 	}
-	for i := range runs {
-		p.reconcileRun(&runs[i])
-	}
+	p.reconcileRuns(runs)
 	if !p.isOff(mechanism.GangStops) {
 		p.stopIncompleteGangs(runs)
 	}
@@ -134,6 +134,38 @@
 	}
 }
 
+// reconcileRuns reconciles the runs that need anything. There are many runs and few that do, so the
+// agent of a worker is locked once for all of its runs.
+func (p *planner) reconcileRuns(runs []runInfo) {
+	byWorker := map[string][]*runInfo{}
+	for i := range runs {
+		byWorker[runs[i].unit.Worker] = append(byWorker[runs[i].unit.Worker], &runs[i])
+	}
+	now := p.leadership.cfg.Now()
+	for worker, rs := range byWorker {
+		a := p.agents[worker]
+		if a == nil {
+			continue
+		}
+		for _, r := range a.runsToReconcile(rs, now) {
+			p.reconcileRun(r)
+		}
+	}
+}
+
+// runsToReconcile returns those of the worker's recorded runs that reconcileRun may have to act on.
+func (a *agent) runsToReconcile(runs []*runInfo, now time.Time) []*runInfo {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.DeleteFunc(runs, func(r *runInfo) bool {
+		od := a.orders[r.key]
+		_, reported := a.reportedRuns[r.key]
+		answered := od != nil && (!od.startAckedAt.IsZero() || !od.stopSentAt.IsZero() || od.sending)
+		refused := od != nil && od.refused && !answered
+		return (reported && !refused || answered) && !r.jobFinal && r.barred == "" && !a.stalled(r.key, r.step.EstimateMS)
+	})
+}
+
 // reconcileRun sends a start to the worker of a recorded run that has not been started,
 // or a stop if the run was refused, has stalled, is no longer needed, or is barred and has
 // not been started.
@@ -270,7 +302,7 @@
 					if !p.isOff(mechanism.Isolation) {
 						tests.add(p, &r)
 					}
-					p.addRunning(workers[u.Worker], &r, guaranteed[id])
+					p.addRunning(workers[u.Worker], &r, guaranteed[id], s.NowMS, now)
 				}
 				if pg != nil {
 					pg.Guaranteed = guaranteed[id]
@@ -458,7 +490,7 @@
 
 // addRunning adds an active run to its worker and subtracts the run's resources from
 // the free capacity.
-func (p *planner) addRunning(w *place.Worker, r *runInfo, guaranteed bool) {
+func (p *planner) addRunning(w *place.Worker, r *runInfo, guaranteed bool, nowMS int64, now time.Time) {
 	w.Free = w.Free.Sub(r.step.Need)
 	run := &place.Running{
 		Ref: r.key.unit, Run: r.key.run, Worker: r.unit.Worker, Need: r.step.Need, Priority: r.priority, Guaranteed: guaranteed,
@@ -467,12 +499,12 @@
 	if r.step.Gang {
 		run.Gang = r.key.unit.Job + "." + strconv.Itoa(r.key.unit.Occurrence) + "." + strconv.Itoa(r.key.unit.Step)
 	}
-	run.LostMS = max(p.leadership.cfg.TimeOfDayMS()-r.unit.RecordedMS, 0)
+	run.LostMS = max(nowMS-r.unit.RecordedMS, 0)
 	run.AgeMS = run.LostMS
 	run.LeftMS = max(r.step.EstimateMS-run.LostMS, minRemainingMS)
 	run.EstimateMS, run.ElapsedMS = r.step.EstimateMS, run.LostMS
-	if a := p.leadership.agent(r.unit.Worker); a != nil {
-		stopping, left := a.estimateRemaining(r.key, p.leadership.cfg.Now())
+	if a := p.agents[r.unit.Worker]; a != nil {
+		stopping, left := a.estimateRemaining(r.key, now)
 		run.Stopping = run.Stopping || stopping
 		if left > 0 {
 			run.LeftMS = max(left.Milliseconds(), minRemainingMS)
@@ -491,7 +523,7 @@
 // assessWorker subtracts the resources of runs that are on a worker without an active
 // record from its free capacity, and reports whether runs may be started there.
 func (p *planner) assessWorker(id string, w *place.Worker, now time.Time) bool {
-	a := p.leadership.agent(id)
+	a := p.agents[id]
 	if a == nil {
 		return false
 	}
@@ -534,7 +566,7 @@
 // assessLeaving reports whether a worker drains and has told when it leaves, and sets the
 // time until then.
 func (p *planner) assessLeaving(id string, w *place.Worker, now time.Time) bool {
-	a := p.leadership.agent(id)
+	a := p.agents[id]
 	if a == nil {
 		return false
 	}
