--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -216,16 +216,22 @@
 		if l.settle() {
 			l.planner.pass()
 		}
-		rest := planRestFactor * l.planner.decisionTime
-		if l.load.overloaded() {
-			rest = overloadedRestFactor * l.planner.decisionTime
-		}
-		if !retry.Sleep(l.ctx, max(planInterval, rest)) {
+		if !retry.Sleep(l.ctx, l.rest()) {
 			return
 		}
 	}
 }
 
+// rest returns the pause before the next decision. While the leader is overloaded it is longer; the
+// time for which the plan has waited for its commit counts as a part of that.
+func (l *Leadership) rest() time.Duration {
+	rest := planRestFactor * l.planner.decisionTime
+	if l.load.overloaded() {
+		rest = max(rest, overloadedRestFactor*l.planner.decisionTime-l.planner.commitTime)
+	}
+	return max(planInterval, rest)
+}
+
 // syncAgents starts an agent for each recorded worker and cancels the agents of
 // workers that were removed or have another incarnation or address.
 func (l *Leadership) syncAgents() {
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -24,7 +24,7 @@
 	lagDecay = 0.93
 	// overloadLag is the lag from which the leader counts as overloaded. It is small against
 	// an election timeout of 600 ms.
-	overloadLag = 150 * time.Millisecond
+	overloadLag = 80 * time.Millisecond
 	// overloadedRestFactor replaces planRestFactor while the leader is overloaded.
 	overloadedRestFactor = 2
 )
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -39,6 +39,7 @@
 	leadership   *Leadership
 	agents       map[string]*agent // by worker, at the start of the pass
 	decisionTime time.Duration     // of the last snapshot and decision, without commits
+	commitTime   time.Duration     // of the last plan's starts
 	waitingSteps map[stepKey]loggedWait
 	claims       map[stepKey][]place.Claim // room that waits for steps, by the last plan
 	shares       *share.Tracker
@@ -113,7 +114,9 @@
 			a.stop(runKey{r.Ref, r.Run})
 		}
 	}
+	committing := time.Now()
 	p.commitStarts(plan.Starts)
+	p.commitTime = time.Since(committing)
 	p.logWaitingSteps(plan.Unplaced, snap)
 	p.publishCustomers(snap)
 }
