--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -199,6 +199,9 @@
 	// decision's time. It limits decisions to about half of the time. In a burst a decision
 	// takes long, and with a longer rest urgent groups wait for the next one.
 	planRestFactor = 1
+	// idleRestFactor replaces it after a plan with nothing to start, to stop or to wait for. On
+	// thousands of workers each snapshot costs more than the decision.
+	idleRestFactor = 5
 )
 
 func (l *Leadership) run() {
@@ -226,7 +229,10 @@
 // time for which the plan has waited for its commit counts as a part of that.
 func (l *Leadership) rest() time.Duration {
 	rest := planRestFactor * l.planner.decisionTime
-	if l.load.overloaded() {
+	switch {
+	case l.planner.idle:
+		rest = idleRestFactor * l.planner.decisionTime
+	case l.load.overloaded():
 		rest = max(rest, overloadedRestFactor*l.planner.decisionTime-l.planner.commitTime)
 	}
 	return max(planInterval, rest)
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -40,6 +40,7 @@
 	agents       map[string]*agent // by worker, at the start of the pass
 	decisionTime time.Duration     // of the last snapshot and decision, without commits
 	commitTime   time.Duration     // of the last plan's starts
+	idle         bool              // the last plan had nothing to start, to stop or to wait for
 	waitingSteps map[stepKey]loggedWait
 	claims       map[stepKey][]place.Claim // room that waits for steps, by the last plan
 	shares       *share.Tracker
@@ -117,6 +118,7 @@
 	committing := time.Now()
 	p.commitStarts(plan.Starts)
 	p.commitTime = time.Since(committing)
+	p.idle = len(plan.Starts)+len(plan.Stops)+len(plan.Evacuated)+len(snap.Groups) == 0
 	p.logWaitingSteps(plan.Unplaced, snap)
 	p.publishCustomers(snap)
 }
