--- a/internal/region/cluster_test.go
+++ b/internal/region/cluster_test.go
@@ -166,20 +166,24 @@
 // cluster is a region of three control instances, c0 to c2, and two entry instances, e0
 // and e1.
 type cluster struct {
-	t        *testing.T
-	net      *memoryNet
-	folders  map[string]string
-	controls map[string]*Control
-	routers  map[string]*Router
-	power    *atomic.Bool          // set while the power is off
-	workers  map[string]*oneWorker // worker that each control instance reaches
+	relayAbove int // see ControlConfig
+	t          *testing.T
+	net        *memoryNet
+	folders    map[string]string
+	controls   map[string]*Control
+	routers    map[string]*Router
+	power      *atomic.Bool          // set while the power is off
+	workers    map[string]*oneWorker // worker that each control instance reaches
 }
 
 const clusterTimeout = 20 * time.Second
 
-func openCluster(t *testing.T) *cluster {
+func openCluster(t *testing.T) *cluster { return openRelayingCluster(t, 0) }
+
+// openRelayingCluster opens a cluster that relays announcements above a number of workers.
+func openRelayingCluster(t *testing.T, relayAbove int) *cluster {
 	c := &cluster{
-		t: t, net: &memoryNet{peers: map[string]*memoryPeers{}, cut: map[string]bool{}}, folders: map[string]string{},
+		t: t, relayAbove: relayAbove, net: &memoryNet{peers: map[string]*memoryPeers{}, cut: map[string]bool{}}, folders: map[string]string{},
 		controls: map[string]*Control{}, routers: map[string]*Router{}, power: &atomic.Bool{}, workers: map[string]*oneWorker{},
 	}
 	for i := range 3 {
@@ -206,7 +210,7 @@
 		c.workers[name] = &oneWorker{began: time.Now()}
 		ctl, err := OpenControl(ControlConfig{
 			Self: name, Seeds: []string{"c0", "c1", "c2"}, Form: form, DataFolder: folder, FS: &syncedFS{off: c.power}, Peers: r.Peers, Client: c.workers[name],
-			Zones: []string{"z1", "z2"}, MaxLease: time.Second, Log: logr.Discard(),
+			Zones: []string{"z1", "z2"}, MaxLease: time.Second, Log: logr.Discard(), RelayAbove: c.relayAbove,
 		}, r)
 		if err != nil {
 			c.t.Fatal(err)
--- a/internal/region/relay.go
+++ b/internal/region/relay.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 
 	"teaselpaddle.example/teaselpaddle/internal/batch"
@@ -157,9 +157,7 @@
 		if m == r.router.Self {
 			continue
 		}
-		h := fnv.New64a()
-		_, _ = h.Write([]byte(m + "/" + worker))
-		if w := h.Sum64(); best == "" || w > bestWeight {
+		if w := xxhash.Sum64String(m + "/" + worker); best == "" || w > bestWeight {
 			best, bestWeight = m, w
 		}
 	}
