--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -54,8 +54,13 @@
 	return b
 }
 
+// nextEpoch begins a leadership in the state machine.
+func (b *testBed) nextEpoch() uint64 {
+	return b.apply(&batch.Command{Lead: &batch.Lead{Instance: "test"}}).(uint64)
+}
+
 func (b *testBed) open() {
-	epoch := b.apply(&batch.Command{Lead: &batch.Lead{Instance: "test"}}).(uint64)
+	epoch := b.nextEpoch()
 	b.leadership = Open(Config{
 		Machine: b.machine, Group: b.group, Client: b.workers, Epoch: epoch, Heartbeats: b.heartbeats, Log: b.log,
 		MaxLease: b.lease, MaxWaitingHolds: b.waitingHoldLimit, Now: b.now, Steady: b.steady,
