region: bounded commits of workers' records; no repeated forwards of announcements

Cause: 3,000 workers that start together repeat their announcements each second through other instances, each instance repeated the forward every 60 ms to all others, and each copy was proposed again.

Change: where announcements are relayed, an instance forwards each once.

--- a/internal/region/control.go
+++ b/internal/region/control.go
@@ -76,6 +76,7 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
+	recordings    recordings
 	loggedVersion atomic.Uint64 // version of the configuration that was logged last
 	// loggedZones holds the generation of each zone that was logged last; see logZones.
 	loggedZones map[string]uint64
--- a/internal/region/handle.go
+++ b/internal/region/handle.go
@@ -284,6 +284,15 @@
 		telemetry.Count("teaselpaddle_announcements_after_leave_total")
 		return
 	}
+	done, err := c.recordings.begin(ctx, w.ID)
+	if err != nil {
+		rep.OutcomeUnknown = true
+		return
+	}
+	defer done()
+	if c.isRecorded(&w) { // by an earlier announcement, meanwhile
+		return
+	}
 	c.commit(ctx, rep, &batch.Command{Worker: &batch.WorkerChange{Worker: w}})
 	if !rep.NotLeader && !rep.OutcomeUnknown {
 		c.log.Info("worker recorded", "worker", w.ID, "life", w.Incarnation, "address", w.Address, "draining", w.Draining,
--- a/internal/region/router.go
+++ b/internal/region/router.go
@@ -190,6 +190,9 @@
 	}
 	failure := &UnavailableError{}
 	oneRound := r.leaderLost() && !r.Off[mechanism.EarlyRefusal]
+	// A worker tries another instance by itself. Thousands of announcements that are repeated here
+	// as well would keep the instances from electing a leader, or a leader from answering.
+	announces := req.Announce != nil && r.relay.enabled()
 	for round := 0; ; round++ {
 		if r.cutOff.cut.Load() {
 			failure.Cause = &CutOffError{}
@@ -214,7 +217,7 @@
 				c = r.recordAttempt(failure, c, rep, err)
 			}
 		}
-		if oneRound && r.leaderLost() {
+		if announces || oneRound && r.leaderLost() {
 			return nil, failure
 		}
 		select {
