dispatch: a start that has waited for its turn is checked again; stops go first

Cause: by review. Under load starts wait for seconds before they are sent, after the checks that the job goes on, the zone is open and the worker does not drain; a stop waited behind thousands of starts. A completion behind a cut that could not be committed made the worker's holds return at once, one after the other.

Change: the checks are made again when the call has its turn; a final job starts nothing, a worker that drains gets nothing that waited for 1 s. Stops have a class of their own, before starts and leases.

Result: TestStartThatWaitedIsCheckedAgain fails without the checks in both cases.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -249,7 +249,7 @@
 		}
 		k, t := a.pendingFences[0], a.target()
 		a.mu.Unlock()
-		release := a.acquireCall(a.ctx, callForRuns, 0)
+		release := a.acquireCall(a.ctx, callStop, 0)
 		if release == nil {
 			return false
 		}
--- a/internal/dispatch/bar.go
+++ b/internal/dispatch/bar.go
@@ -17,7 +17,7 @@
 	barNoRoom   = "no_room"
 )
 
-// mayStart reports whether a run is still recorded for the worker and not barred. A plan may
+// mayStart reports whether a run is still recorded for the worker, its job not final, and the run not barred. A plan may
 // be older than the commit of the run's end, and a start that went unanswered may have been
 // carried out; the worker need not refuse a start of a run whose end was acknowledged. The
 // caller must not hold mu: the state machine may be locked by a reader that waits for it.
@@ -26,7 +26,7 @@
 	ok := false
 	a.leadership.cfg.Machine.View(func(v *batch.View) {
 		u := v.ActiveUnit(k.unit, k.run)
-		ok = u != nil && u.Worker == w.ID && u.Incarnation == w.Incarnation && !v.Cordoned(w.Zone) && !v.Overfull(w.ID)
+		ok = u != nil && !v.LiveJobs()[k.unit.Job].State.Final() && u.Worker == w.ID && u.Incarnation == w.Incarnation && !v.Cordoned(w.Zone) && !v.Overfull(w.ID)
 	})
 	return ok
 }
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -72,21 +73,23 @@
 
 func (m *loadMeter) overloaded() bool { return m.current() > overloadLag }
 
-// callLimit bounds the calls to workers that are in flight. Calls that concern runs go before
-// the others; within a class they go in the order of their arrival.
+// callLimit bounds the calls to workers that are in flight. Stops go first and calls that concern runs
+// before the others; within a class they go in the order of their arrival.
 type callLimit struct {
 	mu       sync.Mutex // guards the fields below
 	limit    float64
 	inFlight int
-	waiting  [2][]chan struct{} // by class; closed when the call may go
+	waiting  [callClasses][]chan struct{} // by class; closed when the call may go
 }
 
 // callClass tells which calls go first.
 type callClass int
 
 const (
-	callForRuns callClass = iota // starts, stops, and holds of workers with runs
+	callStop    callClass = iota
+	callForRuns           // starts, and holds of workers with runs
 	callOther
+	callClasses // number of classes
 )
 
 func newCallLimit() *callLimit { return &callLimit{limit: initialCallLimit} }
@@ -149,6 +152,11 @@
 	return len(c.waiting[class])
 }
 
+// anyWaiting reports whether a call waits for its turn. The caller holds mu.
+func (c *callLimit) anyWaiting() bool {
+	return slices.ContainsFunc(c.waiting[:], func(q []chan struct{}) bool { return len(q) > 0 })
+}
+
 // adjust lowers the limit by a third while the process runs late, and raises it slowly while calls
 // wait and it does not.
 func (c *callLimit) adjust(lag time.Duration) {
@@ -157,7 +165,7 @@
 	switch {
 	case lag > overloadLag:
 		c.limit = max(c.limit*2/3, minCallLimit)
-	case len(c.waiting[callForRuns])+len(c.waiting[callOther]) > 0 || c.limit < initialCallLimit:
+	case c.anyWaiting() || c.limit < initialCallLimit:
 		c.limit = min(c.limit*1.05+1, maxCallLimit)
 	}
 	callLimitGauge.Set(c.limit)
--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -38,7 +38,7 @@
 	var mu sync.Mutex
 	var order []callClass
 	var wg sync.WaitGroup
-	waiting := func() int { return c.queued(callForRuns) + c.queued(callOther) }
+	waiting := func() int { return c.queued(callStop) + c.queued(callForRuns) + c.queued(callOther) }
 	queue := func(class callClass, queued int) {
 		wg.Go(func() {
 			if c.acquire(t.Context(), class) {
@@ -54,21 +54,56 @@
 	}
 	queue(callOther, 1)
 	queue(callForRuns, 2)
+	queue(callStop, 3)
 	ctx, cancel := context.WithCancel(t.Context())
 	wg.Go(func() { is.True(!c.acquire(ctx, callForRuns)) })
-	for waiting() < 3 {
+	for waiting() < 4 {
 		time.Sleep(time.Millisecond)
 	}
 	cancel()
-	for waiting() > 2 {
+	for waiting() > 3 {
 		time.Sleep(time.Millisecond)
 	}
 	c.release()
 	wg.Wait()
-	is.Equal(order, []callClass{callForRuns, callOther})
+	is.Equal(order, []callClass{callStop, callForRuns, callOther})
 	is.Equal(c.inFlight, 0)
 }
 
+// Calls wait for seconds under load. Guards against a start that is sent long after its job was
+// cancelled or its worker has begun to drain.
+func TestStartThatWaitedIsCheckedAgain(t *testing.T) {
+	for _, what := range []string{"cancelled", "draining"} {
+		t.Run(what, func(t *testing.T) {
+			f := newFakeWorkers(t, time.Second, "w1")
+			b := newTestBed(t, f)
+			b.waitForFirstReports("w1")
+			calls := b.leadership.calls
+			occupy := func(slots int) {
+				calls.mu.Lock()
+				defer calls.mu.Unlock()
+				calls.inFlight += slots
+				calls.admit()
+			}
+			occupy(maxCallLimit)
+			b.submit("/b/", "j1", unitStep(1, 8))
+			b.waitFor(time.Second, "start waits", func() bool { return calls.queued(callForRuns) > 0 })
+			if what == "cancelled" {
+				b.apply(&batch.Command{Cancel: &batch.Cancel{Call: batch.Call{Host: "h", Path: "/b/j1"}, ID: "j1", AtMS: 1}})
+			} else {
+				b.apply(&batch.Command{Worker: &batch.WorkerChange{Worker: batch.Worker{
+					ID: "w1", Incarnation: 1, Address: "w1", Service: "desk", Rack: "r1", Draining: true,
+				}}})
+				b.waitFor(time.Second, "drains", func() bool { return b.leadership.agent("w1").workerRecord().Draining })
+				b.timeShift.Store(int64(maxDrainingDelay))
+			}
+			occupy(-maxCallLimit)
+			time.Sleep(300 * time.Millisecond) // for the start
+			b.is.Equal(f.startedOn(batch.UnitRef{Job: "j1"}), "[]")
+		})
+	}
+}
+
 // countingWorkers counts the holds that are in flight at the same time.
 type countingWorkers struct {
 	*fakeWorkers
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -82,6 +82,11 @@
 		if release == nil {
 			return
 		}
+		// The call may have waited for seconds.
+		if !a.leadership.confirmed() || !a.mayStart(k) || !a.mayRepeat(od, tries) || a.isTooLate(od) {
+			release()
+			return
+		}
 		a.mu.Lock()
 		s := workerapi.UnitStart{
 			Unit: k.unit, Run: k.run, Payload: payload, UntilMS: a.extendLease(a.leadership.cfg.Now()),
@@ -105,6 +110,22 @@
 	}
 }
 
+// maxDrainingDelay is the time for which a start may wait for its turn if the worker drains
+// meanwhile. Nothing may be started there some seconds after its announcement.
+const maxDrainingDelay = time.Second
+
+// isTooLate reports whether a start has waited so long that its worker, which drains, must not get
+// it any more. The next pass fences the run.
+func (a *agent) isTooLate(od *order) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.worker.Draining || a.leadership.cfg.Now().Sub(od.startSentAt) < maxDrainingDelay {
+		return false
+	}
+	od.refused = true
+	return true
+}
+
 // mayRepeat reports whether a start may be sent after the given number of tries: no stop was
 // sent, no other incarnation is known, and the lease under which it was sent is in force.
 func (a *agent) mayRepeat(od *order, tries int) bool {
@@ -211,7 +232,7 @@
 		if superseded {
 			return
 		}
-		release := a.acquireCall(a.ctx, callForRuns, 0)
+		release := a.acquireCall(a.ctx, callStop, 0)
 		if release == nil {
 			return
 		}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -109,7 +109,7 @@
 	if firstReport || capacityFreed || len(ends) > 0 || len(late) > 0 {
 		a.leadership.Wake()
 	}
-	return true
+	return lateCommitted // what is not acknowledged makes the next hold return at once
 }
 
 // supersede stops the calls to the worker, because another incarnation answers under its id.
