--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -30,14 +30,15 @@
 	overloadedRestFactor = 2
 )
 
-// Limits of the calls in flight. Holds that wait for an end are not counted: they extend leases, and
-// the workers spread their answers.
+// Limits of the calls in flight. Holds that wait for an end count only while they are sent.
 const (
 	initialCallLimit = 256
-	minCallLimit     = 64
+	minCallLimit     = 16
 	maxCallLimit     = 512
 	// adjustInterval is the time between two adjustments of the limit.
 	adjustInterval = 50 * time.Millisecond
+	// holdSendTime is the time for which a hold that waits for an end counts as being sent.
+	holdSendTime = 20 * time.Millisecond
 )
 
 var (
@@ -165,7 +166,7 @@
 	case lag > overloadLag:
 		c.limit = max(c.limit*2/3, minCallLimit)
 	case c.anyWaiting() || c.limit < initialCallLimit:
-		c.limit = min(c.limit*1.1, maxCallLimit)
+		c.limit = min(c.limit*1.05+1, maxCallLimit)
 	}
 	callLimitGauge.Set(c.limit)
 	c.admit()
@@ -174,12 +175,17 @@
 // acquireCall waits until a call to the worker may be sent, and returns the function that
 // ends it, or nil if ctx ends before that. wait is how long the worker may delay its answer.
 func (a *agent) acquireCall(ctx context.Context, class callClass, wait time.Duration) (release func()) {
-	if wait > 0 {
-		return func() {}
-	}
 	calls := a.leadership.calls
 	if !calls.acquire(ctx, class) {
 		return nil
 	}
-	return calls.release
+	if wait == 0 {
+		return calls.release
+	}
+	var once sync.Once
+	t := time.AfterFunc(holdSendTime, func() { once.Do(calls.release) })
+	return func() {
+		t.Stop()
+		once.Do(calls.release)
+	}
 }
