--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -33,12 +33,12 @@
 // Limits of the calls in flight. Holds that wait for an end count only while they are sent.
 const (
 	initialCallLimit = 256
-	minCallLimit     = 32
+	minCallLimit     = 16
 	maxCallLimit     = 512
 	// adjustInterval is the time between two adjustments of the limit.
 	adjustInterval = 50 * time.Millisecond
 	// holdSendTime is the time for which a hold that waits for an end counts as being sent.
-	holdSendTime = 8 * time.Millisecond
+	holdSendTime = 20 * time.Millisecond
 )
 
 var (
@@ -166,7 +166,7 @@
 	case lag > overloadLag:
 		c.limit = max(c.limit*2/3, minCallLimit)
 	case c.anyWaiting() || c.limit < initialCallLimit:
-		c.limit = min(c.limit*1.1, maxCallLimit)
+		c.limit = min(c.limit*1.05+1, maxCallLimit)
 	}
 	callLimitGauge.Set(c.limit)
 	c.admit()
