--- /dev/null
+++ b/review/standin/cases.go
@@ -0,0 +1,292 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Bounds of the sheets of the small deployments.
+const (
+	finishTime  = 14 * time.Second        // finish_s
+	idleTime    = 3 * time.Second         // for which a job may have nothing running
+	reclaimTime = 3400 * time.Millisecond // reclaim_ms
+)
+
+// observeTime is the time after the traffic for which a job is observed. A job that is to end has
+// ended long before.
+const observeTime = 40 * time.Second
+
+var (
+	routes = []route{{"r-die", "/die/", 0}, {"r-sim", "/sim/", 1}, {"r-nest", "/nest/", 2}}
+	north  = tenant{"north", 8}
+	south  = tenant{"south", 16}
+	west   = tenant{"west", 0}
+)
+
+// specialKind is the kind of the special workers of prepare.
+const specialKind = "b"
+
+// prepare starts workers of 8 accelerators, of which some are of specialKind, and puts the first
+// desired state in force.
+func prepare(d *deployment, workers, special int) (*client, error) {
+	for i := range workers {
+		w := d.addWorker(service, 8)
+		if i >= workers-special {
+			w.kind = specialKind
+		}
+		if err := w.startLife(0); err != nil {
+			return nil, err
+		}
+	}
+	c := newClient(d)
+	if err := c.publish(1, routes, []tenant{north, south, west}); err != nil {
+		return nil, err
+	}
+	ready := waitFor(20*time.Second, func() bool {
+		status, _ := c.do(http.MethodGet, fmt.Sprintf("http://%s:%d/ready", d.instanceIP(controlCount), readinessPort), "", nil)
+		return status == http.StatusOK
+	})
+	if !ready {
+		return nil, fmt.Errorf("the entry instance is not ready")
+	}
+	// The workers' first reports have been taken by now; lead_s is 10 s in the small deployments.
+	time.Sleep(5 * time.Second)
+	return c, nil
+}
+
+// workerOf returns the worker on which a job's only unit was started first.
+func (d *deployment) workerOf(job string) (*worker, error) {
+	if !waitFor(10*time.Second, func() bool { return len(d.registry.starts(job)) > 0 }) {
+		return nil, fmt.Errorf("job %s was not started", job)
+	}
+	id := d.registry.starts(job)[0].worker
+	for _, w := range d.workers {
+		if w.id == id && !w.foreign {
+			return w, nil
+		}
+	}
+	return nil, fmt.Errorf("worker %s is not known", id)
+}
+
+// foreignReport judges TWICE. A status report of another system arrives: it has the id of a
+// worker at work, and names a service that no desired state names.
+func foreignReport(d *deployment, trouble bool) (verdict, error) {
+	c, err := prepare(d, 4, 0)
+	if err != nil {
+		return verdict{}, err
+	}
+	j := &jobSpec{id: "00000000000000a1", work: 12 * time.Second}
+	if err := c.submit("/nest/", west.name, j, step{Count: 1, CPU: 8000, MemMB: 16000, GPU: 8, EstimateMS: 12000}); err != nil {
+		return verdict{}, err
+	}
+	victim, err := d.workerOf(j.id)
+	if err != nil {
+		return verdict{}, err
+	}
+	time.Sleep(3 * time.Second)
+	if trouble {
+		other := d.addWorker("weld-line", 8)
+		other.id, other.foreign = victim.id, true
+		if err := other.startLife(-1); err != nil {
+			return verdict{}, err
+		}
+		client := &http.Client{Timeout: time.Second}
+		taken := other.sendReport(client, d.controlAddress(0), other.reportBody(1))
+		d.rec.printf("report   one status report of worker %s of service weld-line was sent; acknowledged: %t", other.id, taken)
+	}
+	waitFor(30*time.Second, func() bool {
+		return len(d.registry.overlapping()) > 0 || len(d.registry.ends(j.id, "done")) > 0
+	})
+	time.Sleep(2 * time.Second)
+	c.state("/nest/", west.name, j.id)
+	if o := d.registry.overlapping(); len(o) > 0 && victim.isUp() {
+		return verdict{"TWICE: unit " + strings.Join(o, "; ")}, nil
+	}
+	return verdict{}, nil
+}
+
+// crashThenGone judges LOST. A worker crashes, starts again under its id, and is lost for good before
+// its first status report is due.
+func crashThenGone(d *deployment, trouble bool) (verdict, error) {
+	c, err := prepare(d, 4, 0)
+	if err != nil {
+		return verdict{}, err
+	}
+	j := &jobSpec{id: "00000000000000b1", work: 8 * time.Second}
+	if err := c.submit("/nest/", west.name, j, step{Count: 1, CPU: 8000, MemMB: 16000, GPU: 8, EstimateMS: 8000}); err != nil {
+		return verdict{}, err
+	}
+	w, err := d.workerOf(j.id)
+	if err != nil {
+		return verdict{}, err
+	}
+	time.Sleep(2 * time.Second)
+	if trouble {
+		w.crash()
+		time.Sleep(800 * time.Millisecond)
+		if err := w.startLife(heartbeatInterval); err != nil {
+			return verdict{}, err
+		}
+		time.Sleep(1400 * time.Millisecond)
+		w.crash()
+	}
+	return d.judgeFinish(c, "/nest/", west.name, j, 45*time.Second), nil
+}
+
+// judgeFinish judges LOST for a job of which one unit's turn has come, while the other workers are
+// idle: finishTime after the traffic it may not have nothing running for idleTime.
+func (d *deployment) judgeFinish(c *client, prefix, tenant string, j *jobSpec, limit time.Duration) verdict {
+	began := time.Now()
+	idleSince := time.Time{}
+	worst := time.Duration(0)
+	for time.Since(began) < limit {
+		time.Sleep(250 * time.Millisecond)
+		running := false
+		for _, w := range d.workers {
+			running = running || w.runsAny(j.id)
+		}
+		if status, state := c.quietState(prefix, tenant, j.id); status == http.StatusOK && state == "completed" {
+			c.state(prefix, tenant, j.id)
+			return verdict{}
+		}
+		switch {
+		case running || time.Since(began) < finishTime:
+			idleSince = time.Time{}
+		case idleSince.IsZero():
+			idleSince = time.Now()
+		default:
+			worst = max(worst, time.Since(idleSince))
+		}
+	}
+	status, state := c.state(prefix, tenant, j.id)
+	if worst >= idleTime {
+		return verdict{fmt.Sprintf("LOST: %s after the traffic nothing of job %s had been running for %.1f s, though its workers were idle; its state: %d %s",
+			limit, j.id, worst.Seconds(), status, state)}
+	}
+	return verdict{}
+}
+
+// scatteredReclaim judges RECLAIM. A burst of large jobs leaves one accelerator free on each worker.
+// The units of one tenant's urgent job are started there, and the job of another tenant needs whole workers.
+func scatteredReclaim(d *deployment, trouble bool) (verdict, error) {
+	c, err := prepare(d, 4, 0)
+	if err != nil {
+		return verdict{}, err
+	}
+	if trouble {
+		for i := range 4 {
+			j := &jobSpec{id: fmt.Sprintf("00000000000000c%d", i), work: 8500 * time.Millisecond}
+			if err := c.submit("/sim/", west.name, j, step{Count: 1, CPU: 26000, MemMB: 140000, GPU: 7, EstimateMS: 8500}); err != nil {
+				return verdict{}, err
+			}
+		}
+		time.Sleep(time.Second)
+	}
+	small := &jobSpec{id: "00000000000000d1"}
+	if err := c.submit("/die/", north.name, small, step{Count: 4, CPU: 7500, MemMB: 22000, GPU: 1, LongRunning: true}); err != nil {
+		return verdict{}, err
+	}
+	if !waitFor(5*time.Second, func() bool { return len(d.registry.starts(small.id)) == 4 }) {
+		return verdict{}, fmt.Errorf("the units of the small job were not started")
+	}
+	large := &jobSpec{id: "00000000000000e1", work: 2500 * time.Millisecond}
+	if err := c.submit("/die/", south.name, large, step{Count: 2, CPU: 7500, MemMB: 22000, GPU: 8, EstimateMS: 2500}); err != nil {
+		return verdict{}, err
+	}
+	accepted := time.Now()
+	begun := func() bool { return len(d.registry.starts(large.id)) == 2 }
+	if waitFor(reclaimTime, begun) {
+		return verdict{}, nil
+	}
+	waitFor(40*time.Second, begun)
+	status, state := c.state("/die/", south.name, large.id)
+	return verdict{fmt.Sprintf("RECLAIM: job %s of priority 0 needs 16 of the 16 accelerators that are guaranteed to its tenant; "+
+		"%.1f s after it was accepted %d of its 2 units had begun; its state: %d %s",
+		large.id, time.Since(accepted).Seconds(), len(d.registry.starts(large.id)), status, state)}, nil
+}
+
+// removedRoute judges LOST. A desired state removes the route of a job that was accepted and is at work.
+func removedRoute(d *deployment, trouble bool) (verdict, error) {
+	c, err := prepare(d, 4, 0)
+	if err != nil {
+		return verdict{}, err
+	}
+	j := &jobSpec{id: "00000000000000f1", work: 5 * time.Second}
+	first := step{Count: 1, CPU: 5600, MemMB: 16000, GPU: 1, EstimateMS: 5000}
+	second := first
+	second.DependsOn = []int{0}
+	if err := c.submit("/nest/", west.name, j, first, second); err != nil {
+		return verdict{}, err
+	}
+	if _, err := d.workerOf(j.id); err != nil {
+		return verdict{}, err
+	}
+	kept := routes
+	if trouble {
+		kept = routes[:2]
+	}
+	if err := c.publish(2, kept, []tenant{north, south, west}); err != nil {
+		return verdict{}, err
+	}
+	v := d.judgeFinish(c, "/nest/", west.name, j, observeTime)
+	if err := c.publish(3, routes, []tenant{north, south, west}); err != nil {
+		return verdict{}, err
+	}
+	time.Sleep(time.Second)
+	c.state("/nest/", west.name, j.id)
+	return v, nil
+}
+
+// gangBlocks judges LOST. A gang needs all workers, and a lasting unit has an accelerator of one of them.
+// Jobs of lower priority come after it.
+func gangBlocks(d *deployment, trouble bool) (verdict, error) {
+	c, err := prepare(d, 4, 0)
+	if err != nil {
+		return verdict{}, err
+	}
+	lasting := &jobSpec{id: "00000000000000b2"}
+	if err := c.submit("/sim/", west.name, lasting, step{Count: 1, CPU: 5600, MemMB: 16000, GPU: 1, LongRunning: true}); err != nil {
+		return verdict{}, err
+	}
+	if _, err := d.workerOf(lasting.id); err != nil {
+		return verdict{}, err
+	}
+	if trouble {
+		gang := &jobSpec{id: "00000000000000b3", work: 8500 * time.Millisecond}
+		if err := c.submit("/sim/", west.name, gang, step{Count: 4, CPU: 26000, MemMB: 140000, GPU: 8, EstimateMS: 8500, Gang: true}); err != nil {
+			return verdict{}, err
+		}
+		time.Sleep(time.Second)
+	}
+	j := &jobSpec{id: "00000000000000b4", work: 5 * time.Second}
+	if err := c.submit("/nest/", south.name, j, step{Count: 1, CPU: 5600, MemMB: 16000, GPU: 1, EstimateMS: 5000}); err != nil {
+		return verdict{}, err
+	}
+	return d.judgeFinish(c, "/nest/", south.name, j, observeTime), nil
+}
+
+// failedOnce judges LOST. A run of a unit fails on the only worker that has room for the unit. Two of
+// the eight workers are of the kind that it requires, and a lasting unit fills most of the other one.
+func failedOnce(d *deployment, trouble bool) (verdict, error) {
+	c, err := prepare(d, 8, 2)
+	if err != nil {
+		return verdict{}, err
+	}
+	lasting := &jobSpec{id: "00000000000000c2"}
+	if err := c.submit("/sim/", west.name, lasting, step{Count: 1, CPU: 26000, MemMB: 140000, GPU: 5, LongRunning: true, Label: specialKind}); err != nil {
+		return verdict{}, err
+	}
+	if _, err := d.workerOf(lasting.id); err != nil {
+		return verdict{}, err
+	}
+	j := &jobSpec{id: "00000000000000c3", work: 5 * time.Second}
+	if trouble {
+		j.failures = 1
+	}
+	if err := c.submit("/nest/", south.name, j, step{Count: 1, CPU: 5600, MemMB: 16000, GPU: 4, EstimateMS: 5000, Label: specialKind}); err != nil {
+		return verdict{}, err
+	}
+	return d.judgeFinish(c, "/nest/", south.name, j, observeTime), nil
+}
