--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -107,34 +107,6 @@
 	return verdict{}, nil
 }
 
-// crashThenGone judges LOST. A worker crashes, starts again under its id, and is lost for good before
-// its first status report is due.
-func crashThenGone(d *deployment, trouble bool) (verdict, error) {
-	c, err := prepare(d, 4, 0)
-	if err != nil {
-		return verdict{}, err
-	}
-	j := &jobSpec{id: "00000000000000b1", work: 8 * time.Second}
-	if err := c.submit("/nest/", west.name, j, step{Count: 1, CPU: 8000, MemMB: 16000, GPU: 8, EstimateMS: 8000}); err != nil {
-		return verdict{}, err
-	}
-	w, err := d.workerOf(j.id)
-	if err != nil {
-		return verdict{}, err
-	}
-	time.Sleep(2 * time.Second)
-	if trouble {
-		w.crash()
-		time.Sleep(800 * time.Millisecond)
-		if err := w.startLife(heartbeatInterval); err != nil {
-			return verdict{}, err
-		}
-		time.Sleep(1400 * time.Millisecond)
-		w.crash()
-	}
-	return d.judgeFinish(c, "/nest/", west.name, j, 45*time.Second), nil
-}
-
 // judgeFinish judges LOST for a job of which one unit's turn has come, while the other workers are
 // idle: finishTime after the traffic it may not have nothing running for idleTime.
 func (d *deployment) judgeFinish(c *client, prefix, tenant string, j *jobSpec, limit time.Duration) verdict {
@@ -207,38 +179,6 @@
 		large.id, time.Since(accepted).Seconds(), len(d.registry.starts(large.id)), status, state)}, nil
 }
 
-// removedRoute judges LOST. A desired state removes the route of a job that was accepted and is at work.
-func removedRoute(d *deployment, trouble bool) (verdict, error) {
-	c, err := prepare(d, 4, 0)
-	if err != nil {
-		return verdict{}, err
-	}
-	j := &jobSpec{id: "00000000000000f1", work: 5 * time.Second}
-	first := step{Count: 1, CPU: 5600, MemMB: 16000, GPU: 1, EstimateMS: 5000}
-	second := first
-	second.DependsOn = []int{0}
-	if err := c.submit("/nest/", west.name, j, first, second); err != nil {
-		return verdict{}, err
-	}
-	if _, err := d.workerOf(j.id); err != nil {
-		return verdict{}, err
-	}
-	kept := routes
-	if trouble {
-		kept = routes[:2]
-	}
-	if err := c.publish(2, kept, []tenant{north, south, west}); err != nil {
-		return verdict{}, err
-	}
-	v := d.judgeFinish(c, "/nest/", west.name, j, observeTime)
-	if err := c.publish(3, routes, []tenant{north, south, west}); err != nil {
-		return verdict{}, err
-	}
-	time.Sleep(time.Second)
-	c.state("/nest/", west.name, j.id)
-	return v, nil
-}
-
 // gangBlocks judges LOST. A gang needs all workers, and a lasting unit has an accelerator of one of them.
 // Jobs of lower priority come after it.
 func gangBlocks(d *deployment, trouble bool) (verdict, error) {
@@ -267,26 +207,50 @@
 	return d.judgeFinish(c, "/nest/", south.name, j, observeTime), nil
 }
 
-// failedOnce judges LOST. A run of a unit fails on the only worker that has room for the unit. Two of
-// the eight workers are of the kind that it requires, and a lasting unit fills most of the other one.
-func failedOnce(d *deployment, trouble bool) (verdict, error) {
-	c, err := prepare(d, 8, 2)
+// oddReason judges Fault. A worker of eight fails its requests for greyTime, twice: it refuses starts
+// with a reason that the pages don't name.
+func oddReason(d *deployment, trouble bool) (verdict, error) {
+	const (
+		greyTime = 6500 * time.Millisecond
+		text     = `unit needs more "gpu" than is left`
+	)
+	c, err := prepare(d, 8, 1)
 	if err != nil {
 		return verdict{}, err
 	}
-	lasting := &jobSpec{id: "00000000000000c2"}
-	if err := c.submit("/sim/", west.name, lasting, step{Count: 1, CPU: 26000, MemMB: 140000, GPU: 5, LongRunning: true, Label: specialKind}); err != nil {
+	grey := d.workers[7]
+	long := &jobSpec{id: "00000000000000f2", work: 25 * time.Second}
+	if err := c.submit("/sim/", south.name, long, step{Count: 1, CPU: 26000, MemMB: 140000, GPU: 8, EstimateMS: 25000}); err != nil {
 		return verdict{}, err
 	}
-	if _, err := d.workerOf(lasting.id); err != nil {
+	if _, err := d.workerOf(long.id); err != nil {
 		return verdict{}, err
 	}
-	j := &jobSpec{id: "00000000000000c3", work: 5 * time.Second}
-	if trouble {
-		j.failures = 1
+	for i := range 2 {
+		if trouble {
+			grey.oddReason.Store(text)
+		}
+		j := &jobSpec{id: fmt.Sprintf("00000000000000f%d", 3+i), work: 5 * time.Second}
+		if err := c.submit("/nest/", west.name, j, step{Count: 1, CPU: 5600, MemMB: 16000, GPU: 4, EstimateMS: 5000, Label: specialKind}); err != nil {
+			return verdict{}, err
+		}
+		time.Sleep(greyTime)
+		grey.oddReason.Store("")
+		time.Sleep(5 * time.Second)
+	}
+	time.Sleep(finishTime)
+	c.state("/sim/", south.name, long.id)
+	ends := []string{}
+	many := 0
+	for _, p := range d.processes[:controlCount] {
+		ends = append(ends, fmt.Sprintf("%s %d", p.name, p.ownEnds()))
+		if p.ownEnds() >= 3 {
+			many++
+		}
 	}
-	if err := c.submit("/nest/", south.name, j, step{Count: 1, CPU: 5600, MemMB: 16000, GPU: 4, EstimateMS: 5000, Label: specialKind}); err != nil {
-		return verdict{}, err
+	d.rec.printf("own ends %s", strings.Join(ends, ", "))
+	if 2*many > controlCount {
+		return verdict{"Fault: control processes ended by themselves: " + strings.Join(ends, ", ")}, nil
 	}
-	return d.judgeFinish(c, "/nest/", south.name, j, observeTime), nil
+	return verdict{}, nil
 }
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -50,11 +51,22 @@
 	workers   []*worker
 }
 
-// process is one instance, started with the command of the deploy file.
+// restartDelay is the time after which the platform restarts a process that has ended.
+const restartDelay = 500 * time.Millisecond
+
+// process is one instance, started with the command of the deploy file. Like the platform, it
+// restarts a program that ends.
 type process struct {
-	name string
-	cmd  *exec.Cmd
-	done chan struct{}
+	deployment *deployment
+	index      int
+	name       string
+	command    []string
+	done       chan struct{} // closed once the program has ended after stop
+
+	mu      sync.Mutex // guards the fields below
+	cmd     *exec.Cmd
+	stopped bool
+	ends    int // times that the program ended by itself
 }
 
 func (d *deployment) instanceIP(i int) string { return fmt.Sprintf("127.%d.77.%d", d.network, i+1) }
@@ -124,8 +136,9 @@
 	return out, nil
 }
 
-// settings fills in the template of the settings for an instance.
-func (d *deployment) settings(i int) ([]byte, error) {
+// settings fills in the template of the settings for an instance. first is set at the first start of
+// the whole system.
+func (d *deployment) settings(i int, first bool) ([]byte, error) {
 	text, err := os.ReadFile(filepath.Join(d.repo, settingsPath))
 	if err != nil {
 		return nil, err
@@ -141,7 +154,7 @@
 	}
 	values := map[string]any{
 		"node_name": d.instanceName(i), "zone": zones[i%len(zones)], "zones": zoneTable, "ip": ip,
-		"internal_ports": []int{firstPort, lastPort}, "seeds": seeds, "bootstrap": true, "data_dir": "",
+		"internal_ports": []int{firstPort, lastPort}, "seeds": seeds, "bootstrap": first, "data_dir": "",
 		"fault_tolerance.machines": 1, "listen.frontend": "", "listen.readiness": "", "listen.control": "",
 		"limits.max_fds": 4100, "limits.memory_mb": 284, "orders": "call",
 		"bounds.max_hold_ms": maxHold.Milliseconds(), "bounds.grace_s": graceSeconds,
@@ -193,50 +206,100 @@
 		if i >= controlCount {
 			class = "frontend"
 		}
-		if err := d.startProcess(i, commands[class]); err != nil {
+		p := &process{deployment: d, index: i, name: d.instanceName(i), command: commands[class], done: make(chan struct{})}
+		if err := p.start(true); err != nil {
 			return err
 		}
+		d.processes = append(d.processes, p)
+		go p.supervise()
 	}
 	return nil
 }
 
-func (d *deployment) startProcess(i int, command []string) error {
-	text, err := d.settings(i)
+// start starts the program. first is set at the first start of the whole system.
+func (p *process) start(first bool) error {
+	d := p.deployment
+	text, err := d.settings(p.index, first)
 	if err != nil {
 		return err
 	}
-	name := d.instanceName(i)
-	file := filepath.Join(d.folder, name+".jsonc")
+	file := filepath.Join(d.folder, p.name+".jsonc")
 	if err := os.WriteFile(file, text, 0o600); err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(d.folder, name+".log"))
+	log, err := os.OpenFile(filepath.Join(d.folder, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = log.Close() }()
-	cmd := exec.Command(filepath.Join(d.repo, command[0]), command[1:]...)
+	cmd := exec.Command(filepath.Join(d.repo, p.command[0]), p.command[1:]...)
 	cmd.Dir = d.repo
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "TEASELPADDLE_CONFIG=" + file}
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.stopped {
+		return nil
+	}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	p := &process{name: name, cmd: cmd, done: make(chan struct{})}
-	go func() {
-		_ = cmd.Wait()
-		close(p.done)
-	}()
-	d.processes = append(d.processes, p)
+	p.cmd = cmd
 	return nil
 }
 
+// supervise restarts the program whenever it ends, until stop.
+func (p *process) supervise() {
+	defer close(p.done)
+	for {
+		err := p.cmd.Wait()
+		p.mu.Lock()
+		stopped := p.stopped
+		if !stopped {
+			p.ends++
+		}
+		p.mu.Unlock()
+		if stopped {
+			return
+		}
+		p.deployment.rec.printf("process  %s ended by itself: %v", p.name, err)
+		time.Sleep(restartDelay)
+		if err := p.start(false); err != nil {
+			p.deployment.rec.printf("process  %s cannot be started: %v", p.name, err)
+			return
+		}
+		p.mu.Lock()
+		stopped = p.stopped
+		p.mu.Unlock()
+		if stopped {
+			_ = p.cmd.Process.Kill()
+			_ = p.cmd.Wait()
+			return
+		}
+	}
+}
+
+// stop ends the program for good.
+func (p *process) stop() {
+	p.mu.Lock()
+	p.stopped = true
+	_ = p.cmd.Process.Kill()
+	p.mu.Unlock()
+	<-p.done
+}
+
+// ownEnds returns how often the program has ended by itself.
+func (p *process) ownEnds() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ends
+}
+
 // close ends all processes and stand-ins, and removes the temporary folder unless KEEP is set.
 func (d *deployment) close() {
 	for _, p := range d.processes {
-		_ = p.cmd.Process.Kill()
-		<-p.done
+		p.stop()
 	}
 	for _, w := range d.workers {
 		w.crash()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -6,7 +6,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -22,12 +24,16 @@
 
 // cases are the cases by name. trouble is false for a play without the disruption.
 var cases = map[string]func(d *deployment, trouble bool) (verdict, error){
+	"odd-reason":        oddReason,
 	"foreign-report":    foreignReport,
-	"crash-then-gone":   crashThenGone,
-	"scattered-reclaim": scatteredReclaim,
-	"removed-route":     removedRoute,
 	"gang-blocks":       gangBlocks,
-	"failed-once":       failedOnce,
+	"scattered-reclaim": scatteredReclaim,
+	// Further faults, see further.go.
+	"failed-once":     failedOnce,
+	"removed-route":   removedRoute,
+	"crash-then-gone": crashThenGone,
+	"born-goes-back":  bornGoesBack,
+	"flapping-worker": flappingWorker,
 }
 
 func main() {
@@ -59,7 +65,7 @@
 	}
 	var v verdict
 	if err == nil {
-		v, err = f(d, trouble)
+		v, err = runCase(d, f, trouble)
 	}
 	switch {
 	case err != nil:
@@ -76,6 +82,32 @@
 	return exitHeld
 }
 
+// timeLimit bounds a case. A case takes 120 s at most.
+const timeLimit = 110 * time.Second
+
+// runCase runs a case until it ends, the time is over, or the script is told to stop.
+func runCase(d *deployment, f func(*deployment, bool) (verdict, error), trouble bool) (verdict, error) {
+	type result struct {
+		v   verdict
+		err error
+	}
+	done := make(chan result, 1)
+	go func() {
+		v, err := f(d, trouble)
+		done <- result{v, err}
+	}()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case r := <-done:
+		return r.v, r.err
+	case s := <-stop:
+		return verdict{}, fmt.Errorf("stopped by %v", s)
+	case <-time.After(timeLimit):
+		return verdict{}, fmt.Errorf("not finished after %v", timeLimit)
+	}
+}
+
 // waitFor waits until f returns true. It returns false after the given time.
 func waitFor(limit time.Duration, f func() bool) bool {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -38,7 +39,10 @@
 	kind       string // first label
 	rack       string // last label
 	gpus       int
-	foreign    bool // belongs to another system; what it runs is not judged
+	foreign    bool          // belongs to another system; what it runs is not judged
+	clockAhead time.Duration // of the time of day when a life starts
+	// oddReason is the reason with which the worker refuses all starts; "" if it is sound.
+	oddReason atomic.Value
 
 	mu        sync.Mutex // guards the fields below
 	server    *http.Server
@@ -78,7 +82,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.life++
-	w.up, w.born, w.startedAt = true, time.Now().UnixMilli(), time.Now()
+	w.up, w.born, w.startedAt = true, time.Now().Add(w.clockAhead).UnixMilli(), time.Now()
 	w.sequence, w.token, w.untilMS, w.lastEnd = 0, 0, 0, 0
 	w.runs, w.fenced, w.finished = map[string]*run{}, map[string]int{}, nil
 	mux := http.NewServeMux()
@@ -215,6 +219,10 @@
 }
 
 func (w *worker) runStart(_ context.Context, _ int, o *order) (map[string]any, string) {
+	if reason, _ := w.oddReason.Load().(string); reason != "" {
+		w.deployment.rec.printf("refuse   unit %s run %d on %s: 409, reason %s", o.Task, o.Run, w.id, reason)
+		return nil, reason
+	}
 	w.extend(o.UntilMS)
 	if r := w.runs[o.Task]; r != nil && r.number == o.Run {
 		return nil, ""
