--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -9,9 +9,8 @@
 
 // Bounds of the sheets of the small deployments.
 const (
-	finishTime  = 14 * time.Second        // finish_s
-	idleTime    = 3 * time.Second         // for which a job may have nothing running
-	reclaimTime = 3400 * time.Millisecond // reclaim_ms
+	finishTime = 14 * time.Second // finish_s
+	idleTime   = 3 * time.Second  // for which a job may have nothing running
 )
 
 // observeTime is the time after the traffic for which a job is observed. A job that is to end has
@@ -19,7 +18,7 @@
 const observeTime = 40 * time.Second
 
 var (
-	routes = []route{{"r-die", "/die/", 0}, {"r-sim", "/sim/", 1}, {"r-nest", "/nest/", 2}}
+	routes = []route{{"r-die", "/die/", 0, false}, {"r-sim", "/sim/", 1, false}, {"r-nest", "/nest/", 2, false}}
 	north  = tenant{"north", 8}
 	south  = tenant{"south", 16}
 	west   = tenant{"west", 0}
@@ -140,45 +139,6 @@
 	return verdict{}
 }
 
-// scatteredReclaim judges RECLAIM. A burst of large jobs leaves one accelerator free on each worker.
-// The units of one tenant's urgent job are started there, and the job of another tenant needs whole workers.
-func scatteredReclaim(d *deployment, trouble bool) (verdict, error) {
-	c, err := prepare(d, 4, 0)
-	if err != nil {
-		return verdict{}, err
-	}
-	if trouble {
-		for i := range 4 {
-			j := &jobSpec{id: fmt.Sprintf("00000000000000c%d", i), work: 8500 * time.Millisecond}
-			if err := c.submit("/sim/", west.name, j, step{Count: 1, CPU: 26000, MemMB: 140000, GPU: 7, EstimateMS: 8500}); err != nil {
-				return verdict{}, err
-			}
-		}
-		time.Sleep(time.Second)
-	}
-	small := &jobSpec{id: "00000000000000d1"}
-	if err := c.submit("/die/", north.name, small, step{Count: 4, CPU: 7500, MemMB: 22000, GPU: 1, LongRunning: true}); err != nil {
-		return verdict{}, err
-	}
-	if !waitFor(5*time.Second, func() bool { return len(d.registry.starts(small.id)) == 4 }) {
-		return verdict{}, fmt.Errorf("the units of the small job were not started")
-	}
-	large := &jobSpec{id: "00000000000000e1", work: 2500 * time.Millisecond}
-	if err := c.submit("/die/", south.name, large, step{Count: 2, CPU: 7500, MemMB: 22000, GPU: 8, EstimateMS: 2500}); err != nil {
-		return verdict{}, err
-	}
-	accepted := time.Now()
-	begun := func() bool { return len(d.registry.starts(large.id)) == 2 }
-	if waitFor(reclaimTime, begun) {
-		return verdict{}, nil
-	}
-	waitFor(40*time.Second, begun)
-	status, state := c.state("/die/", south.name, large.id)
-	return verdict{fmt.Sprintf("RECLAIM: job %s of priority 0 needs 16 of the 16 accelerators that are guaranteed to its tenant; "+
-		"%.1f s after it was accepted %d of its 2 units had begun; its state: %d %s",
-		large.id, time.Since(accepted).Seconds(), len(d.registry.starts(large.id)), status, state)}, nil
-}
-
 // gangBlocks judges LOST. A gang needs all workers, and a lasting unit has an accelerator of one of them.
 // Jobs of lower priority come after it.
 func gangBlocks(d *deployment, trouble bool) (verdict, error) {
@@ -254,3 +214,56 @@
 	}
 	return verdict{}, nil
 }
+
+// manyEnds judges TWICE. A worker is cut off and runs on; meanwhile more of its runs are done than one
+// report lists.
+func manyEnds(d *deployment, trouble bool) (verdict, error) {
+	const (
+		jobCount = 7
+		units    = 90
+		cutTime  = 5500 * time.Millisecond
+	)
+	c, err := prepare(d, 8, 0)
+	if err != nil {
+		return verdict{}, err
+	}
+	started := func() (n int) {
+		for i := range jobCount {
+			n += len(d.registry.starts(fmt.Sprintf("0000000000000b%02d", i)))
+		}
+		return n
+	}
+	for i := range jobCount {
+		// The ends are spread over seconds, so that reports are short without the cut.
+		work := 3500*time.Millisecond + time.Duration(i)*250*time.Millisecond
+		j := &jobSpec{id: fmt.Sprintf("0000000000000b%02d", i), work: work}
+		if err := c.submit("/nest/", west.name, j, step{Count: units, CPU: 100, MemMB: 100, EstimateMS: 4000}); err != nil {
+			return verdict{}, err
+		}
+	}
+	if !waitFor(3*time.Second, func() bool { return started() == jobCount*units }) {
+		return verdict{}, fmt.Errorf("%d of %d units were started in time", started(), jobCount*units)
+	}
+	w, err := d.workerOf("0000000000000b00")
+	if err != nil {
+		return verdict{}, err
+	}
+	if trouble {
+		d.rec.printf("cut      %s is cut off", w.id)
+		w.cut.Store(true)
+		time.Sleep(cutTime)
+		w.cut.Store(false)
+		d.rec.printf("cut      %s can be reached again", w.id)
+	}
+	waitFor(30*time.Second, func() bool {
+		_, state := c.quietState("/nest/", west.name, fmt.Sprintf("0000000000000b%02d", jobCount-1))
+		return state == "completed"
+	})
+	time.Sleep(6 * time.Second)
+	again := d.registry.startsAfterDone()
+	d.rec.printf("starts   %d for %d units, %d of them after a run had ended done", started(), jobCount*units, len(again))
+	if len(again) > 0 {
+		return verdict{fmt.Sprintf("TWICE: %d work units were started again after a run of them had ended done, for example: %s", len(again), again[0])}, nil
+	}
+	return verdict{}, nil
+}
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -55,6 +55,7 @@
 type route struct {
 	name, prefix string
 	priority     int
+	public       bool
 }
 
 // tenant is a customer of a desired state. Its key is its name.
@@ -71,7 +72,7 @@
 	for _, r := range routes {
 		rs = append(rs, map[string]any{
 			"name": r.name, "host": host, "path_prefix": r.prefix, "route_type": "unsafe", "timeout_ms": 3000,
-			"target_latency_ms": 1000, "priority": r.priority, "service": service, "max_attempts": 4, "stretch": 3.0, "public": false,
+			"target_latency_ms": 1000, "priority": r.priority, "service": service, "max_attempts": 4, "stretch": 3.0, "public": r.public,
 		})
 	}
 	for _, t := range tenants {
--- a/review/standin/further.go
+++ b/review/standin/further.go
@@ -1,12 +1,16 @@
 package main
 
+// Plays of further faults, which REPORT.md names. They have no folder of their own, as there are five cases
+// at most.
+
 import (
 	"fmt"
+	"net/http"
 	"time"
 )
 
-// Plays of further faults, which REPORT.md names. They have no folder of their own, as there are five cases
-// at most.
+// reclaimTime is reclaim_ms of the sheet.
+const reclaimTime = 3400 * time.Millisecond
 
 // crashThenGone judges LOST. A worker crashes, starts again under its id, and is lost for good before
 // its first status report is due.
@@ -168,3 +172,68 @@
 	}
 	return verdict{}, nil
 }
+
+// foreignCancel judges LOST. A desired state adds a public route, and a caller without a key cancels an id
+// there that is in use on another tenant's route.
+func foreignCancel(d *deployment, trouble bool) (verdict, error) {
+	c, err := prepare(d, 4, 0)
+	if err != nil {
+		return verdict{}, err
+	}
+	j := &jobSpec{id: "0000000000000a01", work: 8 * time.Second}
+	if err := c.submit("/sim/", south.name, j, step{Count: 1, CPU: 5600, MemMB: 16000, GPU: 4, EstimateMS: 8000}); err != nil {
+		return verdict{}, err
+	}
+	added := append(append([]route{}, routes...), route{"r-open", "/open/", 2, trouble})
+	if err := c.publish(2, added, []tenant{north, south, west}); err != nil {
+		return verdict{}, err
+	}
+	for _, method := range []string{http.MethodGet, http.MethodDelete} {
+		status, data := c.do(method, "http://"+d.entryAddress(1)+"/open/"+j.id, "no-key", nil)
+		d.rec.printf("stranger %s /open/%s without a known key: %d %s", method, j.id, status, data)
+	}
+	time.Sleep(12 * time.Second)
+	if status, state := c.state("/sim/", south.name, j.id); state == "cancelled" {
+		return verdict{fmt.Sprintf("LOST: job %s of south, which nobody has cancelled on its route, is %d %s", j.id, status, state)}, nil
+	}
+	return verdict{}, nil
+}
+
+// scatteredReclaim judges RECLAIM. A burst of large jobs leaves one accelerator free on each worker.
+// The units of one tenant's urgent job are started there, and the job of another tenant needs whole workers.
+func scatteredReclaim(d *deployment, trouble bool) (verdict, error) {
+	c, err := prepare(d, 4, 0)
+	if err != nil {
+		return verdict{}, err
+	}
+	if trouble {
+		for i := range 4 {
+			j := &jobSpec{id: fmt.Sprintf("00000000000000c%d", i), work: 8500 * time.Millisecond}
+			if err := c.submit("/sim/", west.name, j, step{Count: 1, CPU: 26000, MemMB: 140000, GPU: 7, EstimateMS: 8500}); err != nil {
+				return verdict{}, err
+			}
+		}
+		time.Sleep(time.Second)
+	}
+	small := &jobSpec{id: "00000000000000d1"}
+	if err := c.submit("/die/", north.name, small, step{Count: 4, CPU: 7500, MemMB: 22000, GPU: 1, LongRunning: true}); err != nil {
+		return verdict{}, err
+	}
+	if !waitFor(5*time.Second, func() bool { return len(d.registry.starts(small.id)) == 4 }) {
+		return verdict{}, fmt.Errorf("the units of the small job were not started")
+	}
+	large := &jobSpec{id: "00000000000000e1", work: 2500 * time.Millisecond}
+	if err := c.submit("/die/", south.name, large, step{Count: 2, CPU: 7500, MemMB: 22000, GPU: 8, EstimateMS: 2500}); err != nil {
+		return verdict{}, err
+	}
+	accepted := time.Now()
+	begun := func() bool { return len(d.registry.starts(large.id)) == 2 }
+	if waitFor(reclaimTime, begun) {
+		return verdict{}, nil
+	}
+	waitFor(40*time.Second, begun)
+	status, state := c.state("/die/", south.name, large.id)
+	return verdict{fmt.Sprintf("RECLAIM: job %s of priority 0 needs 16 of the 16 accelerators that are guaranteed to its tenant; "+
+		"%.1f s after it was accepted %d of its 2 units had begun; its state: %d %s",
+		large.id, time.Since(accepted).Seconds(), len(d.registry.starts(large.id)), status, state)}, nil
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,16 +24,18 @@
 
 // cases are the cases by name. trouble is false for a play without the disruption.
 var cases = map[string]func(d *deployment, trouble bool) (verdict, error){
-	"odd-reason":        oddReason,
-	"foreign-report":    foreignReport,
-	"gang-blocks":       gangBlocks,
-	"scattered-reclaim": scatteredReclaim,
+	"odd-reason":     oddReason,
+	"foreign-report": foreignReport,
+	"many-ends":      manyEnds,
+	"gang-blocks":    gangBlocks,
 	// Further faults, see further.go.
-	"failed-once":     failedOnce,
-	"removed-route":   removedRoute,
-	"crash-then-gone": crashThenGone,
-	"born-goes-back":  bornGoesBack,
-	"flapping-worker": flappingWorker,
+	"scattered-reclaim": scatteredReclaim,
+	"failed-once":       failedOnce,
+	"removed-route":     removedRoute,
+	"crash-then-gone":   crashThenGone,
+	"born-goes-back":    bornGoesBack,
+	"flapping-worker":   flappingWorker,
+	"foreign-cancel":    foreignCancel,
 }
 
 func main() {
--- a/review/standin/registry.go
+++ b/review/standin/registry.go
@@ -35,10 +35,12 @@
 	running map[string]map[string]bool
 	// overlaps are the runs that began while another run of the same unit was in progress.
 	overlaps []string
+	// notedDone holds the runs that ended done and were taken note of.
+	notedDone map[string]bool
 }
 
 func newRegistry(rec *record) *registry {
-	return &registry{rec: rec, jobs: map[string]*jobSpec{}, running: map[string]map[string]bool{}}
+	return &registry{rec: rec, jobs: map[string]*jobSpec{}, running: map[string]map[string]bool{}, notedDone: map[string]bool{}}
 }
 
 func (g *registry) add(j *jobSpec) {
@@ -93,6 +95,33 @@
 	g.events = append(g.events, runEvent{time.Now(), unit, run, worker, how})
 }
 
+// noted records that the end of a run was taken note of.
+func (g *registry) noted(unit string, run int, worker, how string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if how == "done" {
+		g.notedDone[fmt.Sprintf("%s run %d on %s", unit, run, worker)] = true
+	}
+}
+
+// startsAfterDone returns the starts of units after a run of them had ended done, if that end was
+// taken note of since.
+func (g *registry) startsAfterDone() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	done := map[string]string{}
+	var out []string
+	for _, e := range g.events {
+		switch {
+		case e.how == "done":
+			done[e.unit] = fmt.Sprintf("%s run %d on %s", e.unit, e.run, e.worker)
+		case e.how == "" && done[e.unit] != "" && g.notedDone[done[e.unit]]:
+			out = append(out, fmt.Sprintf("%s ended done and was taken note of, but run %d was started on %s", done[e.unit], e.run, e.worker))
+		}
+	}
+	return out
+}
+
 // starts returns the starts of a job's units so far.
 func (g *registry) starts(job string) []runEvent {
 	return g.filter(func(e *runEvent) bool { return e.how == "" && jobOf(e.unit) == job })
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -41,6 +41,7 @@
 	gpus       int
 	foreign    bool          // belongs to another system; what it runs is not judged
 	clockAhead time.Duration // of the time of day when a life starts
+	cut        atomic.Bool   // no call reaches the worker and none of its reports arrives
 	// oddReason is the reason with which the worker refuses all starts; "" if it is sound.
 	oddReason atomic.Value
 
@@ -176,6 +177,10 @@
 // of the answer, or a reason to refuse the order. It may release mu while it waits.
 func (w *worker) handler(life int, f func(context.Context, int, *order) (map[string]any, string)) http.HandlerFunc {
 	return func(out http.ResponseWriter, req *http.Request) {
+		if w.cut.Load() {
+			w.waitForCut(req.Context())
+			panic(http.ErrAbortHandler)
+		}
 		body, err := io.ReadAll(req.Body)
 		var o order
 		if err != nil || json.Unmarshal(body, &o) != nil {
@@ -213,6 +218,13 @@
 	}
 }
 
+// waitForCut waits until the worker can be reached again, or ctx ends.
+func (w *worker) waitForCut(ctx context.Context) {
+	for w.cut.Load() && ctx.Err() == nil {
+		time.Sleep(tick)
+	}
+}
+
 // extend takes over the end of a lease, which is limited to maxHold.
 func (w *worker) extend(untilMS int64) {
 	w.untilMS = max(w.untilMS, min(untilMS, w.clockMS()+maxHold.Milliseconds()))
@@ -258,6 +270,8 @@
 		w.extend(o.UntilMS)
 	}
 	for len(w.finished) > 0 && w.finished[0][0].(int64) <= o.LastSeen {
+		e := w.finished[0]
+		w.deployment.registry.noted(e[1].(string), e[2].(int), w.id, e[3].(string))
 		w.finished = w.finished[1:]
 	}
 	for end := time.Now().Add(time.Duration(o.WaitMS) * time.Millisecond); len(w.finished) == 0 && time.Now().Before(end); {
@@ -268,6 +282,12 @@
 			break
 		}
 	}
+	if w.cut.Load() { // the answer is lost
+		w.mu.Unlock()
+		w.waitForCut(ctx)
+		w.mu.Lock()
+		panic(http.ErrAbortHandler)
+	}
 	running := [][]any{}
 	for _, r := range w.runs {
 		percent := 100
@@ -277,6 +297,9 @@
 		running = append(running, []any{r.unit, r.number, "", percent, 1000})
 	}
 	finished := w.finished[:min(len(w.finished), 500)]
+	if len(w.finished) > 100 {
+		w.deployment.rec.printf("report   %s lists %d of %d ends and %d runs", w.id, len(finished), len(w.finished), len(running))
+	}
 	return map[string]any{"running": running, "finished": append([][]any{}, finished...)}, ""
 }
 
@@ -307,6 +330,7 @@
 		if body == nil {
 			return
 		}
+		w.waitForCut(context.Background())
 		if !w.sendReport(client, w.deployment.controlAddress(next), body) {
 			next++
 			time.Sleep(50 * time.Millisecond)
