--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -6,4 +6,4 @@
 	echo "run the build of deploy/system.toml and review/build.sh first"
 	exit 2
 }
-exec target/review-standin scattered-reclaim review/5
+exec target/review-standin gang-blocks review/5
