dispatch: do not take runs that a full report leaves out for lost

Cause: a worker lists at most 500 ends at a time. A started run that a report listed neither as running nor as ended was committed as lost, whether or not the list was full. The same held for the first report to a new leader, for runs of earlier incarnations, for orders that counted as finished, and for measured speeds.

A report now tells whether it may have left out ends. From such a report no absence is concluded, and the next one is requested at once. This works because the worker returns the other ends as soon as these are acknowledged.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -71,7 +71,8 @@
 
 	mu               sync.Mutex // guards the fields below
 	worker           batch.Worker
-	synced           bool  // a report shows what the worker runs, so runs may start there
+	synced           bool  // a report shows what the worker runs and has ended, so runs may start there
+	moreEnds         bool  // the last report may have left out ends
 	superseded       bool  // another incarnation or another worker answers at the worker's address
 	addressReused    bool  // the address belongs to a different worker, so no call reaches this one
 	lastCommittedEnd int64 // number of the last end that is committed
@@ -98,7 +99,7 @@
 
 	// Used only by the goroutine of run.
 	rates       map[runKey]*runRate // runs whose rate is measured
-	ratesReadAt time.Time           // when the last report was read for rates
+	ratesReadAt time.Time           // when the last report that left out no ends was read for rates
 }
 
 func (l *Leadership) newAgent(w batch.Worker, fences []runKey, predecessor *lostIncarnation) *agent {
@@ -283,6 +284,9 @@
 	if !a.synced {
 		return 0, true
 	}
+	if a.moreEnds && a.lastCommittedEnd > a.lastAckedEnd {
+		return 0, true
+	}
 	unfinished := 0
 	for _, od := range a.orders {
 		if !od.startSentAt.IsZero() && !od.finished {
--- a/internal/dispatch/observe.go
+++ b/internal/dispatch/observe.go
@@ -48,7 +48,9 @@
 		return
 	}
 	previous := a.ratesReadAt
-	a.ratesReadAt = now
+	if !rep.MoreEnds {
+		a.ratesReadAt = now
+	}
 	a.addRates(rep, now)
 	a.mu.Lock()
 	suspect := now.Before(a.history.suspectUntil) || now.Before(a.suspendedUntil)
@@ -91,7 +93,7 @@
 		a.closeRate(&w, k, m)
 	}
 	for k, m := range a.rates {
-		if !listed[k] {
+		if !listed[k] && !rep.MoreEnds {
 			a.closeRate(&w, k, m)
 			delete(a.rates, k)
 		}
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -285,7 +285,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	_, reported := a.reportedRuns[k]
-	return a.worker.Incarnation != u.Incarnation && len(a.pendingFences) == 0 && a.synced && !reported
+	return a.worker.Incarnation != u.Incarnation && len(a.pendingFences) == 0 && a.synced && !a.moreEnds && !reported
 }
 
 const (
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -6,6 +6,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"teaselpaddle.example/teaselpaddle/internal/batch"
+	"teaselpaddle.example/teaselpaddle/internal/telemetry"
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
 
@@ -42,7 +43,7 @@
 	}
 	ends, lastEnd := recordedEnds(rep, anyIncarnation, listed)
 	for k := range active {
-		if listed[k] || !a.isCertainlyAbsent(k, sent) {
+		if listed[k] || rep.MoreEnds || !a.isCertainlyAbsent(k, sent) {
 			continue
 		}
 		ends = append(ends, batch.End{Unit: k.unit, Run: k.run, How: batch.EndLost, Checkpoint: a.reportedRuns[k].Checkpoint})
@@ -76,7 +77,11 @@
 	a.lateCompletionsOpen = !lateCommitted
 	a.reportedRuns = reported
 	a.reportSentAt = sent
-	a.synced = true
+	a.moreEnds = rep.MoreEnds
+	if rep.MoreEnds {
+		telemetry.Count("teaselpaddle_partial_reports_total")
+	}
+	a.synced = a.synced || !rep.MoreEnds
 	capacityFreed := false
 	for _, e := range rep.Ends {
 		if od := a.orders[runKey{e.Unit, e.Run}]; od != nil && !od.finished {
@@ -84,7 +89,7 @@
 		}
 	}
 	for k, od := range a.orders {
-		if !od.finished && !listed[k] && a.isCertainlyAbsent(k, sent) {
+		if !od.finished && !listed[k] && !rep.MoreEnds && a.isCertainlyAbsent(k, sent) {
 			od.finished, capacityFreed = true, true
 		}
 	}
@@ -94,7 +99,7 @@
 		case active[k] || listed[k]:
 		case od.isSettled(now):
 			delete(a.orders, k)
-		case !od.startSentAt.IsZero() && !od.finished && !od.sending:
+		case !od.startSentAt.IsZero() && !od.finished && !od.sending && !rep.MoreEnds:
 			toFence = append(toFence, k) // its start may still be carried out
 		}
 	}
@@ -139,8 +144,8 @@
 	return ends, lastEnd
 }
 
-// isCertainlyAbsent reports whether a run that a report does not list is certainly not
-// on the worker and never will be. sent is when the hold was sent. The caller holds
+// isCertainlyAbsent reports whether a run that is missing from a report of all ends is certainly
+// not on the worker and never will be. sent is when the hold was sent. The caller holds
 // mu.
 func (a *agent) isCertainlyAbsent(k runKey, sent time.Time) bool {
 	od := a.orders[k]
--- a/internal/dispatch/workers_test.go
+++ b/internal/dispatch/workers_test.go
@@ -82,6 +82,7 @@
 	loseHoldAnswers  int  // number of answers to holds to lose
 	holdDelay        time.Duration
 	answerDelay      time.Duration // of holds, after their report is made
+	maxReportedEnds  int           // number of ends in one report; 0 means no limit
 	speed            float64       // against which runs take longer or shorter and report progress; 0 means 1 without progress
 }
 
@@ -324,6 +325,9 @@
 				rep.Runs = append(rep.Runs, r)
 			}
 			rep.Ends = append(rep.Ends, w.ends...)
+			if n := w.maxReportedEnds; n > 0 && len(rep.Ends) > n {
+				rep.Ends, rep.MoreEnds = rep.Ends[:n], true
+			}
 			if w.loseHoldAnswers > 0 {
 				w.loseHoldAnswers--
 				rep, err = nil, &workerapi.NoAnswerError{Cause: context.DeadlineExceeded}
--- a/internal/standin/units.go
+++ b/internal/standin/units.go
@@ -193,6 +193,7 @@
 	case workerapi.UnitHoldPath:
 		s.ends = slices.DeleteFunc(s.ends, func(e workerapi.UnitEndView) bool { return e.Number <= c.AckedEnds })
 		a.Ends = slices.Clone(s.ends[:min(len(s.ends), maxEndsPerAnswer)])
+		a.MoreEnds = len(a.Ends) < len(s.ends)
 		a.Runs = w.listRuns(time.Now())
 		if len(a.Ends) == 0 {
 			return a, s.endSignal
--- a/internal/standin/units_test.go
+++ b/internal/standin/units_test.go
@@ -118,3 +118,22 @@
 	b.is.Equal(ends[0].How, batch.EndDone)
 	b.is.True(time.Since(began) < 500*time.Millisecond)
 }
+
+// Guards against an answer that leaves out ends without saying so: the leader would take the runs
+// for lost.
+func TestAnswerTellsThatItLeavesOutEnds(t *testing.T) {
+	b := newUnitFixture(t)
+	b.worker.mu.Lock()
+	for i := range maxEndsPerAnswer + 1 {
+		b.worker.endUnit(runKey{batch.UnitRef{Job: "j1", Index: i}, 1}, batch.EndDone, 0)
+	}
+	b.worker.mu.Unlock()
+	rep, err := b.client.Hold(t.Context(), b.target, workerapi.UnitHold{Epoch: 2})
+	b.is.NoErr(err)
+	b.is.Equal(len(rep.Ends), maxEndsPerAnswer)
+	b.is.True(rep.MoreEnds)
+	rep, err = b.client.Hold(t.Context(), b.target, workerapi.UnitHold{Epoch: 2, AckedEnds: maxEndsPerAnswer})
+	b.is.NoErr(err)
+	b.is.Equal(len(rep.Ends), 1)
+	b.is.True(!rep.MoreEnds)
+}
--- a/internal/workerapi/unit.go
+++ b/internal/workerapi/unit.go
@@ -59,10 +59,13 @@
 
 // UnitReport is a worker's answer to a UnitHold.
 type UnitReport struct {
-	Incarnation int64 // the worker's incarnation: the start of its process, Unix ms; 0 if not reported
-	ClockMS     int64 // reading of the worker's clock, ms
-	Runs        []UnitRun
-	Ends        []UnitEnd
+	Incarnation int64     // the worker's incarnation: the start of its process, Unix ms; 0 if not reported
+	ClockMS     int64     // reading of the worker's clock, ms
+	Runs        []UnitRun // all runs in progress
+	Ends        []UnitEnd // the first ends that are not acknowledged
+	// MoreEnds is set if further ends may have been left out. A run that is missing from such a
+	// report may have ended. The others follow once the listed ends are acknowledged.
+	MoreEnds bool
 }
 
 // UnitClient sends orders to the workers of a region. Its errors are
--- a/internal/workerapi/unithttp.go
+++ b/internal/workerapi/unithttp.go
@@ -46,6 +46,7 @@
 	ClockMS     int64         `json:"clock_ms"`
 	Runs        []UnitRunView `json:"runs,omitempty"`
 	Ends        []UnitEndView `json:"ends,omitempty"`
+	MoreEnds    bool          `json:"more_ends,omitempty"` // further ends follow once these are acknowledged
 }
 
 // UnitRunView is the JSON form of a UnitRun.
@@ -130,7 +131,7 @@
 // toReport converts the answer to a hold. An answer with an unknown ending is
 // rejected as a whole, because a run that was left out would count as lost.
 func (a *UnitAnswer) toReport() (*UnitReport, error) {
-	rep := &UnitReport{Incarnation: a.Incarnation, ClockMS: a.ClockMS}
+	rep := &UnitReport{Incarnation: a.Incarnation, ClockMS: a.ClockMS, MoreEnds: a.MoreEnds}
 	for _, r := range a.Runs {
 		rep.Runs = append(rep.Runs, UnitRun(r))
 	}
