place: do not hold room for a gang behind a run that has no end

Cause: the planner gave such a run a remaining time of 300 ms, its estimate being absent, so each plan reserved the workers for a moment that does not come. For the same reason an urgent gang waited for the end of such a run instead of stopping it, and a run that lasts was lost with a worker that leaves because it seemed to end before.

A run that lasts now has no end (place.NoEnd). Room that only its end would free is neither reserved nor waited for, so other groups use it.

--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -414,13 +414,19 @@
 	run.AgeMS = run.LostMS
 	run.LeftMS = max(r.step.EstimateMS-run.LostMS, minRemainingMS)
 	run.EstimateMS, run.ElapsedMS = r.step.EstimateMS, run.LostMS
+	var left time.Duration
 	if a := p.agents[r.unit.Worker]; a != nil {
-		stopping, left := a.estimateRemaining(r.key, now)
+		var stopping bool
+		stopping, left = a.estimateRemaining(r.key, now)
 		run.Stopping = run.Stopping || stopping
-		if left > 0 {
-			run.LeftMS = max(left.Milliseconds(), minRemainingMS)
-			run.EstimateMS, run.ElapsedMS = 0, 0
-		}
+	}
+	switch {
+	case r.step.LongRunning: // its progress tells how far it has started up
+		run.LeftMS = place.NoEnd
+		run.EstimateMS, run.ElapsedMS = 0, 0
+	case left > 0:
+		run.LeftMS = max(left.Milliseconds(), minRemainingMS)
+		run.EstimateMS, run.ElapsedMS = 0, 0
 	}
 	if r.step.Checkpoints {
 		run.LostMS = min(run.LostMS, maxCheckpointIntervalMS)
--- a/internal/dispatch/workers_test.go
+++ b/internal/dispatch/workers_test.go
@@ -76,6 +76,7 @@
 	replaced         bool // another worker answers at its address
 	loseStartAnswers int  // number of answers to starts to lose
 	stall            bool // runs make no progress
+	lasting          bool // runs do not end, and are at work at once
 	failRuns         bool // every run fails
 	stopsAt          map[runKey]time.Time
 	dropHolds        bool // leaves holds unanswered
@@ -135,7 +136,7 @@
 			w.end(k, batch.EndLeaseExpired)
 		case w.failRuns:
 			w.end(k, batch.EndFailed)
-		case !w.stall && time.Now().After(at):
+		case !w.stall && !w.lasting && time.Now().After(at):
 			w.end(k, batch.EndDone)
 		}
 	}
@@ -319,7 +320,9 @@
 			rep := &workerapi.UnitReport{Incarnation: w.incarnation, ClockMS: w.clock()}
 			for k, at := range w.running {
 				r := workerapi.UnitRun{Unit: k.unit, Run: k.run}
-				if w.speed > 0 {
+				if w.lasting {
+					r.Percent = 100
+				} else if w.speed > 0 {
 					r.Percent = int(100 - 100*time.Until(at)/f.durationOn(w))
 				}
 				rep.Runs = append(rep.Runs, r)
--- a/internal/sched/place/evacuate.go
+++ b/internal/sched/place/evacuate.go
@@ -6,11 +6,11 @@
 // time is stopped while the worker is still there, for three reasons: its unit can start
 // elsewhere at once, while the end of a run on a lost worker is certain only after its
 // lease; a run with checkpoints saves its work when it is stopped; and the other units of
-// a gang do not work on for nothing.
+// a gang do not work on for nothing. A run without an end works until shortly before.
 
 const (
-	// savingMS is the time before a worker leaves at which its runs with checkpoints are
-	// stopped, ms: enough for the order and for a stop, which takes up to 0.9 s.
+	// savingMS is the time before a worker leaves at which its runs with checkpoints, or without
+	// an end, are stopped, ms: enough for the order and for a stop, which takes up to 0.9 s.
 	savingMS = 1300
 	// doomedFactor and doomedMarginMS tell when a run without checkpoints is given up. Its
 	// remaining time is an estimate, and a worker often stays longer than it must.
@@ -42,7 +42,7 @@
 	if r.LeftMS <= leavesInMS {
 		return false
 	}
-	if r.Checkpoints {
+	if r.Checkpoints || r.LeftMS == NoEnd {
 		return leavesInMS <= savingMS
 	}
 	return float64(r.LeftMS) > doomedFactor*float64(max(leavesInMS, 0))+doomedMarginMS
--- a/internal/sched/place/place.go
+++ b/internal/sched/place/place.go
@@ -94,6 +94,9 @@
 	fastTotal int64
 }
 
+// NoEnd is the remaining time of a run that lasts until its job is cancelled.
+const NoEnd = math.MaxInt64
+
 // Running is a run that may be stopped in favour of a group.
 type Running struct {
 	Ref        batch.UnitRef
@@ -106,7 +109,7 @@
 	Guaranteed bool
 	AgeMS      int64 // time since its start was decided, ms
 	LostMS     int64 // work since the last checkpoint, ms
-	LeftMS     int64 // estimated time until it ends, ms
+	LeftMS     int64 // estimated time until it ends, ms, or NoEnd
 	// EstimateMS is the caller's estimate of the duration, and ElapsedMS the time that the
 	// run has taken so far, if LeftMS follows from them; 0 if it follows from progress.
 	EstimateMS int64
--- a/internal/sched/place/reserve.go
+++ b/internal/sched/place/reserve.go
@@ -42,6 +42,7 @@
 
 // reserveForGang reserves the set of slots that is expected to be free first
 // for a gang. If workers differ in speed, it is the set on which the gang completes first.
+// Nothing is reserved for a gang that fits on no set even when all runs with an end are over.
 func (d *decision) reserveForGang(g *Group, sets [][]*Worker) {
 	if !d.mayReserve(g) || d.snapshot.Off[mechanism.Reservations] {
 		return
@@ -99,7 +100,7 @@
 		out = append(out, slot{worker: w})
 	}
 	for _, r := range runsByEnd(w) {
-		if remainingMS(r) > withinMS {
+		if left := remainingMS(r); left == NoEnd || left > withinMS {
 			break
 		}
 		free = free.Add(r.Need)
