place: lend held room to groups that have waited long under low load

While a gang that needs almost all workers waits for one long run, no other job of its priority or below could start, however idle the workers were.

Cause: a reservation had no limit in time. The headroom for urgent gangs (for long jobs) and the wait for the data's rack (for units that last, and where another service is loaded) had the same effect.

Held room is now lent to a group that has waited for 8 s while less than half of its service is in use, for 2 s if its occurrence is due or its units last, the latter under any load. The gang keeps its turn where what it waits for ends within that time. Headroom and locality follow.

--- a/internal/sched/place/claim.go
+++ b/internal/sched/place/claim.go
@@ -55,12 +55,10 @@
 
 // unreserve undoes reserve.
 func (d *decision) unreserve(g *Group, w *Worker, n int) {
-	before := max(w.Free.Accelerators, 0)
 	w.promised -= n
 	for range n {
-		w.Free = w.Free.Add(g.Step.Need)
+		w.addFree(g.Step.Need)
 	}
-	w.rack.addFree(w, max(w.Free.Accelerators, 0)-before)
 	g.UnitsOn[w.ID] -= n
 }
 
--- a/internal/sched/place/economical.go
+++ b/internal/sched/place/economical.go
@@ -141,7 +141,7 @@
 // awaitSlots reserves slots. The runs that free them are not stopped for other groups.
 func (d *decision) awaitSlots(g *Group, slots []slot) {
 	for _, s := range slots {
-		d.reserve(g, s.worker, 1)
+		d.hold(g, s.worker, 1)
 		s.worker.awaitedMS = max(s.worker.awaitedMS, s.freeInMS)
 	}
 }
--- a/internal/sched/place/finish.go
+++ b/internal/sched/place/finish.go
@@ -146,7 +146,7 @@
 		left := g.Total
 		for _, w := range set {
 			n := min(unitsFreeWithin(g, w, withinMS), left)
-			d.reserve(g, w, n)
+			d.hold(g, w, n)
 			left -= n
 		}
 		return true
--- a/internal/sched/place/place.go
+++ b/internal/sched/place/place.go
@@ -68,11 +68,13 @@
 
 	// Set by Decide.
 	rack         *rack
-	order        int        // position by id, so that decisions do not depend on map order
-	cachedByEnd  []*Running // Running, ordered by remainingMS
-	cachedByCost []*Running // Running, ordered as by runsByCost
-	awaitedMS    int64      // groups wait for the ends of its runs until this time from now
-	promised     int        // units that the plan starts there or holds room for
+	order        int             // position by id, so that decisions do not depend on map order
+	cachedByEnd  []*Running      // Running, ordered by remainingMS
+	cachedByCost []*Running      // Running, ordered as by runsByCost
+	awaitedMS    int64           // groups wait for the ends of its runs until this time from now
+	promised     int             // units that the plan starts there or holds room for
+	held         batch.Resources // room that is held for groups that wait for runs to end; not in Free
+	lent         batch.Resources // held before, and free while a group is placed that may use it
 
 	// Set by prepareSpeeds.
 	fast      bool    // keeps headroom for urgent groups
@@ -137,6 +139,7 @@
 	Priority     int
 	Guaranteed   bool  // within its customer's guaranteed accelerators
 	SinceMS      int64 // when the step became due, Unix ms
+	Due          bool  // its occurrence has a due time
 	CompleteByMS int64 // Unix ms by which the job should be completed
 	LengthMS     int64 // estimated duration of the longest chain of steps that begins with this one, ms
 	Seq          uint64
@@ -168,6 +171,8 @@
 	Unit   int
 	Worker string
 	Speed  float64 // speed of the worker if the choice depended on it; otherwise 0
+	// Lent is set if the unit uses room that is held for others, see hold.go.
+	Lent bool
 }
 
 // Plan is the result of a decision. The placements of one group are
@@ -186,13 +191,13 @@
 // or across racks, where it takes several times as long and keeps its
 // accelerators for that time. Under low load the short wait applies, as
 // capacity is free and waiting longer helps nobody; it also applies to urgent
-// groups. Under load the long wait applies to all others: at 8 s, a heavy
+// groups and to units that last. Under load the long wait applies to all others: at 8 s, a heavy
 // recorded day ran 120 to 196 of 1,750 units away from their data and was worth
 // 0.07 less.
 const (
 	busyLocalityWaitMS = 40000
 	idleLocalityWaitMS = 1500
-	// idleShare is the share of the capacity in use below which the load is
+	// idleShare is the share of a service's capacity in use below which its load is
 	// low.
 	idleShare = 0.5
 	// headroomShare of each rack's accelerators is left to gangs and urgent
@@ -207,12 +212,15 @@
 )
 
 type decision struct {
-	snapshot *Snapshot
-	speeds   bool // workers differ in speed
-	plan     Plan
-	idle     bool
-	racks    map[string]*rack
-	gangs    map[string][]*Running
+	snapshot   *Snapshot
+	speeds     bool // workers differ in speed
+	plan       Plan
+	idle       map[string]bool // services whose usable workers are under low load
+	mostlyFree map[string]bool // services under low load, with the workers that are not usable for now
+	heldOn     []*Worker       // with room that is held
+	lentOn     []*Worker       // with room that is lent
+	racks      map[string]*rack
+	gangs      map[string][]*Running
 	// Reservations so far, each at most maxGangReservations.
 	gangReservations   int // of gangs that are not urgent
 	urgentReservations int // of urgent groups; those of awaitGang and awaitUnits do not count
@@ -254,7 +262,6 @@
 
 func (d *decision) prepare() {
 	d.fitting = make([]*Worker, 0, len(d.snapshot.Workers))
-	var all, free batch.Resources
 	slices.SortFunc(d.snapshot.Workers, func(a, b *Worker) int { return cmp.Compare(a.ID, b.ID) })
 	for i, w := range d.snapshot.Workers {
 		w.order = i
@@ -266,8 +273,6 @@
 		w.rack.workers = append(w.rack.workers, w)
 		w.rack.free += max(w.Free.Accelerators, 0)
 		w.rack.total += w.Capacity.Accelerators
-		all = all.Add(w.Capacity)
-		free = free.Add(w.Free)
 		d.indexRuns(w)
 	}
 	for _, w := range d.snapshot.Leaving {
@@ -283,8 +288,9 @@
 		d.indexRuns(w)
 	}
 	d.prepareSpeeds()
-	used := func(f, a int64) float64 { return 1 - float64(f)/float64(max(a, 1)) }
-	d.idle = max(used(free.Accelerators, all.Accelerators), used(free.CPU, all.CPU), used(free.MemoryMB, all.MemoryMB)) < idleShare
+	s := d.snapshot
+	d.idle = lightlyUsed(s.Workers)
+	d.mostlyFree = lightlyUsed(s.Workers, s.Silent, s.Cordoned, s.Isolated)
 	for _, w := range d.snapshot.Workers {
 		for _, r := range w.Running {
 			r.cost = d.cost(r)
@@ -335,10 +341,15 @@
 func (d *decision) placeGroup(g *Group) {
 	key := keyOf(g)
 	d.releaseClaims(g, g.Claims)
-	if d.exhausted[key] && g.Priority > 0 && !g.Step.Gang {
+	lends := len(d.heldOn) > 0 && d.hasWaitedForHolds(g)
+	if d.exhausted[key] && g.Priority > 0 && !g.Step.Gang && !lends {
 		d.plan.Unplaced = append(d.plan.Unplaced, g)
 		return
 	}
+	if lends {
+		d.lendHeld()
+		defer d.returnHeld()
+	}
 	candidates := d.candidates(g)
 	g.pace = d.paceOf(g, candidates)
 	d.limitToClaims(g)
@@ -444,7 +455,7 @@
 		return false
 	}
 	limit := int64(busyLocalityWaitMS)
-	if d.idle || g.Priority == 0 {
+	if d.idle[g.Service] || g.Priority == 0 || g.Step.LongRunning {
 		limit = idleLocalityWaitMS
 	}
 	return d.snapshot.NowMS-g.SinceMS < limit
@@ -508,10 +519,11 @@
 // leavesHeadroom reports whether units of a group must not use the headroom of
 // a rack. This does not apply to units that would not fit into the rack beside
 // the headroom, to units whose data is in the rack, or to a group that has used
-// up so much of its time that it can hardly wait any longer.
+// up so much of its time that it can hardly wait any longer, or has waited long under
+// low load.
 func (d *decision) leavesHeadroom(g *Group, r *rack) bool {
 	need := g.Step.Need.Accelerators
-	if d.snapshot.Off[mechanism.Headroom] || g.Priority < leastUrgent || g.Step.Gang || need == 0 || g.Step.DataRack == r.name || r.total-r.headroom() < need {
+	if d.snapshot.Off[mechanism.Headroom] || g.Priority < leastUrgent || g.Step.Gang || need == 0 || g.Step.DataRack == r.name || r.total-r.headroom() < need || d.hasWaitedForHolds(g) {
 		return false
 	}
 	return float64(d.snapshot.NowMS-g.SinceMS) <= headroomWaitShare*float64(g.CompleteByMS-g.SinceMS)
@@ -550,7 +562,7 @@
 func (d *decision) startUnit(g *Group, unit int, w *Worker) {
 	d.reserve(g, w, 1)
 	w.started++
-	p := Placement{Group: g, Unit: unit, Worker: w.ID}
+	p := Placement{Group: g, Unit: unit, Worker: w.ID, Lent: w.usesLent()}
 	if g.pace.decisive {
 		p.Speed = math.Exp(w.Speed)
 	}
@@ -559,12 +571,10 @@
 
 // reserve takes the resources of n units on a worker.
 func (d *decision) reserve(g *Group, w *Worker, n int) {
-	before := max(w.Free.Accelerators, 0)
 	w.promised += n
 	for range n {
-		w.Free = w.Free.Sub(g.Step.Need)
+		w.addFree(batch.Resources{}.Sub(g.Step.Need))
 	}
-	w.rack.addFree(w, max(w.Free.Accelerators, 0)-before)
 	if g.UnitsOn == nil {
 		g.UnitsOn = map[string]int{}
 	}
--- a/internal/sched/place/reserve.go
+++ b/internal/sched/place/reserve.go
@@ -50,7 +50,7 @@
 	d.countReservation(g)
 	best := d.earliestSet(g, sets, math.MaxInt64)
 	for _, s := range best {
-		d.reserve(g, s.worker, 1)
+		d.hold(g, s.worker, 1)
 	}
 }
 
