batch: check the range of what workers say of themselves

Here no process ended, but a report under a worker's id with a capacity of 2^63-1 was taken, and the worker was given more units than it has accelerators (LIMIT).

Cause: status reports were checked for missing fields and types, not for ranges. The same let through starts and clocks in the far future, addresses that cannot be dialled, labels of megabytes, ids that cannot be encoded, and unreadable messages of workers that leave.

Reports are now checked where they arrive and again before they are committed. Three fixtures of internal/region announced workers with an address that no worker can have ("a", the worker's name, none); they now have a valid one, and their checks are unchanged.

--- a/internal/httpapi/region.go
+++ b/internal/httpapi/region.go
@@ -225,13 +225,14 @@
 		if ref == nil && wk.Incarnation < 1 {
 			ref = model.RefuseField("life", "must be the Unix time of the worker's start in ms, not %d", wk.Incarnation)
 		}
-		if ref != nil {
+		announcement := &region.Announcement{Worker: wk, Leaving: leaving, ClockMS: body.ClockMS}
+		if ref = firstRefusal(ref, invalidRefusal(announcement.Check())); ref != nil {
 			refuse(w, ref)
 			return
 		}
 		ctx, cancel := context.WithTimeout(r.Context(), leaderTimeout)
 		defer cancel()
-		rep, err := a.Router.Announce(ctx, &region.Announcement{Worker: wk, Leaving: leaving, ClockMS: body.ClockMS})
+		rep, err := a.Router.Announce(ctx, announcement)
 		if a.okOrRefuse(w, r, rep, err) {
 			w.WriteHeader(http.StatusNoContent)
 		}
--- a/internal/region/capacity_test.go
+++ b/internal/region/capacity_test.go
@@ -16,7 +16,7 @@
 	announce := func(clockMS, accelerators int64) int64 {
 		t.Helper()
 		rep := handle(t, c, &request{Announce: &Announcement{ClockMS: clockMS, Worker: batch.Worker{
-			ID: "w", Incarnation: 1, Address: "a", Service: "s", Capacity: batch.Resources{Accelerators: accelerators},
+			ID: "w", Incarnation: 1, Address: "127.0.0.1:1", Service: "s", Capacity: batch.Resources{Accelerators: accelerators},
 		}}})
 		is.True(!rep.NotLeader && !rep.OutcomeUnknown)
 		var recorded int64
--- a/internal/region/handle.go
+++ b/internal/region/handle.go
@@ -37,6 +37,8 @@
 		return r.Submit.Spec.Check()
 	case r.Publish != nil:
 		return r.Publish.Check()
+	case r.Announce != nil:
+		return r.Announce.Check()
 	}
 	return nil
 }
--- a/internal/region/malformed_test.go
+++ b/internal/region/malformed_test.go
@@ -29,9 +29,16 @@
 	}
 	rep = handle(t, c, &request{Publish: &batch.Config{Version: 2, Queues: []batch.Queue{{Name: "q", Service: "gone"}}}})
 	is.True(rep.OutcomeUnknown)
+	odd := batch.Worker{ID: "w", Incarnation: 1, Address: "127.0.0.1:1", Service: "s", Capacity: batch.Resources{CPU: 1 << 62}}
+	rep = handle(t, c, &request{Announce: &Announcement{Worker: odd}})
+	is.True(rep.OutcomeUnknown)
+	odd.Capacity = batch.Resources{}
+	rep = handle(t, c, &request{Announce: &Announcement{Worker: odd, ClockMS: 1 << 62}})
+	is.True(rep.OutcomeUnknown)
 	is.True(c.handleRequest(t.Context(), []byte{0xff, 0x00}).OutcomeUnknown)
 	c.machine.View(func(v *batch.View) {
 		is.Equal(len(v.LiveJobs()), 0)
+		is.Equal(len(v.Workers()), 0)
 		is.Equal(v.Config().Version, uint64(1))
 	})
 }
--- a/internal/region/message.go
+++ b/internal/region/message.go
@@ -60,6 +60,19 @@
 	ColdMS int64 `cbor:"5,keyasint,omitempty"`
 }
 
+// Check validates an announcement. Its error is a *batch.InvalidError.
+func (a *Announcement) Check() error {
+	for _, ms := range [...]int64{a.RemainingMS, a.ClockMS, a.ColdMS} {
+		if ms < 0 || ms > batch.MaxTimeMS {
+			return &batch.InvalidError{Detail: "a time in the announcement is out of range"}
+		}
+	}
+	if a.Leaving { // only names the worker
+		return a.Worker.CheckIdentity()
+	}
+	return a.Worker.Check()
+}
+
 // Reply answers a request.
 type Reply struct {
 	// NotLeader is set if the instance does not lead. Leader is then the leader that it
--- a/internal/region/partition_test.go
+++ b/internal/region/partition_test.go
@@ -81,7 +81,7 @@
 		Version: 1, Services: []batch.Service{{Name: "s"}}, Queues: []batch.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "s", Public: true}},
 	})
 	is.NoErr(err)
-	_, err = e.Announce(ctx, &Announcement{Worker: batch.Worker{ID: "w", Incarnation: 1, Service: "s", Zone: "z1", Capacity: batch.Resources{Accelerators: 8}}})
+	_, err = e.Announce(ctx, &Announcement{Worker: batch.Worker{ID: "w", Incarnation: 1, Address: "127.0.0.1:1", Service: "s", Zone: "z1", Capacity: batch.Resources{Accelerators: 8}}})
 	is.NoErr(err)
 	submit := func(id string, startMS int64) {
 		spec := batch.Spec{Steps: []batch.Step{{Count: 1, Need: batch.Resources{Accelerators: 1}, EstimateMS: 60000}}, Occurrences: 1, StartMS: startMS}
--- a/internal/region/relay_test.go
+++ b/internal/region/relay_test.go
@@ -17,7 +17,7 @@
 
 func announcementOf(worker string, clockMS int64) *Announcement {
 	return &Announcement{ClockMS: clockMS, Worker: batch.Worker{
-		ID: worker, Incarnation: 1, Address: worker, Service: "s", Capacity: batch.Resources{Accelerators: 8},
+		ID: worker, Incarnation: 1, Address: "127.0.0.1:1", Service: "s", Capacity: batch.Resources{Accelerators: 8},
 	}}
 }
 
