dispatch: do not end at a worker's refusal with an odd reason

Cause: the text went unquoted into the name of a counter, for which the metrics library panics.

Reasons of refusals are now a closed set, the rest counts as "other" and is logged cut; names of metrics with a label are made in one place that makes any value valid. A worker that refuses for a reason of its own is used last: the new test showed that a unit was otherwise sent there again and again while another worker was idle.

--- a/internal/dispatch/bar.go
+++ b/internal/dispatch/bar.go
@@ -50,6 +50,6 @@
 // fenceBarred stops a run that has not been started and must not be.
 func (a *agent) fenceBarred(k runKey, reason string) {
 	a.log.Info("run fenced before it started", "job", k.unit.Job, "unit", k.unit, "run", k.run, "reason", reason)
-	telemetry.Count("teaselpaddle_barred_runs_total{reason=\"" + reason + "\"}")
+	telemetry.CountBy("teaselpaddle_barred_runs_total", "reason", reason)
 	a.stop(k)
 }
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -163,7 +163,7 @@
 // the blame of each run.
 func (l *Leadership) recordCrash(w *batch.Worker, cause string, runs []runKey, evidence map[runKey]runEvidence) map[runKey]batch.Blame {
 	blame := blameRuns(runs, evidence)
-	telemetry.Count("teaselpaddle_workers_crashed_total{cause=\"" + cause + "\"}")
+	telemetry.CountBy("teaselpaddle_workers_crashed_total", "cause", cause)
 	l.log.Info("worker crashed", "worker", w.ID, "life", w.Incarnation, "cause", cause, "runs", len(runs))
 	for _, k := range runs {
 		e := evidence[k]
--- a/internal/dispatch/customers.go
+++ b/internal/dispatch/customers.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -45,7 +44,7 @@
 }
 
 func customerMetric(name, customer string) string {
-	return fmt.Sprintf("teaselpaddle_customer_%s{customer=%q}", name, customer)
+	return telemetry.Labeled("teaselpaddle_customer_"+name, "customer", customer)
 }
 
 // countCustomer increments a counter of a customer.
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -70,7 +70,7 @@
 		}
 		p.leadership.log.Info("run stopped because its gang is incomplete", "job", r.key.unit.Job, "unit", r.key.unit, "run", r.key.run,
 			"worker", r.unit.Worker, "member", reason, "members", len(members))
-		telemetry.Count("teaselpaddle_incomplete_gang_stops_total{member=\"" + reason + "\"}")
+		telemetry.CountBy("teaselpaddle_incomplete_gang_stops_total", "member", reason)
 		a.stop(r.key)
 	}
 }
--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -343,7 +343,7 @@
 	}
 	for i := range ends {
 		e := &ends[i]
-		telemetry.Count("teaselpaddle_runs_ended_total{how=\"" + e.How.String() + "\"}")
+		telemetry.CountBy("teaselpaddle_runs_ended_total", "how", e.How.String())
 		l.log.Info("run ended", "job", e.Unit.Job, "unit", e.Unit, "run", e.Run, "how", e.How.String(), "worker", worker)
 	}
 	l.logConcludedJobs(ends, atMS)
@@ -362,11 +362,11 @@
 				continue
 			}
 			logged[id] = true
-			telemetry.Count("teaselpaddle_jobs_concluded_total{state=\"" + j.State.String() + "\"}")
+			telemetry.CountBy("teaselpaddle_jobs_concluded_total", "state", j.State.String())
 			l.log.Info("job concluded", "job", id, "state", j.State.String(), "queue", j.Queue, "customer", j.Customer,
 				"afterMS", atMS-j.AcceptedMS, "failedRuns", failedRuns(j), "failedBy", j.FailedBy.String())
 			if j.FailedBy != batch.NotFailed {
-				telemetry.Count("teaselpaddle_jobs_failed_total{cause=\"" + j.FailedBy.String() + "\"}")
+				telemetry.CountBy("teaselpaddle_jobs_failed_total", "cause", j.FailedBy.String())
 			}
 		}
 	})
--- a/internal/dispatch/observe.go
+++ b/internal/dispatch/observe.go
@@ -223,5 +223,5 @@
 }
 
 func countDropped(reason string) {
-	telemetry.Count("teaselpaddle_speed_observations_dropped_total{reason=\"" + reason + "\"}")
+	telemetry.CountBy("teaselpaddle_speed_observations_dropped_total", "reason", reason)
 }
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -188,7 +188,10 @@
 		// The worker refused this message but may still carry out an earlier,
 		// unanswered one, so the run is stopped before it counts as never begun.
 		od.refused, od.staleEpoch = true, refused.Reason == workerapi.RefusedStaleEpoch
-		telemetry.Count("teaselpaddle_starts_refused_total{reason=\"" + string(refused.Reason) + "\"}")
+		if !refused.Reason.Known() {
+			a.recordFailure(k.unit.Job, now) // or the unit would be sent there again and again
+		}
+		telemetry.CountBy("teaselpaddle_starts_refused_total", "reason", string(refused.Reason))
 		return false
 	case errors.As(err, &unhealthy):
 		od.refused = true
--- a/internal/dispatch/waiting.go
+++ b/internal/dispatch/waiting.go
@@ -30,7 +30,7 @@
 		now := loggedWait{reason: g.Waits, cordoned: before.cordoned || len(s.Cordoned) > 0}
 		current[k] = now
 		if g.Waits != "" && g.Waits != before.reason {
-			telemetry.Count("teaselpaddle_preemptions_avoided_total{reason=\"" + string(g.Waits) + "\"}")
+			telemetry.CountBy("teaselpaddle_preemptions_avoided_total", "reason", string(g.Waits))
 		}
 		if logged && before.cordoned == now.cordoned {
 			continue
--- a/internal/dispatch/workers_test.go
+++ b/internal/dispatch/workers_test.go
@@ -82,9 +82,10 @@
 	dropHolds        bool // leaves holds unanswered
 	loseHoldAnswers  int  // number of answers to holds to lose
 	holdDelay        time.Duration
-	answerDelay      time.Duration // of holds, after their report is made
-	maxReportedEnds  int           // number of ends in one report; 0 means no limit
-	speed            float64       // against which runs take longer or shorter and report progress; 0 means 1 without progress
+	refusal          workerapi.OrderRefusal // with which starts are refused
+	answerDelay      time.Duration          // of holds, after their report is made
+	maxReportedEnds  int                    // number of ends in one report; 0 means no limit
+	speed            float64                // against which runs take longer or shorter and report progress; 0 means 1 without progress
 }
 
 // fakeWorkers implements workerapi.UnitClient.
@@ -168,6 +169,8 @@
 		return nil
 	}
 	switch {
+	case w.refusal != "":
+		return &workerapi.OrderRefusedError{Reason: w.refusal}
 	case o.Epoch < w.epoch:
 		return &workerapi.OrderRefusedError{Reason: workerapi.RefusedStaleEpoch}
 	case o.Run <= w.fenced[o.Unit]:
--- a/internal/membership/runner.go
+++ b/internal/membership/runner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -154,7 +153,7 @@
 			continue
 		}
 		r.loggedStates[name] = Member{State: e.record.State, Incarnation: e.record.Incarnation}
-		telemetry.Count(fmt.Sprintf("teaselpaddle_membership_changes_total{state=%q}", e.record.State.String()))
+		telemetry.CountBy("teaselpaddle_membership_changes_total", "state", e.record.State.String())
 		r.log.Info("instance changed", "instance", name, "state", e.record.State.String(),
 			"before", old.State.String(), "restarted", old.Incarnation != 0 && old.Incarnation != e.record.Incarnation)
 	}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -3,7 +3,6 @@
 package telemetry
 
 import (
-	"fmt"
 	"io"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -46,7 +45,7 @@
 }
 
 func reasonCounter(name string, r model.Reason) *metrics.Counter {
-	return metrics.GetOrCreateCounter(fmt.Sprintf("%s{reason=%q}", name, string(r)))
+	return metrics.GetOrCreateCounter(Labeled(name, "reason", string(r)))
 }
 
 // CountRefusal increments the counter of refusals for a reason.
@@ -67,5 +66,8 @@
 	reasonCounter("teaselpaddle_retries_total", r).Inc()
 }
 
-// Count increments the named counter.
+// Count increments the counter with the given name, which must not contain any text from outside.
 func Count(name string) { metrics.GetOrCreateCounter(name).Inc() }
+
+// CountBy increments the counter with the given name and one label.
+func CountBy(name, label, value string) { Count(Labeled(name, label, value)) }
--- a/internal/workerapi/unit.go
+++ b/internal/workerapi/unit.go
@@ -87,13 +87,35 @@
 	RefusedExpiredLease OrderRefusal = "late"  // the lease in the order has already expired
 	RefusedCapacity     OrderRefusal = "room"  // the worker lacks the capacity for the run
 	RefusedInvalidOrder OrderRefusal = "order" // the order is invalid
+	RefusedOther        OrderRefusal = "other" // a reason that is not known here; see Detail of OrderRefusedError
 )
 
+var knownRefusals = map[OrderRefusal]bool{
+	RefusedStaleEpoch: true, RefusedEndedRun: true, RefusedExpiredLease: true, RefusedCapacity: true, RefusedInvalidOrder: true,
+}
+
+// Known reports whether r is one of the reasons that the scheduler acts on.
+func (r OrderRefusal) Known() bool { return knownRefusals[r] }
+
+// maxDetailBytes bounds the text of an unknown reason that is kept for the log.
+const maxDetailBytes = 200
+
+// NewUnknownRefusal returns the error for a refusal with a reason that is not known.
+func NewUnknownRefusal(reason string) *OrderRefusedError {
+	return &OrderRefusedError{Reason: RefusedOther, Detail: reason[:min(len(reason), maxDetailBytes)]}
+}
+
 // OrderRefusedError is returned for an order that the worker will never carry
 // out.
-type OrderRefusedError struct{ Reason OrderRefusal }
+type OrderRefusedError struct {
+	Reason OrderRefusal
+	Detail string // what the worker said, if the reason is RefusedOther
+}
 
 func (e *OrderRefusedError) Error() string {
+	if e.Reason == RefusedOther {
+		return fmt.Sprintf("worker refused the order: %q", e.Detail)
+	}
 	return fmt.Sprintf("worker refused the order: %s", e.Reason)
 }
 
--- a/internal/workerapi/unithttp.go
+++ b/internal/workerapi/unithttp.go
@@ -110,6 +110,9 @@
 			return nil, &NoAnswerError{Cause: err}
 		}
 		if status == http.StatusConflict {
+			if !a.Refused.Known() {
+				return nil, NewUnknownRefusal(string(a.Refused))
+			}
 			return nil, &OrderRefusedError{Reason: a.Refused}
 		}
 		return &a, nil
