dispatch: contain unexpected errors in the handlers of workers

A panic in the handler of a worker, in the sending of a start or a stop, or in the planner now ends that attempt only: it is logged with its stack and counted in teaselpaddle_handler_panics_total, locks and call slots are released by deferred calls, and the next attempt follows after 1 s. A start whose sending failed counts as unanswered. processReport is split in two, so that each part holds its lock by a deferred call. Entries of the log are not contained: replicas could differ.

Evidence: TestUnexpectedErrorOfOneWorkerIsContained (calls that panic in holds, starts and stops) ends the test's process without the change.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -178,6 +178,15 @@
 	defer a.leadership.Wake()
 	defer close(a.ended)
 	defer a.abortHold()
+	for a.ctx.Err() == nil {
+		if a.leadership.contain("worker", a.serve) != nil && !retry.Sleep(a.ctx, panicDelay) {
+			return
+		}
+	}
+}
+
+// serve fences the earlier incarnations of the worker and then polls it until the agent is cancelled.
+func (a *agent) serve() {
 	if !a.fenceEarlierIncarnations() {
 		return
 	}
@@ -250,14 +259,10 @@
 		}
 		k, t := a.pendingFences[0], a.target()
 		a.mu.Unlock()
-		release := a.acquireCall(a.ctx, callStop, 0)
-		if release == nil {
+		err, ok := a.callStop(t, k)
+		if !ok {
 			return false
 		}
-		ctx, cancel := context.WithTimeout(a.ctx, callTimeout)
-		err := a.leadership.cfg.Client.Stop(ctx, t, workerapi.UnitStop{Unit: k.unit, Run: k.run, Epoch: a.leadership.cfg.Epoch})
-		cancel()
-		release()
 		var refused *workerapi.OrderRefusedError
 		if err != nil && !errors.As(err, &refused) {
 			a.log.V(1).Info("run of an earlier incarnation could not be fenced yet", "run", k, "error", err.Error())
@@ -398,10 +403,7 @@
 	h := workerapi.UnitHold{UntilMS: a.extendLease(now), Epoch: a.leadership.cfg.Epoch, AckedEnds: a.endsToAck(), WaitMS: wait.Milliseconds()}
 	t := a.target()
 	a.mu.Unlock()
-	ctx, cancel := context.WithTimeout(a.holdCtx, wait+callTimeout)
-	rep, err := a.leadership.cfg.Client.Hold(ctx, t, h)
-	cancel()
-	release()
+	rep, err := a.callHold(t, &h, wait, release)
 	if err != nil && a.ctx.Err() != nil {
 		return false // the next agent of the worker may have extended the lease
 	}
@@ -413,6 +415,14 @@
 	return a.processReport(rep, now, h.AckedEnds)
 }
 
+// callHold sends one hold message and releases the call.
+func (a *agent) callHold(t workerapi.UnitWorker, h *workerapi.UnitHold, wait time.Duration, release func()) (*workerapi.UnitReport, error) {
+	defer release()
+	ctx, cancel := context.WithTimeout(a.holdCtx, wait+callTimeout)
+	defer cancel()
+	return a.leadership.cfg.Client.Hold(ctx, t, *h)
+}
+
 // holdClass returns the class of a hold: leases of runs are extended first.
 func (a *agent) holdClass() callClass {
 	if len(a.activeRuns()) > 0 {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -13,6 +13,7 @@
 	"teaselpaddle.example/teaselpaddle/internal/batch"
 	"teaselpaddle.example/teaselpaddle/internal/codec"
 	"teaselpaddle.example/teaselpaddle/internal/sched/place"
+	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
 
 // testBed is a state machine with fake workers, two queues and a leader.
@@ -28,6 +29,7 @@
 	waitingHoldLimit int
 	measureSpeeds    bool
 	preemption       place.Preemption
+	client           workerapi.UnitClient // nil means workers
 	log              logr.Logger
 	lease            time.Duration
 	timeShift        atomic.Int64 // by which the leader's clock is ahead, ns
@@ -61,8 +63,12 @@
 
 func (b *testBed) open() {
 	epoch := b.nextEpoch()
+	var client workerapi.UnitClient = b.workers
+	if b.client != nil {
+		client = b.client
+	}
 	b.leadership = Open(Config{
-		Machine: b.machine, Group: b.group, Client: b.workers, Epoch: epoch, Heartbeats: b.heartbeats, Log: b.log,
+		Machine: b.machine, Group: b.group, Client: client, Epoch: epoch, Heartbeats: b.heartbeats, Log: b.log,
 		MaxLease: b.lease, MaxWaitingHolds: b.waitingHoldLimit, Now: b.now, Steady: b.steady,
 		MeasureSpeeds: b.measureSpeeds, Preemption: b.preemption,
 	})
--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -219,8 +219,8 @@
 		began := time.Now()
 		l.syncAgents()
 		l.syncTime = time.Since(began)
-		if l.settle() {
-			l.planner.pass()
+		if l.settle() && l.contain("planner", l.planner.pass) != nil && !retry.Sleep(l.ctx, panicDelay) {
+			return
 		}
 		if !retry.Sleep(l.ctx, l.rest()) {
 			return
--- a/internal/dispatch/observe.go
+++ b/internal/dispatch/observe.go
@@ -201,12 +201,11 @@
 	}
 	s := a.leadership.speeds
 	s.mu.Lock()
-	first := s.model.Observe(&speed.Observation{
+	defer s.mu.Unlock()
+	if s.model.Observe(&speed.Observation{
 		Worker: w.ID, Incarnation: w.Incarnation, Step: m.step, Gang: m.gang, Unit: k.unit.Index, Run: k.run,
 		Rate: (percent - m.fromPercent) / 100 / elapsed,
-	})
-	s.mu.Unlock()
-	if first {
+	}) {
 		telemetry.Count("teaselpaddle_speed_observations_total")
 	}
 }
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -58,8 +58,14 @@
 	a.leadership.wg.Add(1)
 	go func() {
 		defer a.leadership.wg.Done()
-		a.sendStart(k, od, payload, checkpoint)
+		failed := a.leadership.contain("start", func() { a.sendStart(k, od, payload, checkpoint) }) != nil
+		if failed {
+			retry.Sleep(a.ctx, panicDelay)
+		}
 		a.mu.Lock()
+		if failed && od.startAckedAt.IsZero() {
+			od.startUnansweredAt = a.leadership.cfg.Now() // it may have been sent
+		}
 		od.sending = false
 		a.mu.Unlock()
 		a.notify()
@@ -94,12 +100,7 @@
 		}
 		t := a.target()
 		a.mu.Unlock()
-		ctx, cancel := context.WithTimeout(a.ctx, callTimeout)
-		began := time.Now()
-		err := a.leadership.cfg.Client.Start(ctx, t, s)
-		cancel()
-		release()
-		startCallTime.UpdateDuration(began)
+		err := a.callStart(t, &s, release)
 		if !a.recordStartResult(k, od, err) {
 			return
 		}
@@ -110,6 +111,15 @@
 	}
 }
 
+// callStart sends one start message and releases the call.
+func (a *agent) callStart(t workerapi.UnitWorker, s *workerapi.UnitStart, release func()) error {
+	defer release()
+	ctx, cancel := context.WithTimeout(a.ctx, callTimeout)
+	defer cancel()
+	defer startCallTime.UpdateDuration(time.Now())
+	return a.leadership.cfg.Client.Start(ctx, t, *s)
+}
+
 // maxDrainingDelay is the time for which a start may wait for its turn if the worker drains
 // meanwhile. Nothing may be started there some seconds after its announcement.
 const maxDrainingDelay = time.Second
@@ -221,11 +231,24 @@
 	a.leadership.wg.Add(1)
 	go func() {
 		defer a.leadership.wg.Done()
-		a.sendStop(k, od)
+		for a.leadership.contain("stop", func() { a.sendStop(k, od) }) != nil && retry.Sleep(a.ctx, panicDelay) {
+		}
 		a.notify()
 	}()
 }
 
+// callStop sends one stop message. ok is false if the agent was cancelled before.
+func (a *agent) callStop(t workerapi.UnitWorker, k runKey) (err error, ok bool) {
+	release := a.acquireCall(a.ctx, callStop, 0)
+	if release == nil {
+		return nil, false
+	}
+	defer release()
+	ctx, cancel := context.WithTimeout(a.ctx, callTimeout)
+	defer cancel()
+	return a.leadership.cfg.Client.Stop(ctx, t, workerapi.UnitStop{Unit: k.unit, Run: k.run, Epoch: a.leadership.cfg.Epoch}), true
+}
+
 func (a *agent) sendStop(k runKey, od *order) {
 	for a.ctx.Err() == nil {
 		a.mu.Lock()
@@ -235,14 +258,10 @@
 		if superseded {
 			return
 		}
-		release := a.acquireCall(a.ctx, callStop, 0)
-		if release == nil {
+		err, ok := a.callStop(t, k)
+		if !ok {
 			return
 		}
-		ctx, cancel := context.WithTimeout(a.ctx, callTimeout)
-		err := a.leadership.cfg.Client.Stop(ctx, t, workerapi.UnitStop{Unit: k.unit, Run: k.run, Epoch: a.leadership.cfg.Epoch})
-		cancel()
-		release()
 		var refused *workerapi.OrderRefusedError
 		if err == nil || errors.As(err, &refused) {
 			a.mu.Lock()
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -13,6 +13,19 @@
 // endCommitTime measures the time from the first report of an end to its commit.
 var endCommitTime = metrics.GetOrCreateHistogram("teaselpaddle_end_noted_seconds")
 
+// receivedReport is a report with what was found in it.
+type receivedReport struct {
+	*workerapi.UnitReport
+	sent     time.Time // when the hold was sent
+	ackedEnd int64     // number of the last end that the hold acknowledged
+	active   map[runKey]bool
+	reported map[runKey]workerapi.UnitRun
+	listed   map[runKey]bool // runs in progress and ended ones
+	ends     []batch.End     // to commit
+	lastEnd  int64
+	first    bool // of this agent
+}
+
 // processReport commits the ends in a report and updates the worker's state. sent is
 // when the hold was sent; ackedEnd is the number of the last end that the hold
 // acknowledged. It returns false if the hold should not be repeated at once.
@@ -20,101 +33,114 @@
 	active, anyIncarnation := a.recordedRuns()
 	late := a.lateCompletions(rep, anyIncarnation)
 	now := a.leadership.cfg.Now()
-	a.mu.Lock()
-	if rep.Incarnation != 0 && rep.Incarnation != a.worker.Incarnation {
-		a.mu.Unlock()
+	r := &receivedReport{UnitReport: rep, sent: sent, ackedEnd: ackedEnd, active: active}
+	if !a.takeReport(r, anyIncarnation, now) {
 		a.supersede(rep.Incarnation)
 		return false
 	}
+	a.observeRates(rep, sent, now)
+
+	if !a.leadership.commitEnds(a.workerRecord().ID, r.ends) {
+		return false
+	}
+	lateCommitted := a.commitLateCompletions(late)
+	if !lateCommitted {
+		r.lastEnd = min(r.lastEnd, late[0].Number-1)
+	}
+	capacityFreed, toFence := a.finishReport(r, lateCommitted, now)
+	for _, k := range toFence {
+		a.stop(k)
+	}
+	a.stopUnrecorded(r.reported, active)
+	if r.first || capacityFreed || len(r.ends) > 0 || len(late) > 0 {
+		a.leadership.Wake()
+	}
+	return lateCommitted // what is not acknowledged makes the next hold return at once
+}
+
+// takeReport records the answer and the progress of the runs, and sets the ends to commit. It returns
+// false if another incarnation has answered.
+func (a *agent) takeReport(r *receivedReport, anyIncarnation map[runKey]bool, now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if r.Incarnation != 0 && r.Incarnation != a.worker.Incarnation {
+		return false
+	}
 	silence := a.silenceBefore(now)
 	a.recordAnswer(now)
-	if sent.After(a.mayHaveRestartedAt) {
+	if r.sent.After(a.mayHaveRestartedAt) {
 		a.mayHaveRestartedAt = time.Time{}
 	}
-	a.workerClockMS = rep.ClockMS
+	a.workerClockMS = r.ClockMS
 	a.clockReadAt = now
-	a.leadership.cfg.Heartbeats.RecordAnswer(a.worker.ID, a.worker.Incarnation, rep.ClockMS, now)
-	firstReport := !a.synced
-	listed := map[runKey]bool{}
-	reported := map[runKey]workerapi.UnitRun{}
-	for _, r := range rep.Runs {
-		reported[runKey{r.Unit, r.Run}] = r
-		listed[runKey{r.Unit, r.Run}] = true
-	}
-	ends, lastEnd := recordedEnds(rep, anyIncarnation, listed)
-	for k := range active {
-		if listed[k] || rep.MoreEnds || !a.isCertainlyAbsent(k, sent) {
+	a.leadership.cfg.Heartbeats.RecordAnswer(a.worker.ID, a.worker.Incarnation, r.ClockMS, now)
+	r.first = !a.synced
+	r.listed, r.reported = map[runKey]bool{}, map[runKey]workerapi.UnitRun{}
+	for _, run := range r.Runs {
+		k := runKey{run.Unit, run.Run}
+		r.reported[k], r.listed[k] = run, true
+	}
+	r.ends, r.lastEnd = recordedEnds(r.UnitReport, anyIncarnation, r.listed)
+	for k := range r.active {
+		if r.listed[k] || r.MoreEnds || !a.isCertainlyAbsent(k, r.sent) {
 			continue
 		}
-		ends = append(ends, batch.End{Unit: k.unit, Run: k.run, How: batch.EndLost, Checkpoint: a.reportedRuns[k].Checkpoint})
+		r.ends = append(r.ends, batch.End{Unit: k.unit, Run: k.run, How: batch.EndLost, Checkpoint: a.reportedRuns[k].Checkpoint})
 	}
-	a.updateProgress(reported, now, silence)
-	a.recordOutcomes(ends, now)
-	for i := range ends {
-		k := runKey{ends[i].Unit, ends[i].Run}
+	a.updateProgress(r.reported, now, silence)
+	a.recordOutcomes(r.ends, now)
+	for i := range r.ends {
+		k := runKey{r.ends[i].Unit, r.ends[i].Run}
 		if _, seen := a.endFirstReported[k]; !seen {
 			a.endFirstReported[k] = now
 		}
 	}
-	a.mu.Unlock()
-	a.observeRates(rep, sent, now)
+	return true
+}
 
-	if !a.leadership.commitEnds(a.workerRecord().ID, ends) {
-		return false
-	}
-	lateCommitted := a.commitLateCompletions(late)
-	if !lateCommitted {
-		lastEnd = min(lastEnd, late[0].Number-1)
-	}
+// finishReport updates the state of the agent and its orders once the ends are committed. It reports
+// whether orders have finished, and returns the runs that may still begin and must not.
+func (a *agent) finishReport(r *receivedReport, lateCommitted bool, now time.Time) (capacityFreed bool, toFence []runKey) {
 	committed := a.leadership.cfg.Now()
 	a.mu.Lock()
-	for i := range ends {
-		endCommitTime.Update(committed.Sub(a.endFirstReported[runKey{ends[i].Unit, ends[i].Run}]).Seconds())
+	defer a.mu.Unlock()
+	for i := range r.ends {
+		endCommitTime.Update(committed.Sub(a.endFirstReported[runKey{r.ends[i].Unit, r.ends[i].Run}]).Seconds())
 	}
 	clear(a.endFirstReported)
-	a.lastCommittedEnd = max(a.lastCommittedEnd, lastEnd)
-	a.lastAckedEnd = max(a.lastAckedEnd, ackedEnd)
+	a.lastCommittedEnd = max(a.lastCommittedEnd, r.lastEnd)
+	a.lastAckedEnd = max(a.lastAckedEnd, r.ackedEnd)
 	a.lateCompletionsOpen = !lateCommitted
-	a.reportedRuns = reported
-	a.reportSentAt = sent
-	a.moreEnds = rep.MoreEnds
-	if rep.MoreEnds {
+	a.reportedRuns = r.reported
+	a.reportSentAt = r.sent
+	a.moreEnds = r.MoreEnds
+	if r.MoreEnds {
 		telemetry.Count("teaselpaddle_partial_reports_total")
 	}
-	a.synced = a.synced || !rep.MoreEnds
-	capacityFreed := false
-	for _, e := range rep.Ends {
+	a.synced = a.synced || !r.MoreEnds
+	for _, e := range r.Ends {
 		if od := a.orders[runKey{e.Unit, e.Run}]; od != nil && !od.finished {
 			od.finished, capacityFreed = true, true
 		}
 	}
 	for k, od := range a.orders {
-		if !od.finished && !listed[k] && !rep.MoreEnds && a.isCertainlyAbsent(k, sent) {
+		if !od.finished && !r.listed[k] && !r.MoreEnds && a.isCertainlyAbsent(k, r.sent) {
 			od.finished, capacityFreed = true, true
 		}
 	}
-	var toFence []runKey
 	for k, od := range a.orders {
 		switch {
-		case active[k] || listed[k]:
+		case r.active[k] || r.listed[k]:
 		case od.isSettled(now):
 			delete(a.orders, k)
-		case !od.startSentAt.IsZero() && !od.finished && !od.sending && !rep.MoreEnds:
+		case !od.startSentAt.IsZero() && !od.finished && !od.sending && !r.MoreEnds:
 			toFence = append(toFence, k) // its start may still be carried out
 		}
 	}
-	for _, e := range ends {
+	for _, e := range r.ends {
 		delete(a.progress, runKey{e.Unit, e.Run})
 	}
-	a.mu.Unlock()
-	for _, k := range toFence {
-		a.stop(k)
-	}
-	a.stopUnrecorded(reported, active)
-	if firstReport || capacityFreed || len(ends) > 0 || len(late) > 0 {
-		a.leadership.Wake()
-	}
-	return lateCommitted // what is not acknowledged makes the next hold return at once
+	return capacityFreed, toFence
 }
 
 // supersede stops the calls to the worker, because another incarnation answers under its id.
