dispatch: do not stop a run that was started during a report

TestTwoActiveLeadersStartEachRunOnce failed once beside other work.

Cause: the run was neither in the report nor among the runs recorded when the report arrived, so its start counted as one that must not be carried out.

It is now looked up again before the stop, as for reported runs.

--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -48,10 +48,7 @@
 		r.lastEnd = min(r.lastEnd, late[0].Number-1)
 	}
 	capacityFreed, toFence := a.finishReport(r, lateCommitted, now)
-	for _, k := range toFence {
-		a.stop(k)
-	}
-	a.stopUnrecorded(r.reported, active)
+	a.stopUnrecorded(r.reported, toFence, active)
 	if r.first || capacityFreed || len(r.ends) > 0 || len(late) > 0 {
 		a.leadership.Wake()
 	}
@@ -192,14 +189,19 @@
 	return !od.sending && (od.startSentAt.IsZero() || od.finished) && (od.startUnansweredAt.IsZero() || now.Sub(od.startUnansweredAt) > maxOrderDelay || !od.stopAckedAt.IsZero())
 }
 
-// stopUnrecorded stops the reported runs that the group has not recorded. active holds
-// the runs that were recorded when the report arrived; those that were recorded since
-// then are not stopped either.
-func (a *agent) stopUnrecorded(reported map[runKey]workerapi.UnitRun, active map[runKey]bool) {
+// stopUnrecorded stops the reported runs that the group has not recorded, and those whose start may
+// still be carried out. active holds the runs that were recorded when the report arrived; those that
+// were recorded since then are not stopped either.
+func (a *agent) stopUnrecorded(reported map[runKey]workerapi.UnitRun, mayBegin []runKey, active map[runKey]bool) {
 	current := a.activeRuns()
 	for k := range reported {
 		if !active[k] && !current[k] {
 			a.stop(k)
 		}
 	}
+	for _, k := range mayBegin {
+		if !current[k] {
+			a.stop(k)
+		}
+	}
 }
