--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build check test demo up fmt prove measure bench soak
+.PHONY: build check test fuzz demo up fmt prove measure bench soak
 export CGO_ENABLED = 1
 
 build:
@@ -14,12 +14,22 @@
 	go vet -tags prove ./prove
 	go tool staticcheck ./...
 	$(MAKE) test
+	$(MAKE) fuzz
 
 # Tests listed in KNOWN-RED.txt are named in KNOWN_RED, separated by "|", and left out.
 KNOWN_RED ?=
 test:
 	go test -race $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
 
+# Runs each fuzz target for FUZZTIME, a number of inputs ("300x") or a duration ("10m").
+FUZZTIME ?= 300x
+fuzz:
+	@grep -rl --include='*_test.go' '^func Fuzz' . | xargs -n1 dirname | sort -u | while read -r dir; do \
+		for target in $$(grep -ho '^func Fuzz[A-Za-z]*' $$dir/*_test.go | cut -d' ' -f2); do \
+			go test -run '^$$' -fuzz "^$$target\$$" -fuzztime $(FUZZTIME) $$dir || exit 1; \
+		done; \
+	done
+
 demo: build
 	scripts/demo.sh
 
--- a/internal/batch/machine.go
+++ b/internal/batch/machine.go
@@ -65,6 +65,15 @@
 	if err := codec.Unmarshal(data, &s); err != nil {
 		return err
 	}
+	if err := s.check(); err != nil {
+		return err
+	}
+	if s.Jobs == nil {
+		s.Jobs = map[string]*Job{}
+	}
+	if s.Workers == nil {
+		s.Workers = map[string]*Worker{}
+	}
 	m.mu.Lock()
 	m.state = s
 	m.rebuildIndexes()
--- a/internal/httpapi/region.go
+++ b/internal/httpapi/region.go
@@ -14,6 +14,7 @@
 	"teaselpaddle.example/teaselpaddle/internal/dispatch"
 	"teaselpaddle.example/teaselpaddle/internal/model"
 	"teaselpaddle.example/teaselpaddle/internal/region"
+	"teaselpaddle.example/teaselpaddle/internal/telemetry"
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
 
@@ -286,9 +287,9 @@
 		ref = model.Refuse(model.ReasonNoLeader, "no leader can be reached").WithRetryAfter(a.Router.RetryAfter())
 	}
 	if err != nil {
-		a.Log.Info("request not answered by a leader", "method", r.Method, "path", r.URL.Path, "error", err.Error())
+		a.Log.Info("request not answered by a leader", "method", r.Method, "path", telemetry.Cut(r.URL.Path), "error", err.Error())
 	}
-	a.Log.Info("request refused", "job", chi.URLParam(r, "id"), "method", r.Method, "path", r.URL.Path, "reason", ref.Reason,
+	a.Log.Info("request refused", "job", chi.URLParam(r, "id"), "method", r.Method, "path", telemetry.Cut(r.URL.Path), "reason", ref.Reason,
 		"leader", a.Router.Leader(), "leaderHeardMS", a.Router.LeaderAge().Milliseconds())
 	refuse(w, ref)
 	return false
--- a/internal/httpapi/server.go
+++ b/internal/httpapi/server.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 
 	"teaselpaddle.example/teaselpaddle/internal/model"
+	"teaselpaddle.example/teaselpaddle/internal/telemetry"
 )
 
 // Limits of the server for callers, workers and operators.
@@ -64,7 +65,7 @@
 				if v == http.ErrAbortHandler {
 					panic(v)
 				}
-				log.Info("handler panicked", "path", r.URL.Path, "panic", v, "stack", string(debug.Stack()))
+				log.Info("handler panicked", "path", telemetry.Cut(r.URL.Path), "panic", v, "stack", string(debug.Stack()))
 				refuse(w, model.Refuse(model.ReasonInternal, "the request failed"))
 			}()
 			next.ServeHTTP(w, r)
--- a/internal/region/control_test.go
+++ b/internal/region/control_test.go
@@ -39,7 +39,7 @@
 }
 
 // openSingleControl starts a control instance that leads a group of its own.
-func openSingleControl(t *testing.T) *Control {
+func openSingleControl(t testing.TB) *Control {
 	const self = "127.0.0.1:7000"
 	router := &Router{Self: self, Peers: noPeers{}, Log: logr.Discard()}
 	c, err := OpenControl(ControlConfig{
--- a/internal/region/handle.go
+++ b/internal/region/handle.go
@@ -106,7 +106,7 @@
 			version = cfg.Version
 		}
 	})
-	c.log.Info(msg, "job", job, "host", call.Host, "path", call.Path, "verdict", rep.Verdict.String(), "notLeader", rep.NotLeader,
+	c.log.Info(msg, "job", job, "host", telemetry.Cut(call.Host), "path", telemetry.Cut(call.Path), "verdict", rep.Verdict.String(), "notLeader", rep.NotLeader,
 		"unsure", rep.OutcomeUnknown, "config", version, "epoch", epoch, "term", term)
 }
 
--- a/internal/telemetry/label.go
+++ b/internal/telemetry/label.go
@@ -19,14 +19,7 @@
 var labelEscapes = strings.NewReplacer(`\`, `\\`, `"`, `\"`)
 
 func labelValue(s string) string {
-	s = strings.ToValidUTF8(s, "_")
-	if len(s) > maxLabelBytes {
-		cut := maxLabelBytes
-		for !utf8.RuneStart(s[cut]) {
-			cut--
-		}
-		s = s[:cut]
-	}
+	s = cutTo(strings.ToValidUTF8(s, "_"), maxLabelBytes)
 	s = strings.Map(func(r rune) rune {
 		if unicode.IsControl(r) {
 			return '_'
@@ -35,3 +28,20 @@
 	}, s)
 	return labelEscapes.Replace(s)
 }
+
+// maxLoggedBytes bounds a text from outside in a log line.
+const maxLoggedBytes = 200
+
+// Cut returns a text from outside for a log line, cut to maxLoggedBytes.
+func Cut(s string) string { return cutTo(s, maxLoggedBytes) }
+
+// cutTo cuts a text to at most n bytes, between two characters if it is valid UTF-8.
+func cutTo(s string, n int) string {
+	if len(s) <= n {
+		return s
+	}
+	for n > 0 && !utf8.RuneStart(s[n]) {
+		n--
+	}
+	return s[:n]
+}
