--- a/internal/batch/machine.go
+++ b/internal/batch/machine.go
@@ -193,7 +193,7 @@
 	if v == OK && s.Call.Path != q.Prefix+s.ID {
 		v = NoQueue
 	}
-	if v == OK && q.Closed {
+	if v == OK && (q.Closed || s.Spec.Check() != nil) { // no leader commits a job that fails the check
 		v = QueueClosed
 	}
 	if v != OK {
--- a/internal/batch/restore.go
+++ b/internal/batch/restore.go
@@ -39,9 +39,13 @@
 			}
 		}
 	}
+	n := len(j.Spec.Steps)
+	if n == 0 || len(j.UnitGroups)%n != 0 {
+		return invalid("job %q has %d unit groups for %d steps", j.ID, len(j.UnitGroups), n)
+	}
 	for i := range j.UnitGroups {
-		if st := j.UnitGroups[i].Step; st < 0 || st >= len(j.Spec.Steps) {
-			return invalid("job %q has units of step %d, which it does not have", j.ID, st)
+		if g := &j.UnitGroups[i]; g.Step != i%n || g.Occurrence != i/n {
+			return invalid("unit group %d of job %q is that of step %d in occurrence %d", i, j.ID, g.Step, g.Occurrence)
 		}
 	}
 	return nil
--- a/internal/raft/log.go
+++ b/internal/raft/log.go
@@ -99,6 +99,18 @@
 	return all[:len(all):len(all)]
 }
 
+// firstWithin returns the first index from from on after which the entries up to to have at most
+// maxBytes.
+func (l *memLog) firstWithin(from, to uint64, maxBytes int) uint64 {
+	size := 0
+	for i := to; i > from; i-- {
+		if size += len(l.entries[i-l.baseIndex-1].Data) + entryOverhead; size > maxBytes {
+			return i
+		}
+	}
+	return from
+}
+
 // upToDate reports whether a log that ends with (index, term) is at least as up to
 // date as this one, so that it holds every committed entry that this one may hold
 // (Raft, section 5.4.1).
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -310,7 +310,7 @@
 
 // Compact records a snapshot of the state machine at an applied index and drops
 // the entries it covers except for the last keep.
-func (n *Node) Compact(index uint64, data []byte, keep uint64) Snapshot {
+func (n *Node) Compact(index uint64, data []byte, keep uint64, keepBytes int) Snapshot {
 	snap := Snapshot{Index: index, Term: n.log.term(index), Membership: n.log.membershipAt(index), Data: data}
 	if index > n.applied || snap.Term == 0 {
 		n.panicf("snapshot at %d, applied %d", index, n.applied)
@@ -319,6 +319,7 @@
 	if index > keep {
 		from = index - keep
 	}
+	from = n.log.firstWithin(max(from, n.log.baseIndex), index, keepBytes)
 	n.log.compact(snap, from)
 	return snap
 }
--- a/internal/raft/resend_test.go
+++ b/internal/raft/resend_test.go
@@ -66,7 +66,7 @@
 	is := is.New(t)
 	n := leaderOfThree()
 	n.cfg.MaxBytes = 1000
-	n.Compact(n.applied, make([]byte, 10_000), 0)
+	n.Compact(n.applied, make([]byte, 10_000), 0, 0)
 	joiner := ID{"d", 1}
 	n.Step(Message{Kind: MsgJoin, From: joiner, Disk: true})
 	n.Step(Message{Kind: MsgAppendResp, From: joiner, Term: 4, Reject: true})
--- a/internal/raft/sim_test.go
+++ b/internal/raft/sim_test.go
@@ -267,7 +267,7 @@
 
 func (c *cluster) compact(h *host) {
 	if n := h.node; n.applied > n.log.snap.Index {
-		snap := n.Compact(n.applied, h.state(), 2)
+		snap := n.Compact(n.applied, h.state(), 2, 1<<20)
 		if h.disk != nil {
 			h.disk.entries = slices.Clone(h.disk.entries[snap.Index-h.disk.snap.Index:])
 			h.disk.snap = snap
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -19,6 +19,11 @@
 	// retainedEntries is the number of applied entries that stay in the log after
 	// a snapshot, so that a member that lags slightly needs no snapshot.
 	retainedEntries = 512
+	// retainedBytes bounds the size of these entries.
+	retainedBytes = 4 << 20
+	// defaultSnapshotBytes leaves room on the smallest disk, of 128 MB, for two snapshots and the log
+	// that grows while one is taken. A configuration with 1,400 queues has 0.37 MB.
+	defaultSnapshotBytes = 16 << 20
 )
 
 // InstanceSpec describes a configured instance of a group.
@@ -28,7 +33,7 @@
 }
 
 // Config holds the parameters of a member. Zero values of TickInterval,
-// ElectionTicks, HeartbeatTicks and SnapshotEntries stand for the defaults.
+// ElectionTicks, HeartbeatTicks, SnapshotEntries and SnapshotBytes stand for the defaults.
 type Config struct {
 	Group     string // name of the group, the same on all its instances
 	Self      string // instance name
@@ -60,6 +65,9 @@
 	// SnapshotEntries is the number of applied entries after which a snapshot is
 	// taken and the log compacted.
 	SnapshotEntries uint64
+	// SnapshotBytes is the size of the stored entries after which the same is done, bytes. A
+	// snapshot that is larger than that counts instead, so that a large state is not written too often.
+	SnapshotBytes int
 	// Seed makes the election timeouts reproducible, yet different on each
 	// instance. 0 selects a random seed.
 	Seed uint64
@@ -88,6 +96,9 @@
 	if c.SnapshotEntries == 0 {
 		c.SnapshotEntries = defaultSnapshotEntries
 	}
+	if c.SnapshotBytes == 0 {
+		c.SnapshotBytes = defaultSnapshotBytes
+	}
 	if c.DiskLosses == 0 {
 		c.DiskLosses = 1
 	}
--- a/internal/replica/run.go
+++ b/internal/replica/run.go
@@ -52,6 +52,8 @@
 	applied           uint64 // index of the last entry applied to the state machine
 	ticks             uint64
 	reopenAt          uint64
+	logBytes          int // stored since the last snapshot
+	snapshotBytes     int // size of the last snapshot
 	formReplies       map[string]formReply
 	pending           map[uint64]*proposal // by log index
 	lastReadSeq       uint64
@@ -117,6 +119,7 @@
 	r.stateLost = loaded.stateLost
 	r.caughtUp = false
 	r.lastRaftStatus = raft.Status{}
+	r.countLogBytes(&raft.Ready{Snapshot: &loaded.snapshot, Entries: loaded.entries})
 	r.node = raft.New(raft.Config{
 		ID: loaded.id, Disk: r.cfg.DataFolder != "",
 		ElectionTicks: r.cfg.ElectionTicks, HeartbeatTicks: r.cfg.HeartbeatTicks, Random: r.rnd.IntN,
@@ -251,6 +254,7 @@
 				r.storeFailed(err)
 				return
 			}
+			r.countLogBytes(&rd)
 		}
 		r.sendMessages(rd.After)
 		if !r.applyReady(&rd) {
@@ -291,11 +295,13 @@
 }
 
 // compact takes a snapshot and drops the entries that it covers, but for the last
-// retainedEntries, once SnapshotEntries entries were applied since the last
-// snapshot.
+// retainedEntries, once SnapshotEntries entries were applied or SnapshotBytes were stored
+// since the last snapshot. Without the latter, some hundred changes of a large configuration
+// fill the disks before the first snapshot.
 func (r *Replica) compact() {
 	st := r.node.Status()
-	if st.Applied-st.SnapshotIndex < r.cfg.SnapshotEntries {
+	grown := r.logBytes >= max(r.cfg.SnapshotBytes, r.snapshotBytes) && st.Applied > st.SnapshotIndex
+	if st.Applied-st.SnapshotIndex < r.cfg.SnapshotEntries && !grown {
 		return
 	}
 	data, err := r.cfg.Machine.Snapshot()
@@ -303,12 +309,24 @@
 		r.log.Error(err, "snapshot of the state machine failed")
 		return
 	}
-	snap := r.node.Compact(st.Applied, data, retainedEntries)
+	snap := r.node.Compact(st.Applied, data, retainedEntries, retainedBytes)
+	r.logBytes, r.snapshotBytes = 0, len(data)
+	telemetry.Count(r.metricName("snapshots"))
 	if err := r.store.compact(snap); err != nil {
 		r.storeFailed(err)
 	}
 }
 
+// countLogBytes counts what was stored since the last snapshot.
+func (r *Replica) countLogBytes(rd *raft.Ready) {
+	if rd.Snapshot != nil {
+		r.logBytes, r.snapshotBytes = 0, len(rd.Snapshot.Data)
+	}
+	for i := range rd.Entries {
+		r.logBytes += len(rd.Entries[i].Data)
+	}
+}
+
 // shutdown unregisters the member, fails all pending calls and closes the store.
 func (r *Replica) shutdown() {
 	r.cfg.Dispatcher.remove(r)
