region: ignore announcements of services that are not configured

Such an announcement is now ignored and counted, unless a worker of that service is recorded under the id. The leader decides before it commits.

--- a/internal/region/handle.go
+++ b/internal/region/handle.go
@@ -242,6 +242,17 @@
 	return out
 }
 
+// isForeign reports whether an announcement is of a service that the configuration does not name, and that
+// the worker with its id, if one is recorded, does not have. It is from another system, or its
+// service is still to be configured. It must not replace a worker in use: what runs there would be
+// taken for lost and started again. cfg and cur may be nil.
+func isForeign(cfg *batch.Config, cur, w *batch.Worker) bool {
+	if cfg == nil || cur != nil && cur.Service == w.Service {
+		return false
+	}
+	return !slices.ContainsFunc(cfg.Services, func(s batch.Service) bool { return s.Name == w.Service })
+}
+
 // handleAnnouncement records the heartbeat of a worker and commits its record if it is
 // new or has changed, or its removal if it leaves.
 func (c *Control) handleAnnouncement(ctx context.Context, rep *Reply, a *Announcement) {
@@ -249,12 +260,20 @@
 	w.AnnouncedMS = a.ClockMS
 	var cur *batch.Worker // its record, if there is one
 	incarnation := w.Incarnation
+	foreign := false
 	c.machine.View(func(v *batch.View) {
 		if r := v.Workers()[w.ID]; r != nil {
 			record := *r
 			cur, incarnation = &record, r.Incarnation
 		}
+		foreign = !a.Leaving && isForeign(v.Config(), cur, &w)
 	})
+	if foreign {
+		telemetry.Count("teaselpaddle_foreign_announcements_total")
+		c.log.Info("announcement ignored: no configuration names its service", "worker", w.ID, "service", w.Service, "address", w.Address,
+			"recorded", cur != nil)
+		return
+	}
 	unrecorded := cur == nil
 	if a.Leaving {
 		c.log.Info("worker leaves", "worker", w.ID, "life", w.Incarnation, "recorded", !unrecorded)
