--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -259,7 +259,7 @@
 		}
 		k, t := a.pendingFences[0], a.target()
 		a.mu.Unlock()
-		err, ok := a.callStop(t, k)
+		ok, err := a.callStop(t, k)
 		if !ok {
 			return false
 		}
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -238,15 +238,15 @@
 }
 
 // callStop sends one stop message. ok is false if the agent was cancelled before.
-func (a *agent) callStop(t workerapi.UnitWorker, k runKey) (err error, ok bool) {
+func (a *agent) callStop(t workerapi.UnitWorker, k runKey) (ok bool, err error) {
 	release := a.acquireCall(a.ctx, callStop, 0)
 	if release == nil {
-		return nil, false
+		return false, nil
 	}
 	defer release()
 	ctx, cancel := context.WithTimeout(a.ctx, callTimeout)
 	defer cancel()
-	return a.leadership.cfg.Client.Stop(ctx, t, workerapi.UnitStop{Unit: k.unit, Run: k.run, Epoch: a.leadership.cfg.Epoch}), true
+	return true, a.leadership.cfg.Client.Stop(ctx, t, workerapi.UnitStop{Unit: k.unit, Run: k.run, Epoch: a.leadership.cfg.Epoch})
 }
 
 func (a *agent) sendStop(k runKey, od *order) {
@@ -258,7 +258,7 @@
 		if superseded {
 			return
 		}
-		err, ok := a.callStop(t, k)
+		ok, err := a.callStop(t, k)
 		if !ok {
 			return
 		}
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -361,7 +361,7 @@
 	st := j.Step(g)
 	pg := &place.Group{
 		Job: j.ID, Occurrence: g.Occurrence, StepIndex: g.Step, Step: st, Service: q.Service, Priority: q.Priority,
-		Customer: j.Customer, SinceMS: max(j.AcceptedMS, due), Due: j.HasDueTimes(), Seq: j.Seq, Total: len(g.Units),
+		Customer: j.Customer, SinceMS: max(j.AcceptedMS, due), HasDueTime: j.HasDueTimes(), Seq: j.Seq, Total: len(g.Units),
 	}
 	pg.Claims = p.claims[stepKey{j.ID, g.Occurrence, g.Step}]
 	pg.LengthMS = j.LengthFromMS(g.Step)
--- a/internal/raft/log.go
+++ b/internal/raft/log.go
@@ -99,8 +99,8 @@
 	return all[:len(all):len(all)]
 }
 
-// firstWithin returns the first index from from on after which the entries up to to have at most
-// maxBytes.
+// firstWithin returns the lowest index i, at least from, such that the entries after i up to index to have
+// at most maxBytes.
 func (l *memLog) firstWithin(from, to uint64, maxBytes int) uint64 {
 	size := 0
 	for i := to; i > from; i-- {
--- a/internal/region/handle.go
+++ b/internal/region/handle.go
@@ -270,7 +270,11 @@
 	})
 	if foreign {
 		telemetry.Count("teaselpaddle_foreign_announcements_total")
-		c.log.Info("announcement ignored: no configuration names its service", "worker", w.ID, "service", w.Service, "address", w.Address,
+		level := 1
+		if cur != nil { // it could be taken for the worker's own
+			level = 0
+		}
+		c.log.V(level).Info("announcement ignored: no configuration names its service", "worker", w.ID, "service", w.Service, "address", w.Address,
 			"recorded", cur != nil)
 		return
 	}
--- a/internal/sched/place/hold.go
+++ b/internal/sched/place/hold.go
@@ -4,9 +4,9 @@
 
 // Room is held for groups that wait for runs to end. The load that bounds this: a gang that needs
 // almost all workers waits for one long run, or for one that takes far longer than estimated, while
-// everything else is idle. Other groups would wait as long as the gang does. So while a service has
-// most of its capacity free, a group does not wait for more than a while because of room that is held for
-// others. A gang still has its turn first if what it waits for ends within that time.
+// everything else is idle. Other groups would wait as long as the gang does. So while most of a
+// service's capacity is free, held room delays a group for a limited time only. A gang still has its turn
+// first if what it waits for ends within that time.
 const (
 	// longestHoldMS is the time for which a group may wait for room that is held for others.
 	longestHoldMS = 8000
@@ -27,15 +27,16 @@
 	}
 }
 
-// hasWaitedForHolds reports whether a group has waited so long that no room is held back from it.
-func (d *decision) hasWaitedForHolds(g *Group) bool {
+// mayUseHeld reports whether a group has waited so long that no room is held back from it, be it for
+// other groups or as headroom.
+func (d *decision) mayUseHeld(g *Group) bool {
 	waited := d.snapshot.NowMS - g.SinceMS
 	switch {
 	case g.Step.LongRunning:
 		return waited >= promptHoldMS
 	case !d.mostlyFree[g.Service]:
 		return false
-	case g.Due:
+	case g.HasDueTime:
 		return waited >= promptHoldMS
 	}
 	return waited >= longestHoldMS
--- a/internal/sched/place/hold_test.go
+++ b/internal/sched/place/hold_test.go
@@ -34,7 +34,7 @@
 // that wait for as long as the gang does, and against groups that take the gang's room at once.
 func TestHeldRoomIsLentAfterAWhile(t *testing.T) {
 	plain := func(*Group) {}
-	due := func(g *Group) { g.Due = true }
+	due := func(g *Group) { g.HasDueTime = true }
 	lasting := func(g *Group) { g.Step.LongRunning = true }
 	for _, tc := range []struct {
 		name     string
--- a/internal/sched/place/place.go
+++ b/internal/sched/place/place.go
@@ -139,7 +139,7 @@
 	Priority     int
 	Guaranteed   bool  // within its customer's guaranteed accelerators
 	SinceMS      int64 // when the step became due, Unix ms
-	Due          bool  // its occurrence has a due time
+	HasDueTime   bool  // its occurrence has a due time
 	CompleteByMS int64 // Unix ms by which the job should be completed
 	LengthMS     int64 // estimated duration of the longest chain of steps that begins with this one, ms
 	Seq          uint64
@@ -341,7 +341,7 @@
 func (d *decision) placeGroup(g *Group) {
 	key := keyOf(g)
 	d.releaseClaims(g, g.Claims)
-	lends := len(d.heldOn) > 0 && d.hasWaitedForHolds(g)
+	lends := len(d.heldOn) > 0 && d.mayUseHeld(g)
 	if d.exhausted[key] && g.Priority > 0 && !g.Step.Gang && !lends {
 		d.plan.Unplaced = append(d.plan.Unplaced, g)
 		return
@@ -523,7 +523,7 @@
 // low load.
 func (d *decision) leavesHeadroom(g *Group, r *rack) bool {
 	need := g.Step.Need.Accelerators
-	if d.snapshot.Off[mechanism.Headroom] || g.Priority < leastUrgent || g.Step.Gang || need == 0 || g.Step.DataRack == r.name || r.total-r.headroom() < need || d.hasWaitedForHolds(g) {
+	if d.snapshot.Off[mechanism.Headroom] || g.Priority < leastUrgent || g.Step.Gang || need == 0 || g.Step.DataRack == r.name || r.total-r.headroom() < need || d.mayUseHeld(g) {
 		return false
 	}
 	return float64(d.snapshot.NowMS-g.SinceMS) <= headroomWaitShare*float64(g.CompleteByMS-g.SinceMS)
