region: an order for a zone without a name ends no process

Traced: an order to cordon the zone "" was committed, and the line that logs the change panicked on each instance that applied the entry.

The leader rejects such an order, and an entry of this kind is applied.

--- a/internal/region/handle.go
+++ b/internal/region/handle.go
@@ -39,6 +39,8 @@
 		return r.Publish.Check()
 	case r.Announce != nil:
 		return r.Announce.Check()
+	case r.Zone != nil && r.Zone.Zone == "":
+		return &batch.InvalidError{Detail: "order names no zone"}
 	}
 	return nil
 }
--- a/internal/region/malformed_test.go
+++ b/internal/region/malformed_test.go
@@ -35,6 +35,8 @@
 	odd.Capacity = batch.Resources{}
 	rep = handle(t, c, &request{Announce: &Announcement{Worker: odd, ClockMS: 1 << 62}})
 	is.True(rep.OutcomeUnknown)
+	rep = handle(t, c, &request{Zone: &batch.ZoneChange{Cordon: true}})
+	is.True(rep.OutcomeUnknown)
 	is.True(c.handleRequest(t.Context(), []byte{0xff, 0x00}).OutcomeUnknown)
 	c.machine.View(func(v *batch.View) {
 		is.Equal(len(v.LiveJobs()), 0)
--- a/internal/region/zone.go
+++ b/internal/region/zone.go
@@ -173,7 +173,10 @@
 			if z.Cordoned {
 				msg = "zone cordoned"
 			}
-			left := zoneViews(v, nil, name)[0]
+			var left ZoneView
+			if views := zoneViews(v, nil, name); len(views) > 0 { // the zone may have no name
+				left = views[0]
+			}
 			c.log.Info(msg, "zone", name, "by", z.By, "generation", z.Generation, "sinceMS", z.SinceMS, "workers", left.Workers, "runs", left.Runs)
 		}
 		cordonedGauge.Set(float64(cordoned))
