--- a/internal/replica/snapshot_bytes_test.go
+++ b/internal/replica/snapshot_bytes_test.go
@@ -22,7 +22,11 @@
 		z.proposeUntilAccepted(i)
 	}
 	z.waitDurable()
-	for name := range z.daemons {
+	for _, s := range z.specs {
+		z.kill(s.Name)
+	}
+	for _, spec := range z.specs { // stopped, so that none is storing a snapshot
+		name := spec.Name
 		snapshots, err := filepath.Glob(filepath.Join(z.folder, name, "snapshot-*"))
 		is.NoErr(err)
 		is.Equal(len(snapshots), 1)
@@ -41,9 +45,6 @@
 			t.Errorf("%s: log of %d bytes beside a snapshot of %d", name, size, info.Size())
 		}
 	}
-	for _, s := range z.specs {
-		z.kill(s.Name)
-	}
 	for _, s := range z.specs {
 		z.start(s.Name)
 	}
