--- a/review/_cases2/late.go
+++ b/review/_cases2/late.go
@@ -135,17 +135,24 @@
 		}
 		answer = <-x.executed
 	}
+	rec.printf("the late start was answered: %s", answer)
 	time.Sleep(13 * time.Second)
+	return judgeTwice(rec, c, d, j, id)
+}
+
+// judgeTwice returns an error if two runs of a work unit of the job were on workers at the same time, or if
+// not exactly one run has ended as done.
+func judgeTwice(rec *record, c *consumer, d *deployment, j *journal, id string) error {
 	state := c.state(d.entry[1], "/nest/"+id)
 	spans := j.of(id)
 	for a := range spans {
-		rec.printf("run %d on %s, life %d: %s to %s, %s", spans[a].run, spans[a].worker, spans[a].life, rec.at(spans[a].began), rec.at(spans[a].end), spans[a].how)
+		rec.printf("run %d on %s at %s, life %d: %s to %s, %s", spans[a].run, spans[a].worker, spans[a].address, spans[a].life, rec.at(spans[a].began), rec.at(spans[a].end), spans[a].how)
 	}
 	for a := range spans {
 		for b := range spans[:a] {
 			if spans[a].task == spans[b].task && overlap(&spans[a], &spans[b]) > 100*time.Millisecond {
-				return broken("TWICE: runs %d and %d of %s were at work at the same time for %v; the late start was answered %s; the job is %s",
-					spans[b].run, spans[a].run, spans[a].task, overlap(&spans[a], &spans[b]).Round(time.Millisecond), answer, state)
+				return broken("TWICE: runs %d and %d of %s were at work at the same time for %v; the job is %s",
+					spans[b].run, spans[a].run, spans[a].task, overlap(&spans[a], &spans[b]).Round(time.Millisecond), state)
 			}
 		}
 	}
--- a/review/_cases2/main.go
+++ b/review/_cases2/main.go
@@ -40,11 +40,14 @@
 
 // cases are the cases by name. trouble is false if the disruption is to be left out.
 var cases = map[string]func(rec *record, trouble bool) error{
-	"lasting-crash": lastingCrash,
-	"lasting-tests": lastingTests,
 	"late-start":    lateStart,
-	"route-removed": routeRemoved,
 	"odd-report":    oddReport,
+	"other-service": otherService,
+	"route-removed": routeRemoved,
+	"failed-once":   failedOnce,
+	// Shown as well, without a folder of their own.
+	"lasting-tests": lastingTests,
+	"lasting-crash": lastingCrash,
 }
 
 func main() {
--- a/review/_cases2/odd.go
+++ b/review/_cases2/odd.go
@@ -5,8 +5,9 @@
 	"time"
 )
 
-// oddReport: another writer sends status reports under the id of a worker in use. Fields are missing in them,
-// so they name no worker to use, and the worker's own reports hold. The job that runs there has to complete.
+// oddReport: another writer sends one status report under the id of a worker at work. Fields are missing in
+// it, so it names no worker to use, and the worker's own reports hold. The address in it is that of the other
+// writer's own server, which is up. The unit that is at work must not run a second time.
 func oddReport(rec *record, trouble bool) error {
 	d, j, err := startSmall(rec, jptfaSched, 8, desiredState(jptfaSched, 1, 4))
 	if err != nil {
@@ -14,8 +15,11 @@
 	}
 	defer d.close()
 	c := newConsumer(rec)
-	const id = "5c0e7a21d94b36f8"
-	if !c.submit(d.entry, "/nest/"+id, `{"task_spec":"plan work_ms=9000","steps":[{"count":1,"cpu":5600,"mem_mb":16000,"gpu":1,"estimate_ms":8000}]}`) {
+	const (
+		id  = "5c0e7a21d94b36f8"
+		job = `{"task_spec":"plan work_ms=9000","steps":[{"count":1,"cpu":5600,"mem_mb":16000,"gpu":1,"estimate_ms":8000}]}`
+	)
+	if !c.submit(d.entry, "/nest/"+id, job) {
 		return notRun("the job was not accepted")
 	}
 	var w *worker
@@ -23,41 +27,31 @@
 		return notRun("the work unit was not started")
 	}
 	time.Sleep(2 * time.Second)
-	ended := make(chan struct{})
-	defer close(ended)
 	if trouble {
-		go otherWriter(rec, d, w, ended)
-	}
-	const limit = 60 * time.Second
-	began := time.Now()
-	state := ""
-	for time.Since(began) < limit {
-		if state = c.state(d.entry[1], "/nest/"+id); state == "completed" {
-			return nil
+		other := d.newWorker(j)
+		other.id, other.silent = w.id, true
+		if err := other.start(); err != nil {
+			return err
 		}
-		time.Sleep(2 * time.Second)
-	}
-	for _, s := range j.of(id) {
-		rec.printf("run %d on %s: %s to %s, %s", s.run, s.worker, rec.at(s.began), rec.at(s.end), s.how)
+		other.reportOddly()
 	}
-	return broken("LOST: %v after the report of the other writer the job is %s; %d runs were begun, none is in progress, %d workers are idle", limit, state, len(j.of(id)), d.idle())
+	time.Sleep(15 * time.Second)
+	return judgeTwice(rec, c, d, j, id)
 }
 
-// otherWriter sends status reports under the id of a worker until ended is closed. They lack version,
-// slots, zone, sequence, labels and cold_remaining_ms.
-func otherWriter(rec *record, d *deployment, w *worker, ended chan struct{}) {
+// reportOddly sends one status report without zone, version, slots, cold_remaining_ms, sequence, labels and
+// clock_ms. It goes to the next control instance after a 5xx or no answer.
+func (w *worker) reportOddly() {
 	body, _ := json.Marshal(map[string]any{
-		"service": d.site.service, "address": w.advertise, "state": "ready", "born": time.Now().UnixMilli(),
-		"capacity": map[string]int{"cpu": d.site.cpu, "mem_mb": d.site.memMB, "gpu": gpus},
+		"service": w.d.site.service, "address": w.advertise, "state": "ready", "born": w.born,
+		"capacity": map[string]int{"cpu": w.d.site.cpu, "mem_mb": w.d.site.memMB, "gpu": gpus},
 	})
-	for i := 0; ; i++ {
-		rec.printf("another writer sends POST /instances/%s/heartbeat %s", w.id, body)
-		status, answer := send("POST", d.control[i%3].controlAddress(), "/instances/"+w.id+"/heartbeat", nil, string(body), time.Second)
-		rec.printf("another writer gets %d %s", status, answer)
-		select {
-		case <-ended:
+	for i := range w.d.control {
+		w.d.rec.printf("another writer sends POST /instances/%s/heartbeat %s", w.id, body)
+		status, answer := send("POST", w.d.control[i].controlAddress(), "/instances/"+w.id+"/heartbeat", nil, string(body), time.Second)
+		w.d.rec.printf("another writer gets %d %s", status, answer)
+		if status != 0 && status < 500 {
 			return
-		case <-time.After(heartbeatInterval):
 		}
 	}
 }
--- a/review/_cases2/worker.go
+++ b/review/_cases2/worker.go
@@ -37,6 +37,7 @@
 	run        int
 	spec       string
 	worker     string
+	address    string
 	life       int
 	began, end time.Time
 	how        string
@@ -98,6 +99,9 @@
 	rack      string
 	ip        string
 	port      int
+	service   string
+	kind      string // its first label
+	silent    bool   // sends no status reports of its own
 	advertise string // address in the status reports; its own unless a proxy stands before it
 
 	mu        sync.Mutex // guards the fields below
@@ -123,7 +127,7 @@
 func (d *deployment) newWorker(j *journal) *worker {
 	n := len(d.workers)
 	w := &worker{
-		d: d, j: j, id: fmt.Sprintf("i-%04x", 0x7f3a+n), zone: d.site.zones[n%len(d.site.zones)], rack: fmt.Sprintf("r%d-%d", n%len(d.site.zones)+1, n/24+1),
+		d: d, j: j, service: d.site.service, kind: "a", id: fmt.Sprintf("i-%04x", 0x7f3a+n), zone: d.site.zones[n%len(d.site.zones)], rack: fmt.Sprintf("r%d-%d", n%len(d.site.zones)+1, n/24+1),
 		ip: fmt.Sprintf("%s.%d", d.network, d.nextHost), port: 8080,
 	}
 	w.advertise = fmt.Sprintf("%s:%d", w.ip, w.port)
@@ -153,11 +157,21 @@
 	w.srv = &http.Server{Handler: mux}
 	go func(s *http.Server) { _ = s.Serve(ln) }(w.srv)
 	go w.work(life)
-	go w.report(life)
-	w.d.rec.printf("worker %s starts its life %d, born %d", w.id, life, w.born)
+	if !w.silent {
+		go w.report(life)
+	}
+	w.d.rec.printf("worker %s starts its life %d, born %d", w.name(), life, w.born)
 	return nil
 }
 
+// name returns the name of the worker in the record.
+func (w *worker) name() string {
+	if w.silent {
+		return w.id + " (the other writer's)"
+	}
+	return w.id
+}
+
 // isOver reports whether a life has ended. The caller holds mu.
 func (w *worker) isOver(life int) bool { return !w.up || w.life != life }
 
@@ -174,10 +188,10 @@
 	_ = w.srv.Close()
 	for task := range w.running {
 		w.j.end(w.spans[task], "gone")
-		w.d.rec.printf("worker %s: %s run %d is gone", w.id, task, w.running[task].number)
+		w.d.rec.printf("worker %s: %s run %d is gone", w.name(), task, w.running[task].number)
 	}
 	w.running = map[string]*run{}
-	w.d.rec.printf("worker %s %s", w.id, why)
+	w.d.rec.printf("worker %s %s", w.name(), why)
 }
 
 // leave announces that the worker drains, waits for at least drain_ms, says that it leaves, and ends.
@@ -186,7 +200,7 @@
 	w.state = "draining"
 	w.mu.Unlock()
 	w.sendReport()
-	w.d.rec.printf("worker %s drains", w.id)
+	w.d.rec.printf("worker %s drains", w.name())
 	time.Sleep(after)
 	w.mu.Lock()
 	body, _ := json.Marshal(map[string]any{"born": w.born})
@@ -223,8 +237,8 @@
 		w.sequence++
 		life, hello := w.life, w.hello
 		body, _ := json.Marshal(map[string]any{
-			"service": w.d.site.service, "address": w.advertise, "zone": w.zone, "version": "v1", "slots": 8, "state": w.state, "born": w.born,
-			"capacity": map[string]int{"cpu": w.d.site.cpu, "mem_mb": w.d.site.memMB, "gpu": gpus}, "labels": []string{"a", w.rack},
+			"service": w.service, "address": w.advertise, "zone": w.zone, "version": "v1", "slots": 8, "state": w.state, "born": w.born,
+			"capacity": map[string]int{"cpu": w.d.site.cpu, "mem_mb": w.d.site.memMB, "gpu": gpus}, "labels": []string{w.kind, w.rack},
 			"clock_ms": w.clock(), "sequence": w.sequence, "cold_remaining_ms": 0,
 		})
 		up := w.up
@@ -283,7 +297,7 @@
 	w.highest[r.task] = max(w.highest[r.task], r.number)
 	w.finished = append(w.finished, []any{w.lastEnd, r.task, r.number, how, ""})
 	w.j.end(w.spans[r.task], how)
-	w.d.rec.printf("worker %s: %s run %d ends %s", w.id, r.task, r.number, how)
+	w.d.rec.printf("worker %s: %s run %d ends %s", w.name(), r.task, r.number, how)
 	close(w.ended)
 	w.ended = make(chan struct{})
 }
@@ -341,7 +355,7 @@
 		}
 		defer w.mu.Unlock()
 		reason := f(&o)
-		w.d.rec.printf("worker %s gets %s %s run %d token %d: %s", w.id, r.URL.Path, o.Task, o.Run, o.Token, answerName(reason))
+		w.d.rec.printf("worker %s gets %s %s run %d token %d: %s", w.name(), r.URL.Path, o.Task, o.Run, o.Token, answerName(reason))
 		if reason != "" {
 			w.refuse(rw, reason)
 			return
@@ -374,9 +388,9 @@
 		fails: w.j.failures(o.Task) < numberIn(o.Spec, "failures="),
 	}
 	w.running[o.Task] = r
-	w.spans[o.Task] = &span{task: o.Task, run: o.Run, spec: o.Spec, worker: w.id, life: w.life, began: time.Now()}
+	w.spans[o.Task] = &span{task: o.Task, run: o.Run, spec: o.Spec, worker: w.id, address: w.advertise, life: w.life, began: time.Now()}
 	w.j.begin(w.spans[o.Task])
-	w.d.rec.printf("worker %s: %s run %d begins", w.id, o.Task, o.Run)
+	w.d.rec.printf("worker %s: %s run %d begins", w.name(), o.Task, o.Run)
 	return ""
 }
 
@@ -411,7 +425,7 @@
 		w.finished = slices.DeleteFunc(w.finished, func(e []any) bool {
 			seen := e[0].(int64) <= o.LastSeen
 			if seen {
-				w.d.rec.printf("worker %s: the end of %v is taken note of", w.id, e[1:4])
+				w.d.rec.printf("worker %s: the end of %v is taken note of", w.name(), e[1:4])
 			}
 			if seen && e[3] == "done" {
 				w.j.note(e[1].(string))
