--- a/review/_cases2/late.go
+++ b/review/_cases2/late.go
@@ -99,7 +99,7 @@
 	}
 	defer d.close()
 	var xs []*delayer
-	for range 8 {
+	for range 16 {
 		w := d.newWorker(j)
 		x, err := newDelayer(w, lateBy, trouble)
 		if err != nil {
