--- a/review/_cases2/failed.go
+++ b/review/_cases2/failed.go
@@ -8,7 +8,7 @@
 // failedOnce: the only run of a work unit ends as failed on the only worker with its label that has room; the
 // other worker with the label is taken by a unit that lasts. The unit has to run again.
 func failedOnce(rec *record, trouble bool) error {
-	d, j, err := startSmall(rec, jptfaSched, 8, desiredState(jptfaSched, 1, 4))
+	d, j, err := startSmall(rec, jptfaSched, 10, desiredState(jptfaSched, 1, 4))
 	if err != nil {
 		return err
 	}
@@ -39,7 +39,7 @@
 	if !c.submit(d.entry, "/nest/"+id, job) {
 		return notRun("the job was not accepted")
 	}
-	const limit = 45 * time.Second
+	const limit = 30 * time.Second
 	state := ""
 	for began := time.Now(); time.Since(began) < limit; time.Sleep(2 * time.Second) {
 		if state = c.state(d.entry[1], "/nest/"+id); state == "completed" {
