--- a/review/_cases2/config.go
+++ b/review/_cases2/config.go
@@ -1,6 +1,9 @@
 package main
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // routeRemoved: a desired state removes a route, and the next one adds it again as it was. Meanwhile a run
 // of an accepted job ends as failed, for the third time of four that the route allows.
@@ -19,6 +22,15 @@
 		// The first three runs end as failed, each after its work.
 		job = `{"task_spec":"plan work_ms=3000 failures=3","steps":[{"count":1,"cpu":5600,"mem_mb":16000,"gpu":1,"estimate_ms":3000}]}`
 	)
+	// Runs that end as done, so that the three that fail are no larger share than the site's error_share.
+	const (
+		others     = "00a1b2c3d4e5f607"
+		otherUnits = 64
+	)
+	body := fmt.Sprintf(`{"task_spec":"plan work_ms=400","steps":[{"count":%d,"cpu":5600,"mem_mb":16000,"gpu":1,"estimate_ms":400}]}`, otherUnits)
+	if !c.submit(d.entry, "/nest/"+others, body) || !waitFor(20*time.Second, func() bool { return c.state(d.entry[0], "/nest/"+others) == "completed" }) {
+		return notRun("the other job did not complete")
+	}
 	if !c.submit(d.entry, path, job) {
 		return notRun("the job was not accepted")
 	}
