dispatch: a failure does not conclude a job while its queue is not configured

Cause: the limit was looked up in the configuration of the moment of each end. Without the queue the default of three applied. With a limit below three the opposite happened: nothing looked again when the queue was back, so the unit was started once more than allowed.

Change: a failure that would conclude a job by the default is neither committed nor acknowledged until the queue is configured again, for a minute at most, and then ends uncounted. The worker keeps the end, so a new leader learns of it; its room is free meanwhile. Publishing does not pass between the check of a failure and its commit. A unit whose failures reach the present limit is not started, and its job fails. The log gets only commands that the production build applies alike.

--- a/internal/batch/machine.go
+++ b/internal/batch/machine.go
@@ -394,38 +394,6 @@
 	m.conclude(j, Completed, atMS)
 }
 
-// unitFailed counts a failed attempt and fails the job after the last one. A gang
-// counts one failure per run number, however many of its units fail.
-func (m *Machine) unitFailed(j *Job, g *UnitGroup, u *Unit, atMS int64) {
-	st := j.Step(g)
-	u.Failed++
-	n := u.Failed
-	if st.Gang {
-		if g.LastFailed == u.Run {
-			return
-		}
-		g.LastFailed = u.Run
-		g.Failures++
-		n = g.Failures
-	}
-	if st.LongRunning || j.State.Final() || n < m.maxAttempts(j) {
-		return
-	}
-	j.FailedBy = FailedByAttempts
-	m.conclude(j, Failed, atMS)
-}
-
-// defaultMaxAttempts applies to a job whose queue sets no limit or has been removed
-// from the configuration.
-const defaultMaxAttempts = 3
-
-func (m *Machine) maxAttempts(j *Job) int {
-	if q := m.index.queue(j.Host, j.Prefix); q != nil && q.MaxAttempts > 0 {
-		return q.MaxAttempts
-	}
-	return defaultMaxAttempts
-}
-
 // changeWorker records or removes a worker. An announcement of an earlier
 // incarnation, or one that would end draining within the same incarnation, is ignored.
 // A leaving worker may omit its incarnation (0). Such a removal applies only to a
--- a/internal/batch/view.go
+++ b/internal/batch/view.go
@@ -40,15 +40,15 @@
 }
 
 // Overfull reports whether the active runs on a worker need more than its capacity, because
-// it has shrunk.
-func (v *View) Overfull(worker string) bool {
+// it has shrunk. Runs for which ended returns true do not count.
+func (v *View) Overfull(worker string, ended func(UnitRef, int) bool) bool {
 	w := v.m.state.Workers[worker]
 	if w == nil {
 		return false
 	}
 	free := w.Capacity
 	for ref := range v.m.activeByWorker[worker] {
-		if j, g, _ := v.m.unit(ref); j != nil {
+		if j, g, u := v.m.unit(ref); j != nil && !ended(ref, u.Run) {
 			free = free.Sub(j.Step(g).Need)
 		}
 	}
--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -96,6 +96,9 @@
 	progress           map[runKey]*runProgress
 	history            failureHistory
 	pendingFences      []runKey // runs of earlier incarnations whose starts may still arrive
+	// undecided holds the failures in the last report that are held back, see attempts.go, and when
+	// each was first reported.
+	undecided map[runKey]time.Time
 
 	// Used only by the goroutine of run.
 	rates       map[runKey]*runRate // runs whose rate is measured
@@ -505,7 +508,7 @@
 	evidence := a.evidence()
 	a.mu.Unlock()
 	blame := a.leadership.recordCrash(&w, crashAddressReused, slices.Collect(maps.Keys(active)), evidence)
-	a.endRuns(active, func(k runKey) batch.End { return batch.End{How: batch.EndCrashed, Blame: blame[k]} })
+	a.endRuns(active, func(k runKey) batch.End { return crashEnd(k, blame) })
 }
 
 // endRunsIfLeaseExpired commits the end of the recorded runs if the worker's lease
@@ -516,11 +519,12 @@
 	expired := a.leaseExpired(now)
 	a.mu.Unlock()
 	if expired {
-		a.endRuns(a.activeRuns(), func(runKey) batch.End { return batch.End{How: batch.EndLeaseExpired, Silent: true} })
+		a.endRuns(a.activeRuns(), func(k runKey) batch.End { return batch.End{How: batch.EndLeaseExpired, Silent: !a.endedRun(k)} })
 	}
 }
 
-// endRuns commits the ends of runs of this incarnation with what endOf tells of each.
+// endRuns commits the ends of runs of this incarnation with what endOf tells of each. It calls endOf
+// with mu held.
 func (a *agent) endRuns(runs map[runKey]bool, endOf func(runKey) batch.End) {
 	if len(runs) == 0 {
 		return
--- a/internal/dispatch/bar.go
+++ b/internal/dispatch/bar.go
@@ -6,8 +6,8 @@
 )
 
 // A run is barred if it must not be started although it is recorded: an operator has cordoned
-// its availability zone to empty it, or its worker has shrunk and has no room for it. What runs
-// there continues. A barred run that was not started is fenced by a stop, after which its unit
+// its availability zone to empty it, its worker has shrunk and has no room for it, or the attempts of
+// its unit are used up. What runs there continues. A barred run that was not started is fenced by a stop, after which its unit
 // waits for room elsewhere. A leader that was replaced cannot start anything that it decided
 // before: it sends a start only after its commit, which fails under an old epoch, and none
 // once its leadership has been unconfirmed for maxUnconfirmed; workers that have seen the new
@@ -15,6 +15,7 @@
 const (
 	barCordoned = "cordoned"
 	barNoRoom   = "no_room"
+	barAttempts = "attempts_used_up"
 )
 
 // mayStart reports whether a run is still recorded for the worker, its job not final, and the run not barred. A plan may
@@ -24,9 +25,15 @@
 func (a *agent) mayStart(k runKey) bool {
 	w := a.workerRecord()
 	ok := false
+	ended := func(ref batch.UnitRef, run int) bool { return a.isUndecided(runKey{ref, run}) }
 	a.leadership.cfg.Machine.View(func(v *batch.View) {
 		u := v.ActiveUnit(k.unit, k.run)
-		ok = u != nil && !v.LiveJobs()[k.unit.Job].State.Final() && u.Worker == w.ID && u.Incarnation == w.Incarnation && !v.Cordoned(w.Zone) && !v.Overfull(w.ID)
+		if u == nil || u.Worker != w.ID || u.Incarnation != w.Incarnation {
+			return
+		}
+		j := v.LiveJobs()[k.unit.Job]
+		g := j.UnitGroup(k.unit.Occurrence, k.unit.Step)
+		ok = !j.State.Final() && !v.AttemptsUsedUp(j, g, u) && !v.Cordoned(w.Zone) && !v.Overfull(w.ID, ended)
 	})
 	return ok
 }
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"teaselpaddle.example/teaselpaddle/internal/batch"
@@ -31,6 +32,7 @@
 	// there was none before it did.
 	silentAfter time.Duration
 	wave        bool // other workers fell silent at the same time
+	ended       bool // the worker had reported its end
 }
 
 // prompt reports whether the worker, and no other, fell silent just after the start of the run.
@@ -48,6 +50,9 @@
 	for k := range a.reportedRuns {
 		out[k] = a.evidenceOf(k)
 	}
+	for k := range a.undecided {
+		out[k] = runEvidence{silentAfter: -1, ended: true}
+	}
 	return out
 }
 
@@ -99,15 +104,15 @@
 	if len(lost.declarable) == 0 {
 		return
 	}
-	how := batch.EndLost
 	var blame map[runKey]batch.Blame
 	if w, evidence, crashed := p.crashedIncarnation(id, lost); crashed {
-		how = batch.EndCrashed
 		blame = p.leadership.recordCrash(&w, crashRestarted, lost.runs, evidence)
 	}
 	ends := make([]batch.End, 0, len(lost.declarable))
 	for _, k := range lost.declarable {
-		ends = append(ends, batch.End{Unit: k.unit, Run: k.run, How: how, Blame: blame[k]})
+		e := crashEnd(k, blame)
+		e.Unit, e.Run = k.unit, k.run
+		ends = append(ends, e)
 	}
 	p.leadership.commitEnds(id, ends)
 }
@@ -159,9 +164,19 @@
 	return out
 }
 
+// crashEnd returns the end of a run whose worker is gone. A run without blame had ended before, or its
+// worker has not crashed.
+func crashEnd(k runKey, blame map[runKey]batch.Blame) batch.End {
+	if b, ok := blame[k]; ok {
+		return batch.End{How: batch.EndCrashed, Blame: b}
+	}
+	return batch.End{How: batch.EndLost}
+}
+
 // recordCrash logs and counts the crash of a worker with each run that was on it, and returns
-// the blame of each run.
+// the blame of each run. A run whose end the worker had reported has none.
 func (l *Leadership) recordCrash(w *batch.Worker, cause string, runs []runKey, evidence map[runKey]runEvidence) map[runKey]batch.Blame {
+	runs = slices.DeleteFunc(slices.Clone(runs), func(k runKey) bool { return evidence[k].ended })
 	blame := blameRuns(runs, evidence)
 	telemetry.CountBy("teaselpaddle_workers_crashed_total", "cause", cause)
 	l.log.Info("worker crashed", "worker", w.ID, "life", w.Incarnation, "cause", cause, "runs", len(runs))
--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -54,6 +54,9 @@
 	Preemption place.Preemption
 	// Off are the mechanisms that are switched off.
 	Off mechanism.Set
+	// ConfigChange is locked while a configuration is committed, and locked for reading while ends are
+	// committed whose effect depends on the configuration; nil means that it never changes meanwhile.
+	ConfigChange *sync.RWMutex
 	// FairShareHalfLifeMS is the time in which the earlier use of customers is halved, ms;
 	// 0 means that customers do not matter for the order of steps.
 	FairShareHalfLifeMS int64
@@ -126,6 +129,9 @@
 	if cfg.TimeOfDayMS == nil {
 		cfg.TimeOfDayMS = func() int64 { return cfg.Now().UnixMilli() }
 	}
+	if cfg.ConfigChange == nil {
+		cfg.ConfigChange = &sync.RWMutex{}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Leadership{
 		cfg: cfg, log: cfg.Log.WithName("dispatch").WithValues("epoch", cfg.Epoch), startedAt: cfg.Now(),
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -48,6 +48,7 @@
 	customersAt  time.Time             // last call of customerViews
 	lostMembers  map[stepKey]time.Time // when a member of a running gang was first found lost
 	silentZones  map[string]bool       // zones whose workers give no signs of life
+	usedUp       []*usedUp             // units whose attempts are used up, in the last snapshot
 }
 
 // stepKey identifies a step of one occurrence of a job.
@@ -87,6 +88,9 @@
 	began := time.Now()
 	p.agents = p.leadership.agentsByWorker()
 	snap, runs, lost := p.snapshot()
+	if len(p.usedUp) > 0 && len(snap.Workers) > 0 {
+		p.failUsedUp(p.usedUp, snap.Workers[0].ID)
+	}
 	plan := place.Decide(snap)
 	p.keepClaims(snap)
 	p.decisionTime = time.Since(began)
@@ -164,6 +168,7 @@
 	cordoned := map[string]bool{} // by worker
 	zoneOf := map[string]string{} // by worker
 	tests := newSuspectTests()
+	p.usedUp = nil
 	p.leadership.cfg.Machine.View(func(v *batch.View) {
 		for id, w := range v.Workers() {
 			cordoned[id] = v.Cordoned(w.Zone)
@@ -187,7 +192,10 @@
 				if g.Left == 0 {
 					continue
 				}
-				pg := p.waitingGroup(j, g, q, s.NowMS)
+				pg := p.waitingGroup(v, j, g, q, s.NowMS)
+				if f := usedUpUnits(v, j, g); f != nil {
+					p.usedUp = append(p.usedUp, f)
+				}
 				// The units of a gang start together, so a waiting one has lost its run.
 				memberLost := j.Step(g).Gang && pg != nil
 				for i := range g.Units {
@@ -201,13 +209,19 @@
 						p.addLost(lost, runKey{ref, u.Run}, u, w != nil)
 						continue
 					}
+					if a := p.agents[u.Worker]; a != nil && a.isUndecided(runKey{ref, u.Run}) {
+						continue // it has ended and needs no room
+					}
 					r := runInfo{
 						key: runKey{ref, u.Run}, step: *j.Step(g), unit: *u, payload: j.Spec.Payload,
 						checkpoint: checkpointOf(g, j.Step(g), u), priority: prio, jobFinal: j.State.Final(),
 						memberLost: memberLost, customer: j.Customer,
 					}
-					if cordoned[u.Worker] {
+					switch {
+					case cordoned[u.Worker]:
 						r.barred = barCordoned
+					case v.AttemptsUsedUp(j, g, u):
+						r.barred = barAttempts
 					}
 					runs = append(runs, r)
 					if !p.isOff(mechanism.Isolation) {
@@ -353,7 +367,7 @@
 
 // waitingGroup returns the planner's view of a step that is due and has waiting units,
 // or nil if there are none.
-func (p *planner) waitingGroup(j *batch.Job, g *batch.UnitGroup, q *batch.Queue, nowMS int64) *place.Group {
+func (p *planner) waitingGroup(v *batch.View, j *batch.Job, g *batch.UnitGroup, q *batch.Queue, nowMS int64) *place.Group {
 	due := j.DueMS(g)
 	if j.State.Final() || q == nil || due > nowMS || !j.DependenciesDone(g) {
 		return nil
@@ -370,6 +384,9 @@
 		u := &g.Units[i]
 		switch u.State {
 		case batch.Waiting:
+			if v.AttemptsUsedUp(j, g, u) {
+				continue
+			}
 			if nowMS < restartAfterMS(u) && !p.isOff(mechanism.SilenceDelay) {
 				continue
 			}
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -24,17 +24,23 @@
 	ends     []batch.End     // to commit
 	lastEnd  int64
 	first    bool // of this agent
+	heldBack bool // it lists failures that are held back
 }
 
 // processReport commits the ends in a report and updates the worker's state. sent is
 // when the hold was sent; ackedEnd is the number of the last end that the hold
 // acknowledged. It returns false if the hold should not be repeated at once.
 func (a *agent) processReport(rep *workerapi.UnitReport, sent time.Time, ackedEnd int64) bool {
+	if listsFailures(rep) { // their limit must not change between its check and the commit
+		a.leadership.cfg.ConfigChange.RLock()
+		defer a.leadership.cfg.ConfigChange.RUnlock()
+	}
 	active, anyIncarnation := a.recordedRuns()
 	late := a.lateCompletions(rep, anyIncarnation)
+	undecided := a.undecidedFailures(rep)
 	now := a.leadership.cfg.Now()
 	r := &receivedReport{UnitReport: rep, sent: sent, ackedEnd: ackedEnd, active: active}
-	if !a.takeReport(r, anyIncarnation, now) {
+	if !a.takeReport(r, anyIncarnation, undecided, now) {
 		a.supersede(rep.Incarnation)
 		return false
 	}
@@ -52,12 +58,12 @@
 	if r.first || capacityFreed || len(r.ends) > 0 || len(late) > 0 {
 		a.leadership.Wake()
 	}
-	return lateCommitted // what is not acknowledged makes the next hold return at once
+	return lateCommitted && !r.heldBack // what is not acknowledged makes the next hold return at once
 }
 
-// takeReport records the answer and the progress of the runs, and sets the ends to commit. It returns
-// false if another incarnation has answered.
-func (a *agent) takeReport(r *receivedReport, anyIncarnation map[runKey]bool, now time.Time) bool {
+// takeReport records the answer and the progress of the runs, and sets the ends to commit, without the
+// undecided failures. It returns false if another incarnation has answered.
+func (a *agent) takeReport(r *receivedReport, anyIncarnation map[runKey]bool, undecided map[runKey]int64, now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if r.Incarnation != 0 && r.Incarnation != a.worker.Incarnation {
@@ -78,6 +84,7 @@
 		r.reported[k], r.listed[k] = run, true
 	}
 	r.ends, r.lastEnd = recordedEnds(r.UnitReport, anyIncarnation, r.listed)
+	r.heldBack = a.holdBack(r, undecided, now)
 	for k := range r.active {
 		if r.listed[k] || r.MoreEnds || !a.isCertainlyAbsent(k, r.sent) {
 			continue
--- a/internal/region/control.go
+++ b/internal/region/control.go
@@ -77,6 +77,7 @@
 	wg     sync.WaitGroup
 
 	recordings    recordings
+	configChange  sync.RWMutex  // see dispatch.Config
 	loggedVersion atomic.Uint64 // version of the configuration that was logged last
 	// loggedZones holds the generation of each zone that was logged last; see logZones.
 	loggedZones map[string]uint64
@@ -183,6 +184,7 @@
 		Machine: c.machine, Group: c.group, Client: c.cfg.Client, MaxLease: c.cfg.MaxLease, MaxWaitingHolds: c.cfg.MaxWaitingHolds,
 		Log: c.cfg.Log, Epoch: result.(uint64), ConfirmedAt: began, Heartbeats: &c.heartbeats, TimeOfDayMS: c.clock.NowMS,
 		MeasureSpeeds: c.cfg.MeasureSpeeds,
+		ConfigChange:  &c.configChange,
 		Preemption:    c.cfg.Preemption, Off: c.cfg.Off, FairShareHalfLifeMS: c.cfg.FairShareHalfLifeMS,
 	})
 	c.mu.Lock()
--- a/internal/region/handle.go
+++ b/internal/region/handle.go
@@ -83,9 +83,7 @@
 		c.commit(ctx, rep, &batch.Command{Cancel: req.Cancel})
 		c.logVerdict("cancellation judged", req.Cancel.ID, &req.Cancel.Call, rep, st.Term)
 	case req.Publish != nil:
-		c.commit(ctx, rep, &batch.Command{Publish: req.Publish})
-		c.log.Info("configuration judged", "version", req.Publish.Version, "verdict", rep.Verdict.String(),
-			"notLeader", rep.NotLeader, "unsure", rep.OutcomeUnknown, "term", st.Term)
+		c.publish(ctx, rep, req.Publish, st.Term)
 	case req.Zone != nil:
 		c.handleZoneChange(ctx, rep, req.Zone, st.Term)
 	case req.Announce != nil:
@@ -99,6 +97,15 @@
 	return rep
 }
 
+// publish commits a configuration.
+func (c *Control) publish(ctx context.Context, rep *Reply, cfg *batch.Config, term uint64) {
+	c.configChange.Lock()
+	defer c.configChange.Unlock()
+	c.commit(ctx, rep, &batch.Command{Publish: cfg})
+	c.log.Info("configuration judged", "version", cfg.Version, "verdict", rep.Verdict.String(),
+		"notLeader", rep.NotLeader, "unsure", rep.OutcomeUnknown, "term", term)
+}
+
 // logVerdict logs the outcome of a caller's request.
 func (c *Control) logVerdict(msg, job string, call *batch.Call, rep *Reply, term uint64) {
 	var version, epoch uint64
