dispatch: starts that may still arrive are kept by worker id, also after a leave

Cause: that a start may still arrive was known to the agent of the incarnation it was sent to, and passed on only to an agent that replaced it directly. It was lost when the record was removed in between, and when the order was forgotten after a stop, which fences only the life that has seen it. The unit of a worker that left was also started elsewhere at once.

Change: the leader keeps such starts by worker id for the 13 s in which an order may be carried out. Each later incarnation is fenced against them before anything starts there, and a unit whose worker was removed waits until its start cannot arrive or the next life is fenced. A worker that left and returned meanwhile does not count as crashed.

--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -133,17 +133,18 @@
 	a.worker = w
 }
 
-// unfencedRuns returns the runs whose start the worker may still carry out.
+// unfencedRuns returns the runs whose start the worker, or its next incarnation, may still carry out.
 func (a *agent) unfencedRuns() []runKey {
+	w := a.workerRecord()
+	out := a.leadership.lateStarts.runs(w.ID, a.leadership.cfg.Now())
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	var out []runKey
 	for k, od := range a.orders {
-		if od.sending || !od.startUnansweredAt.IsZero() && a.leadership.cfg.Now().Sub(od.startUnansweredAt) < maxOrderDelay {
+		if od.sending && !slices.Contains(out, k) {
 			out = append(out, k)
 		}
 	}
-	return append(out, a.pendingFences...)
+	return out
 }
 
 // target returns the worker's address for a call. The caller holds mu.
@@ -274,6 +275,8 @@
 			}
 			continue
 		}
+		a.log.Info("run of an earlier incarnation fenced", "job", k.unit.Job, "unit", k.unit, "run", k.run)
+		telemetry.Count("teaselpaddle_incarnations_fenced_total")
 		a.mu.Lock()
 		a.pendingFences = a.pendingFences[1:]
 		a.mu.Unlock()
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -77,17 +77,23 @@
 // lostIncarnation is an earlier incarnation of a worker.
 type lostIncarnation struct {
 	worker   batch.Worker
+	left     bool // its record was removed before the next one was recorded
 	evidence map[runKey]runEvidence
 }
 
 // predecessorOf returns what the agent of the worker's next record needs to know of the
 // incarnation of this one, or nil if the record is of the same incarnation.
 func (a *agent) predecessorOf(next *batch.Worker) *lostIncarnation {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.worker.Incarnation == next.Incarnation {
+	if a.workerRecord().Incarnation == next.Incarnation {
 		return a.predecessor
 	}
+	return a.asLost()
+}
+
+// asLost returns what is known of the incarnation of this agent.
+func (a *agent) asLost() *lostIncarnation {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	return &lostIncarnation{worker: a.worker, evidence: a.evidence()}
 }
 
@@ -127,6 +133,9 @@
 	}
 	if a := p.leadership.agent(id); a != nil && a.predecessor != nil && a.predecessor.worker.Incarnation == lost.incarnation {
 		w, evidence = a.predecessor.worker, a.predecessor.evidence
+		if a.predecessor.left {
+			return w, evidence, false
+		}
 	}
 	return w, evidence, !w.Draining
 }
--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -99,8 +99,10 @@
 	syncTime  time.Duration // of the last call of syncAgents; owned by the goroutine of run
 	waitSlots chan struct{} // one element per hold that waits; nil if there is no limit
 	silences  silences
-	load      loadMeter
-	calls     *callLimit
+	// lateStarts outlives the agents, see there.
+	lateStarts lateStarts
+	load       loadMeter
+	calls      *callLimit
 	// confirmedAt is the latest time of cfg.Steady at which this was certainly the leader, see
 	// confirm.go.
 	confirmedAt atomic.Pointer[time.Duration]
@@ -110,9 +112,11 @@
 
 	agentCount atomic.Int64 // length of agents
 
-	mu      sync.Mutex // guards agents and retired
+	mu      sync.Mutex // guards agents, retired and departed
 	agents  map[string]*agent
 	retired map[string][]*agent // agents that were replaced or whose worker was removed, until they have ended
+	// departed holds the workers whose record was removed, while a start may still arrive there.
+	departed map[string]departed
 
 	removingMu sync.Mutex      // guards removing; an agent's mu may be held when it is locked
 	removing   map[string]bool // silent workers whose removal is being committed
@@ -135,7 +139,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Leadership{
 		cfg: cfg, log: cfg.Log.WithName("dispatch").WithValues("epoch", cfg.Epoch), startedAt: cfg.Now(),
-		ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1), agents: map[string]*agent{}, retired: map[string][]*agent{}, removing: map[string]bool{},
+		ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1), agents: map[string]*agent{}, retired: map[string][]*agent{}, departed: map[string]departed{}, removing: map[string]bool{},
 		customerMetrics: newCustomerMetrics(), calls: newCallLimit(),
 	}
 	l.planner.leadership = l
@@ -274,13 +278,18 @@
 		delete(l.agents, id)
 		if ok {
 			l.agents[id] = l.newAgent(w, a.unfencedRuns(), a.predecessorOf(&w))
+		} else {
+			l.depart(a)
 		}
 	}
+	now := l.cfg.Now()
 	for id, w := range recorded {
 		if l.agents[id] == nil {
-			l.agents[id] = l.newAgent(w, nil, nil)
+			l.agents[id] = l.newAgent(w, l.lateStarts.runs(id, now), l.takeDeparted(id))
 		}
 	}
+	maps.DeleteFunc(l.departed, func(_ string, d departed) bool { return now.Sub(d.at) > maxOrderDelay })
+	l.lateStarts.expireAll(now)
 	l.agentCount.Store(int64(len(l.agents)))
 }
 
--- a/internal/dispatch/order.go
+++ b/internal/dispatch/order.go
@@ -100,7 +100,7 @@
 		}
 		t := a.target()
 		a.mu.Unlock()
-		err := a.callStart(t, &s, release)
+		err := a.callStart(k, t, &s, release)
 		if !a.recordStartResult(k, od, err) {
 			return
 		}
@@ -112,12 +112,17 @@
 }
 
 // callStart sends one start message and releases the call.
-func (a *agent) callStart(t workerapi.UnitWorker, s *workerapi.UnitStart, release func()) error {
+func (a *agent) callStart(k runKey, t workerapi.UnitWorker, s *workerapi.UnitStart, release func()) error {
 	defer release()
 	ctx, cancel := context.WithTimeout(a.ctx, callTimeout)
 	defer cancel()
 	defer startCallTime.UpdateDuration(time.Now())
-	return a.leadership.cfg.Client.Start(ctx, t, *s)
+	known := false // stays false if the call panics
+	a.leadership.lateStarts.begin(t.ID, k)
+	defer func() { a.leadership.lateStarts.end(t.ID, k, known, a.leadership.cfg.Now()) }()
+	err := a.leadership.cfg.Client.Start(ctx, t, *s)
+	known = answered(err)
+	return err
 }
 
 // maxDrainingDelay is the time for which a start may wait for its turn if the worker drains
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -284,13 +284,14 @@
 // canDeclareLost reports whether a run of an ended incarnation can be declared lost.
 // A start that was sent to that incarnation may have reached the next one, so the next
 // incarnation must have been fenced against the run, and its report after that must
-// not list the run. In either case a report that lists its end may still be on its way.
+// not list the run. If the worker's record was removed, a next incarnation may still appear and
+// take a late start before it is fenced. In either case a report that lists its end may still be on its way.
 func (p *planner) canDeclareLost(k runKey, u *batch.Unit, restarted bool) bool {
 	if p.leadership.awaitsReport(u.Worker, u.Incarnation) {
 		return false
 	}
 	if !restarted {
-		return true
+		return !p.leadership.lateStarts.mayArrive(u.Worker, k, p.leadership.cfg.Now())
 	}
 	a := p.leadership.agent(u.Worker)
 	if a == nil {
--- a/internal/dispatch/workers_test.go
+++ b/internal/dispatch/workers_test.go
@@ -75,6 +75,7 @@
 	dropCalls        bool // leaves all calls unanswered
 	replaced         bool // another worker answers at its address
 	loseStartAnswers int  // number of answers to starts to lose
+	withholdStarts   int  // number of starts that are not answered and may be carried out late
 	stall            bool // runs make no progress
 	lasting          bool // runs do not end, and are at work at once
 	failRuns         bool // every run fails
@@ -163,6 +164,11 @@
 		f.delayed[t.ID] = o
 		return err
 	}
+	if w.withholdStarts > 0 {
+		w.withholdStarts--
+		f.delayed[t.ID] = o
+		return &workerapi.NoAnswerError{Cause: context.DeadlineExceeded}
+	}
 	k := runKey{o.Unit, o.Run}
 	w.leaseUntil = max(w.leaseUntil, o.UntilMS)
 	if _, there := w.running[k]; there {
@@ -211,12 +217,17 @@
 
 // deliverDelayed carries out a start late that a worker has left unanswered.
 func (f *fakeWorkers) deliverDelayed(id string) {
+	if err := f.tryDelayed(id); err != nil {
+		f.t.Errorf("delayed start on %s: %v", id, err)
+	}
+}
+
+// tryDelayed hands a worker a start late that it has left unanswered, and returns its answer.
+func (f *fakeWorkers) tryDelayed(id string) error {
 	f.mu.Lock()
 	o := f.delayed[id]
 	f.mu.Unlock()
-	if err := f.Start(context.Background(), workerapi.UnitWorker{ID: id}, o); err != nil {
-		f.t.Errorf("delayed start on %s: %v", id, err)
-	}
+	return f.Start(context.Background(), workerapi.UnitWorker{ID: id}, o)
 }
 
 // crash ends a worker that begins a run. The start is still answered unless the worker
