place: a unit avoids the worker of its failure for a limited time

Cause: a group used a worker on which it had failed again only if no other had its service and label, whether or not the others would ever have room. The mark was set on the worker of the last run, whichever run had failed.

Change: the leader remembers which worker a unit failed on and when. A new leader counts from its beginning. Nothing is added to the log or the state.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -147,8 +147,8 @@
 	Checkpoint string `cbor:"7,keyasint,omitempty"` // last checkpoint of a gang
 }
 
-// ref returns the reference to a unit of the unit group.
-func (g *UnitGroup) ref(job string, index int) UnitRef {
+// Ref returns the reference to a unit of the unit group.
+func (g *UnitGroup) Ref(job string, index int) UnitRef {
 	return UnitRef{Job: job, Occurrence: g.Occurrence, Step: g.Step, Index: index}
 }
 
--- a/internal/batch/machine.go
+++ b/internal/batch/machine.go
@@ -93,7 +93,7 @@
 			g := &j.UnitGroups[gi]
 			for i := range g.Units {
 				if u := &g.Units[i]; u.State == Active {
-					m.addActive(g.ref(id, i), u.Worker)
+					m.addActive(g.Ref(id, i), u.Worker)
 				}
 			}
 		}
@@ -374,7 +374,7 @@
 	if j.Step(g).Gang {
 		for i := range g.Units {
 			if u := &g.Units[i]; u.State == Active {
-				m.removeActive(j, g.ref(j.ID, i), u.Worker)
+				m.removeActive(j, g.Ref(j.ID, i), u.Worker)
 			}
 			g.Units[i].State = Done
 		}
--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -89,6 +89,7 @@
 	cfg       Config
 	log       logr.Logger
 	startedAt time.Time
+	startedMS int64 // the same by cfg.TimeOfDayMS
 	ctx       context.Context
 	cancel    context.CancelFunc
 	wg        sync.WaitGroup
@@ -101,6 +102,7 @@
 	silences  silences
 	// lateStarts outlives the agents, see there.
 	lateStarts lateStarts
+	failures   recentFailures
 	load       loadMeter
 	calls      *callLimit
 	// confirmedAt is the latest time of cfg.Steady at which this was certainly the leader, see
@@ -142,6 +144,7 @@
 		ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1), agents: map[string]*agent{}, retired: map[string][]*agent{}, departed: map[string]departed{}, removing: map[string]bool{},
 		customerMetrics: newCustomerMetrics(), calls: newCallLimit(),
 	}
+	l.startedMS = cfg.TimeOfDayMS()
 	l.planner.leadership = l
 	if cfg.ConfirmedAt != 0 {
 		l.recordConfirmed(cfg.ConfirmedAt)
@@ -349,6 +352,7 @@
 		return true
 	}
 	atMS := l.cfg.TimeOfDayMS()
+	l.failures.add(worker, ends, atMS) // the next plan may follow the commit at once
 	_, err := l.propose(&batch.Command{Ends: &batch.Ends{Ends: ends, AtMS: atMS}})
 	if err != nil {
 		if l.ctx.Err() == nil {
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -44,11 +44,12 @@
 	waitingSteps map[stepKey]loggedWait
 	claims       map[stepKey][]place.Claim // room that waits for steps, by the last plan
 	shares       *share.Tracker
-	held         map[string]holding    // by customer, in the last snapshot
-	customersAt  time.Time             // last call of customerViews
-	lostMembers  map[stepKey]time.Time // when a member of a running gang was first found lost
-	silentZones  map[string]bool       // zones whose workers give no signs of life
-	usedUp       []*usedUp             // units whose attempts are used up, in the last snapshot
+	held         map[string]holding        // by customer, in the last snapshot
+	customersAt  time.Time                 // last call of customerViews
+	lostMembers  map[stepKey]time.Time     // when a member of a running gang was first found lost
+	silentZones  map[string]bool           // zones whose workers give no signs of life
+	usedUp       []*usedUp                 // units whose attempts are used up, in the last snapshot
+	failures     map[batch.UnitRef]failure // recent ones, at the start of the pass
 }
 
 // stepKey identifies a step of one occurrence of a job.
@@ -169,6 +170,7 @@
 	zoneOf := map[string]string{} // by worker
 	tests := newSuspectTests()
 	p.usedUp = nil
+	p.failures = p.leadership.failures.current(s.NowMS)
 	p.leadership.cfg.Machine.View(func(v *batch.View) {
 		for id, w := range v.Workers() {
 			cordoned[id] = v.Cordoned(w.Zone)
@@ -398,11 +400,11 @@
 				}
 				pg.Suspects[i] = n
 			}
-			if u.Failed > 0 {
+			if worker, sinceMS, ok := p.avoid(g.Ref(j.ID, i), u); ok {
 				if pg.Avoid == nil {
-					pg.Avoid = map[string]bool{}
+					pg.Avoid = map[string]int64{}
 				}
-				pg.Avoid[u.Worker] = true
+				pg.Avoid[worker] = max(pg.Avoid[worker], sinceMS)
 			}
 		case batch.Active:
 			if pg.UnitsOn == nil {
--- a/internal/dispatch/starts.go
+++ b/internal/dispatch/starts.go
@@ -95,6 +95,10 @@
 		log = log.WithValues("lentRoom", true)
 		telemetry.Count("teaselpaddle_starts_in_held_room_total")
 	}
+	if placed.Returns {
+		log = log.WithValues("returns", true)
+		telemetry.Count("teaselpaddle_returns_after_failure_total")
+	}
 	log.Info("run started", "job", s.Unit.Job, "unit", s.Unit, "run", s.Run, "worker", s.Worker, "life", s.Incarnation,
 		"customer", customer, "accelerators", pg.Step.Need.Accelerators, "priority", pg.Priority, "guaranteed", pg.Guaranteed, "waitedMS", waited,
 		"workerHeardMS", a.timeSinceAnswer().Milliseconds(), "lastSeenMS", a.sinceLastSeenMS())
--- a/internal/sched/place/place.go
+++ b/internal/sched/place/place.go
@@ -145,8 +145,8 @@
 	Seq          uint64
 	Waiting      []int // unit indexes
 	Total        int
-	Avoid        map[string]bool // workers on which a unit of it has failed
-	UnitsOn      map[string]int  // number of its units that run or are reserved, by worker
+	Avoid        map[string]int64 // workers on which a unit of it has failed, and when, Unix ms; see avoid.go
+	UnitsOn      map[string]int   // number of its units that run or are reserved, by worker
 	// Suspects are the waiting units that may have crashed their workers, with their
 	// suspicion, see batch.CrashRecord.
 	Suspects map[int]int
@@ -173,6 +173,8 @@
 	Speed  float64 // speed of the worker if the choice depended on it; otherwise 0
 	// Lent is set if the unit uses room that is held for others, see hold.go.
 	Lent bool
+	// Returns is set if a unit of the group has failed on the worker lately.
+	Returns bool
 }
 
 // Plan is the result of a decision. The placements of one group are
@@ -401,10 +403,10 @@
 // candidateKey identifies a shared candidateSet.
 type candidateKey struct{ service, label string }
 
-// candidates returns the workers that may run a group. Groups without workers to avoid
+// candidates returns the workers that may run a group. Groups without workers that they must not use
 // share their sets.
 func (d *decision) candidates(g *Group) *candidateSet {
-	if len(g.Avoid) > 0 {
+	if d.avoidsAny(g) {
 		return newCandidateSet(d.eligible(g))
 	}
 	key := candidateKey{g.Service, g.Step.RequiredLabel}
@@ -417,11 +419,11 @@
 }
 
 // eligible returns the workers that may run a group. If it has failed on all of them, it
-// may run on any of them again.
+// may run on any of them again at once.
 func (d *decision) eligible(g *Group) []*Worker {
 	var out []*Worker
 	for _, w := range d.snapshot.Workers {
-		if w.Service != g.Service || g.Avoid[w.ID] {
+		if w.Service != g.Service || d.avoids(g, w.ID) {
 			continue
 		}
 		if l := g.Step.RequiredLabel; l != "" && !slices.Contains(w.Labels, l) {
@@ -461,8 +463,8 @@
 	return d.snapshot.NowMS-g.SinceMS < limit
 }
 
-// sortByFit sorts workers so that suspect ones come last, then by speed for a group
-// (see rankBySpeed), and otherwise full workers on full racks come first: small units
+// sortByFit sorts workers so that suspect ones come last, before them those on which the group has
+// failed, then by speed for a group (see rankBySpeed), and otherwise full workers on full racks come first: small units
 // fill partly used workers and leave whole workers and racks to gangs.
 func sortByFit(g *Group, workers []*Worker) {
 	rankBySpeed(g, workers)
@@ -470,6 +472,9 @@
 		if a.Suspect != b.Suspect {
 			return btoi(a.Suspect) - btoi(b.Suspect)
 		}
+		if len(g.Avoid) > 0 && g.failedOn(a) != g.failedOn(b) {
+			return btoi(g.failedOn(a)) - btoi(g.failedOn(b))
+		}
 		if a.speedRank != b.speedRank {
 			return a.speedRank - b.speedRank
 		}
@@ -562,7 +567,7 @@
 func (d *decision) startUnit(g *Group, unit int, w *Worker) {
 	d.reserve(g, w, 1)
 	w.started++
-	p := Placement{Group: g, Unit: unit, Worker: w.ID, Lent: w.usesLent()}
+	p := Placement{Group: g, Unit: unit, Worker: w.ID, Lent: w.usesLent(), Returns: g.failedOn(w)}
 	if g.pace.decisive {
 		p.Speed = math.Exp(w.Speed)
 	}
--- a/internal/sched/place/place_test.go
+++ b/internal/sched/place/place_test.go
@@ -186,11 +186,11 @@
 func TestFailedUnitAvoidsItsWorker(t *testing.T) {
 	is := is.New(t)
 	g := group("j", 1, 1, small, 1)
-	g.Avoid = map[string]bool{"a": true}
+	g.Avoid = map[string]int64{"a": 0}
 	p := Decide(&Snapshot{Workers: []*Worker{worker("a", "r1"), worker("b", "r1")}, Groups: []*Group{g}})
 	is.Equal(startsOf(p, "j"), []string{"b"})
 	g = group("j", 1, 1, small, 1)
-	g.Avoid = map[string]bool{"a": true}
+	g.Avoid = map[string]int64{"a": 0}
 	p = Decide(&Snapshot{Workers: []*Worker{worker("a", "r1")}, Groups: []*Group{g}})
 	is.Equal(startsOf(p, "j"), []string{"a"})
 }
@@ -313,7 +313,7 @@
 // Guards against decisions that depend on the order in which earlier groups left shared
 // lists of workers: groups with a worker to avoid have lists of their own.
 func TestSharedCandidatesChangeNothing(t *testing.T) {
-	describe := func(seed uint64, avoid map[string]bool) string {
+	describe := func(seed uint64, avoid map[string]int64) string {
 		s := fullSnapshot(40, 30)
 		rnd := rand.New(rand.NewPCG(seed, 1))
 		for _, w := range s.Workers {
@@ -339,6 +339,6 @@
 	for seed := range uint64(30) {
 		is := is.New(t)
 		is.True(describe(seed, nil) != "")
-		is.Equal(describe(seed, nil), describe(seed, map[string]bool{"no such worker": true}))
+		is.Equal(describe(seed, nil), describe(seed, map[string]int64{"no such worker": 0}))
 	}
 }
