--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -31,7 +31,7 @@
 				continue
 			}
 			s.Waiting = append(s.Waiting, sched.Waiting{
-				ID: j.ID, Spec: j.Spec, Seq: j.Seq, SubmittedAt: j.SubmittedAt, Avoid: j.FailedOn,
+				ID: j.ID, Spec: j.Spec, Seq: j.Seq, SubmittedAt: j.SubmittedAt, Avoid: c.health.avoided(j, now),
 			})
 			continue
 		}
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -71,7 +71,7 @@
 	Spec        model.JobSpec
 	Seq         uint64
 	SubmittedAt time.Time
-	// Avoid lists the workers on which a task of the job has failed.
+	// Avoid lists the workers on which a task of the job has failed lately.
 	Avoid []string
 }
 
