dispatch: held failures and used-up attempts in files of their own

attempts.go held two mechanisms under one name. Failures that are held back are now in held_failures.go, with names that say so; attempts.go has the units whose attempts are used up. No change of behaviour.

--- a/internal/batch/attempts.go
+++ b/internal/batch/attempts.go
@@ -3,7 +3,7 @@
 // The number of failed runs after which a job fails is that of its queue in the configuration in
 // force. While the queue is not configured, nothing of the job starts, and the state machine can
 // only apply defaultMaxAttempts: members with an earlier build do so as well. The leader therefore
-// commits no failure in that time that would conclude the job, see package dispatch.
+// commits no failure in that time that would conclude the job (package dispatch, held_failures.go).
 
 // defaultMaxAttempts applies to a job whose queue sets no limit or has been removed
 // from the configuration.
--- a/internal/dispatch/agent.go
+++ b/internal/dispatch/agent.go
@@ -96,9 +96,9 @@
 	progress           map[runKey]*runProgress
 	history            failureHistory
 	pendingFences      []runKey // runs of earlier incarnations whose starts may still arrive
-	// undecided holds the failures in the last report that are held back, see attempts.go, and when
-	// each was first reported.
-	undecided map[runKey]time.Time
+	// heldFailures holds the failures in the last report that are held back, see held_failures.go, and
+	// when each was first reported.
+	heldFailures map[runKey]time.Time
 
 	// Used only by the goroutine of run.
 	rates       map[runKey]*runRate // runs whose rate is measured
@@ -522,7 +522,7 @@
 	expired := a.leaseExpired(now)
 	a.mu.Unlock()
 	if expired {
-		a.endRuns(a.activeRuns(), func(k runKey) batch.End { return batch.End{How: batch.EndLeaseExpired, Silent: !a.endedRun(k)} })
+		a.endRuns(a.activeRuns(), func(k runKey) batch.End { return batch.End{How: batch.EndLeaseExpired, Silent: !a.isHeldBack(k)} })
 	}
 }
 
--- a/internal/dispatch/attempts_test.go
+++ b/internal/dispatch/attempts_test.go
@@ -48,7 +48,7 @@
 	b.t.Helper()
 	b.waitFor(2*time.Second, "failure reported", func() bool {
 		a := b.leadership.agent(id)
-		return a != nil && a.isUndecided(k)
+		return a != nil && a.awaitsQueue(k)
 	})
 }
 
@@ -113,7 +113,7 @@
 func TestFailureWithoutQueueIsHeldForLimitedTime(t *testing.T) {
 	b, ref := failThirdRunWithoutQueue(t)
 	b.heldFailure("w1", runKey{ref, 3})
-	b.timeShift.Add(int64(maxUndecidedTime))
+	b.timeShift.Add(int64(maxHoldBackTime))
 	b.waitFor(2*time.Second, "run ended", func() bool { return b.unit(ref).State == batch.Waiting })
 	b.is.Equal(b.state("j1"), batch.Running)
 	b.is.Equal(b.unit(ref).Failed, 2)
--- a/internal/dispatch/bar.go
+++ b/internal/dispatch/bar.go
@@ -7,8 +7,8 @@
 
 // A run is barred if it must not be started although it is recorded: an operator has cordoned
 // its availability zone to empty it, its worker has shrunk and has no room for it, or the attempts of
-// its unit are used up. What runs there continues. A barred run that was not started is fenced by a stop, after which its unit
-// waits for room elsewhere. A leader that was replaced cannot start anything that it decided
+// its unit are used up. What runs there continues. A barred run that was not started is fenced by a
+// stop, after which its unit waits for room elsewhere. A leader that was replaced cannot start anything that it decided
 // before: it sends a start only after its commit, which fails under an old epoch, and none
 // once its leadership has been unconfirmed for maxUnconfirmed; workers that have seen the new
 // epoch refuse it.
@@ -25,7 +25,7 @@
 func (a *agent) mayStart(k runKey) bool {
 	w := a.workerRecord()
 	ok := false
-	ended := func(ref batch.UnitRef, run int) bool { return a.isUndecided(runKey{ref, run}) }
+	ended := func(ref batch.UnitRef, run int) bool { return a.awaitsQueue(runKey{ref, run}) }
 	a.leadership.cfg.Machine.View(func(v *batch.View) {
 		u := v.ActiveUnit(k.unit, k.run)
 		if u == nil || u.Worker != w.ID || u.Incarnation != w.Incarnation {
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -50,7 +50,7 @@
 	for k := range a.reportedRuns {
 		out[k] = a.evidenceOf(k)
 	}
-	for k := range a.undecided {
+	for k := range a.heldFailures {
 		out[k] = runEvidence{silentAfter: -1, ended: true}
 	}
 	return out
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -211,7 +211,7 @@
 						p.addLost(lost, runKey{ref, u.Run}, u, w != nil)
 						continue
 					}
-					if a := p.agents[u.Worker]; a != nil && a.isUndecided(runKey{ref, u.Run}) {
+					if a := p.agents[u.Worker]; a != nil && a.awaitsQueue(runKey{ref, u.Run}) {
 						continue // it has ended and needs no room
 					}
 					r := runInfo{
