dispatch: priority and guarantee of what runs hold while its queue is removed

Nobody reported this.

Each instance keeps the last definitions of removed queues with live jobs, and the planner uses them for what runs. What waits holds no share of a guarantee. They are not part of the replicated state, and no entry depends on them.

--- a/internal/batch/admit.go
+++ b/internal/batch/admit.go
@@ -42,6 +42,31 @@
 	return nil
 }
 
+// queueKey identifies a queue.
+type queueKey struct{ host, prefix string }
+
+// keepRemovedQueues updates removedQueues before another configuration takes effect.
+func (m *Machine) keepRemovedQueues(next *queueIndex) {
+	kept := map[queueKey]*Queue{}
+	seen := map[queueKey]bool{}
+	for _, j := range m.liveJobs {
+		k := queueKey{j.Host, j.Prefix}
+		if seen[k] {
+			continue
+		}
+		seen[k] = true
+		if next.queue(k.host, k.prefix) != nil {
+			continue
+		}
+		if q := m.index.queue(k.host, k.prefix); q != nil {
+			kept[k] = q
+		} else if q := m.removedQueues[k]; q != nil {
+			kept[k] = q
+		}
+	}
+	m.removedQueues = kept
+}
+
 // admit returns the queue and the customer of a request. The queue is nil unless the
 // verdict is OK.
 func (x *queueIndex) admit(c Call) (*Queue, string, Verdict) {
--- a/internal/batch/machine.go
+++ b/internal/batch/machine.go
@@ -39,6 +39,10 @@
 	liveJobs       map[string]*Job                 // jobs that are not final or have active units
 	activeByWorker map[string]map[UnitRef]struct{} // active units by worker
 	index          queueIndex
+	// removedQueues holds the last definitions of queues that the configuration no longer has and
+	// of which there are live jobs. No entry has an effect that depends on it, so it is
+	// neither in snapshots nor known after a restart from one.
+	removedQueues map[queueKey]*Queue
 	// notify is called after each change, without mu held.
 	notify func()
 }
@@ -99,6 +103,7 @@
 		}
 	}
 	m.index = newQueueIndex(m.state.Config)
+	m.removedQueues = nil
 }
 
 func (m *Machine) addActive(ref UnitRef, worker string) {
@@ -183,8 +188,10 @@
 		}
 		return OK
 	}
+	next := newQueueIndex(c)
+	m.keepRemovedQueues(&next)
 	m.state.Config = c
-	m.index = newQueueIndex(c)
+	m.index = next
 	return OK
 }
 
--- a/internal/dispatch/attempts_test.go
+++ b/internal/dispatch/attempts_test.go
@@ -179,3 +179,35 @@
 	b.is.Equal(f.startedOn(members[0]), "[w1 w1 w1]")
 	b.machine.View(func(v *batch.View) { b.is.Equal(v.Job("j1", "").Active, 0) })
 }
+
+// The queue of a guaranteed job is removed while the job runs, and an urgent job needs the room. Guards
+// against stopping guaranteed work because its queue, which has its priority, is not configured.
+func TestGuaranteeHoldsWhileQueueIsRemoved(t *testing.T) {
+	f := newFakeWorkers(t, time.Minute, "w1")
+	b := newTestBed(t, f)
+	config := func(version uint64, queues ...batch.Queue) {
+		b.is.Equal(b.apply(&batch.Command{Publish: &batch.Config{
+			Version: version, Services: []batch.Service{{Name: "desk"}}, Document: []byte("{}"), Queues: queues,
+			Customers: []batch.Customer{{Name: "c1", Keys: []string{"k1"}, Guaranteed: 8}, {Name: "c2", Keys: []string{"k2"}}},
+		}}), batch.OK)
+	}
+	submit := func(path, id, key string) {
+		b.is.Equal(b.apply(&batch.Command{Submit: &batch.Submit{
+			Call: batch.Call{Host: "h", Path: path + id, Key: key}, ID: id, Spec: batch.Spec{Steps: []batch.Step{unitStep(1, 8)}}, AtMS: time.Now().UnixMilli(),
+		}}), batch.OK)
+	}
+	first := batch.Queue{Name: "first", Host: "h", Prefix: "/1/", Service: "desk"}
+	second := batch.Queue{Name: "second", Host: "h", Prefix: "/2/", Service: "desk"}
+	config(2, first, second)
+	submit("/1/", "j1", "k1")
+	k := runKey{batch.UnitRef{Job: "j1"}, 1}
+	b.waitForRun("w1", k)
+	config(3, second)
+	submit("/2/", "j2", "k2")
+	time.Sleep(2 * idleInterval) // for plans that make room
+	b.waitForRun("w1", k)
+	b.is.Equal(f.startedOn(batch.UnitRef{Job: "j2"}), "[]")
+	config(4, first, second)
+	time.Sleep(2 * idleInterval)
+	b.waitForRun("w1", k)
+}
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -186,8 +186,8 @@
 		for id, j := range v.LiveJobs() {
 			q := v.Queue(j.Host, j.Prefix)
 			prio := lowestPriority
-			if q != nil {
-				prio = q.Priority
+			if last := v.LastQueue(j.Host, j.Prefix); last != nil {
+				prio = last.Priority
 			}
 			for gi := range j.UnitGroups {
 				g := &j.UnitGroups[gi]
@@ -332,11 +332,12 @@
 }
 
 // lowestPriority is the priority of a job whose queue has been removed from the
-// configuration.
+// configuration if this instance does not know its last definition.
 const lowestPriority = 1 << 10
 
 // guaranteedJobs returns the jobs of priority 0 that fit into their customers'
-// guaranteed accelerators. The accelerators are allotted to the oldest jobs first.
+// guaranteed accelerators. The accelerators are allotted to the oldest jobs first. A job whose
+// queue has been removed keeps its share for what runs; the rest of it cannot start.
 func guaranteedJobs(v *batch.View) map[string]bool {
 	out := map[string]bool{}
 	c := v.Config()
@@ -349,6 +350,9 @@
 	}
 	for _, j := range bySeq(v.LiveJobs()) {
 		q := v.Queue(j.Host, j.Prefix)
+		if q == nil && j.Active > 0 {
+			q = v.LastQueue(j.Host, j.Prefix)
+		}
 		if q == nil || q.Priority != 0 || j.State.Final() {
 			continue
 		}
