daemon: addresses of the region tests can't be taken by outgoing connections

The port is in the ephemeral range (32768 to 60999), so an outgoing connection of any test that runs at the same time may get it. Shown by a trial: a listener on 127.0.0.1 at the port of an outgoing connection fails with the same error, one on another loopback address does not, and outgoing connections to that address start at 127.0.0.1.

Each address has a loopback IP of its own now; the checks are unchanged. go test -race -count=3 ./internal/daemon passes. No other test closes a listener whose address it uses later.

--- a/internal/daemon/region_test.go
+++ b/internal/daemon/region_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,9 +29,14 @@
 // regionTimeout bounds each wait of a test; elections take about a second.
 const regionTimeout = 20 * time.Second
 
-// freeAddress returns a loopback address whose port is currently free.
+// addresses counts the addresses that freeAddress has returned.
+var addresses atomic.Uint32
+
+// freeAddress returns a loopback address whose port is currently free. Each has an IP of its own:
+// a port of 127.0.0.1 may be taken by an outgoing connection of any process before it is used.
 func freeAddress(t *testing.T) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 100+pid>>8%100, pid%256, 1+addresses.Add(1)%250))
 	if err != nil {
 		t.Fatal(err)
 	}
