overload: crowds of clients against real processes, known red

The tests start the programs on loopback with lowered limits, open a crowd of connections of one kind, and check that the process lives, that its memory (resident, and what has arrived unread) and descriptors stay under the settings' limits, and that ordinary requests are answered while the crowd holds its connections and after it has gone. They run one at a time in "make overload", part of "make check".

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build check test fuzz demo up fmt prove measure bench soak
+.PHONY: build check test overload fuzz demo up fmt prove measure bench soak
 export CGO_ENABLED = 1
 
 build:
@@ -12,8 +12,11 @@
 	@out=$$(go tool gofumpt -l $$(git ls-files -co --exclude-standard '*.go')); if [ -n "$$out" ]; then echo "gofumpt: $$out"; exit 1; fi
 	go vet ./...
 	go vet -tags prove ./prove
+	go vet -tags overload $(OVERLOAD_PACKAGES)
 	go tool staticcheck ./...
+	go tool staticcheck -tags overload $(OVERLOAD_PACKAGES)
 	$(MAKE) test
+	$(MAKE) overload
 	$(MAKE) fuzz
 
 # Tests listed in KNOWN-RED.txt are named in KNOWN_RED, separated by "|", and left out.
@@ -21,6 +24,11 @@
 test:
 	go test -race $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
 
+# Crowds of clients that exceed limits, against real processes; one test at a time.
+OVERLOAD_PACKAGES = ./platform/cmd/teaselpaddle-region ./cmd/teaselpaddled
+overload: build
+	go test -count=1 -p 1 -tags overload -run '^TestOverload' -timeout 20m $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') $(OVERLOAD_PACKAGES)
+
 # Runs each fuzz target for FUZZTIME, a number of inputs ("300x") or a duration ("10m").
 FUZZTIME ?= 300x
 fuzz:
