httpserver: bounded connections, replaced by age

Seen: a crowd of 400 clients that leave requests incomplete had all their connections open on an entry instance that may have 200 descriptors (414 in use), and kept them for as long as they liked. Beyond the limit of the process no caller gets a connection.

Cause: the servers of the platform's programs bounded the time of a header and nothing else: not the number of connections, nor the time of a body, of an answer or without a request.

Whole requests are never closed: they may have been passed on.

--- /dev/null
+++ b/internal/httpserver/server_test.go
@@ -0,0 +1,229 @@
+package httpserver
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var testRequestLimits = RequestLimits{HeaderTimeout: time.Minute, IdleTimeout: time.Minute, BodyTimeout: time.Minute}
+
+// testLimits are limits of which single tests lower one.
+var testLimits = Limits{Connections: 64, Request: testRequestLimits}
+
+const maxTestBody = 256 << 10
+
+// fixture is a server that answers with the length of the body.
+type fixture struct {
+	*Server
+	t       *testing.T
+	address string
+	work    chan struct{} // if not nil, a request with a whole body waits for it
+}
+
+func serve(t *testing.T, l Limits) *fixture {
+	t.Helper()
+	f := &fixture{t: t}
+	f.Server = New("test", l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		if f.work != nil {
+			<-f.work
+		}
+		_, _ = fmt.Fprint(w, len(body))
+	}), logr.Discard())
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.address = ln.Addr().String()
+	done := make(chan struct{})
+	go func() { defer close(done); _ = f.Serve(ln) }()
+	t.Cleanup(func() { _ = f.Close(); <-done })
+	return f
+}
+
+// client is one connection to the server.
+type client struct {
+	net.Conn
+	t  *testing.T
+	in *bufio.Reader
+}
+
+func (f *fixture) dial() *client {
+	f.t.Helper()
+	nc, err := net.Dial("tcp", f.address)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	c := &client{Conn: nc, t: f.t, in: bufio.NewReader(nc)}
+	f.t.Cleanup(func() { _ = nc.Close() })
+	_ = nc.SetDeadline(time.Now().Add(20 * time.Second))
+	return c
+}
+
+func (c *client) send(text string) {
+	c.t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// status returns the status of the answer, or 0 if the connection was closed without one.
+func (c *client) status() int {
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+func post(n int) string {
+	return fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", n)
+}
+
+// request sends a whole request on a connection of its own and returns the status.
+func (f *fixture) request(n int) int {
+	c := f.dial()
+	defer func() { _ = c.Close() }()
+	c.send(post(n) + strings.Repeat("x", n))
+	return c.status()
+}
+
+// waitFor waits until a condition on the server's state holds.
+func (f *fixture) waitFor(what string, cond func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(time.Millisecond) {
+		f.mu.Lock()
+		ok := cond()
+		f.mu.Unlock()
+		if ok {
+			return
+		}
+		if time.Now().After(end) {
+			f.t.Fatalf("%s: not in time", what)
+		}
+	}
+}
+
+// phases returns the number of connections in each phase. The caller holds the server's mu.
+func (f *fixture) phases() map[phase]int {
+	n := map[phase]int{}
+	for c := range f.conns {
+		n[c.phase]++
+	}
+	return n
+}
+
+// Guards against a whole request that is given up: it may have been passed on.
+func TestWholeRequestIsNotClosed(t *testing.T) {
+	is := is.New(t)
+	l := testLimits
+	l.Connections = 2
+	f := serve(t, l)
+	f.work = make(chan struct{})
+	caller := f.dial()
+	caller.send(post(4) + "body")
+	f.waitFor("the request is whole", func() bool { return f.phases()[working] == 1 })
+	for range 5 {
+		f.dial()
+	}
+	f.waitFor("connections are closed", func() bool { return len(f.conns) == 2 })
+	close(f.work)
+	is.Equal(caller.status(), http.StatusOK)
+}
+
+// Guards against connections beyond the limit of descriptors, and against new callers that are
+// turned away while old connections do nothing.
+func TestConnectionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	l := testLimits
+	l.Connections = 4
+	f := serve(t, l)
+	first := f.dial()
+	f.waitFor("the first connection is open", func() bool { return len(f.conns) == 1 })
+	for range 10 {
+		f.dial()
+		is.Equal(f.request(4), http.StatusOK)
+		f.mu.Lock()
+		is.True(len(f.conns) <= l.Connections)
+		f.mu.Unlock()
+	}
+	is.Equal(first.status(), 0)
+}
+
+// Guards against limits that need a restart to change.
+func TestRequestLimitsChange(t *testing.T) {
+	is := is.New(t)
+	f := serve(t, testLimits)
+	is.Equal(f.request(4), http.StatusOK)
+	l := testRequestLimits
+	l.HeaderTimeout, l.IdleTimeout = 10*time.Millisecond, 10*time.Millisecond
+	f.SetRequestLimits(l)
+	is.Equal(f.dial().status(), 0) // closed while idle
+	slow := f.dial()
+	slow.send("POST / HTTP/1.1\r\nHost:")
+	is.Equal(slow.status(), 0)
+}
+
+// Guards against connections that are not given back, whatever clients send and whenever
+// they leave.
+func TestAllIsGivenBack(t *testing.T) {
+	l := testLimits
+	l.Connections = 16
+	f := serve(t, l)
+	var wg sync.WaitGroup
+	for i := range 40 {
+		wg.Go(func() {
+			r := rand.New(rand.NewPCG(uint64(i), 1))
+			for range 10 {
+				f.sendRandomly(r)
+			}
+		})
+	}
+	wg.Wait()
+	f.waitFor("all is given back", func() bool { return len(f.conns) == 0 })
+}
+
+// sendRandomly sends a request of random size and form, of which the last part may be missing.
+func (f *fixture) sendRandomly(r *rand.Rand) {
+	nc, err := net.Dial("tcp", f.address)
+	if err != nil {
+		f.t.Error(err)
+		return
+	}
+	defer func() { _ = nc.Close() }()
+	_ = nc.SetDeadline(time.Now().Add(20 * time.Second))
+	n := r.IntN(maxTestBody)
+	body := strings.Repeat("x", n)
+	text := post(n) + body
+	if r.IntN(2) == 0 {
+		text = "POST / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\r\n", r.IntN(2000)) +
+			fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", n+1, body+"x")
+	}
+	whole := r.IntN(2) == 0
+	if !whole {
+		text = text[:r.IntN(len(text))]
+	}
+	if _, err := io.WriteString(nc, text); err != nil || !whole {
+		return // closed by the server, or left by the client
+	}
+	_, _ = http.ReadResponse(bufio.NewReader(nc), nil)
+}
