httpserver: headers take memory as they arrive, up to their limit

Seen: a crowd of 400 clients whose headers have no end took 1,518 MB on an entry instance and 1,159 MB at the control address, those with whole headers above the limit 665 MB, and 1,451, 1,647 and 1,245 MB at the addresses for readiness, metrics and links, where 128 may be used.

Cause: no header limit was set, so 1 MiB held, which is 64 times the platform's limit. Many short lines make it worse: each takes a multiple of its text once it is decoded, before the server has seen the end of the header.

Change: a connection counts the bytes and lines of its header as they arrive. Above 16 KiB it is answered 431. What a header takes beyond the first 8 KiB comes from the server's memory for requests, a fraction of max_memory_mb; when that is used up, the connection with the highest product of memory and age is closed, or, if that is the one that asks, refused with 503 and Retry-After. A header with thousands of lines within 16 KiB is still served in calm (TestHeaderLimit).

--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -27,13 +28,16 @@
 	server   *Server
 	hijacked atomic.Bool // no longer under the server's limits
 
-	phase phase
-	since time.Time // when the request, the time without one, or a write of the answer began
+	phase       phase
+	since       time.Time // when the request, the time without one, or a write of the answer began
+	held        int       // bytes of the server's memory
+	headerBytes int
+	headerLines int
 }
 
-// weight returns how long a connection has been without a whole request; 0 if it must not be closed. The
-// caller holds the server's mu.
-func (c *conn) weight(now time.Time) time.Duration {
+// weight returns what a connection holds beside base, times how long its request has been on the way; 0
+// if it must not be closed. The caller holds the server's mu.
+func (c *conn) weight(base int, now time.Time) float64 {
 	age := now.Sub(c.since)
 	switch c.phase {
 	case idle, readingHeader, readingBody:
@@ -43,7 +47,7 @@
 	default:
 		return 0
 	}
-	return age
+	return float64(base+c.held) * age.Seconds()
 }
 
 // minStall is how long a write of an answer takes at least before it counts as stalled.
@@ -52,7 +56,7 @@
 // minAge keeps the weight of a new connection above 0.
 const minAge = time.Millisecond
 
-// Read implements net.Conn. It notes when a request begins.
+// Read implements net.Conn. It counts what a header takes.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if c.hijacked.Load() {
@@ -61,21 +65,43 @@
 	if err != nil {
 		c.countTimeout(err)
 	}
-	if n > 0 {
-		c.received()
+	why := c.received(p[:n])
+	if why == "" {
+		return n, err
 	}
-	return n, err
+	c.refuseHeader(why)
+	// net/http does not answer after this type of error.
+	return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: &limitError{why}}
 }
 
-// received notes the first bytes of a request.
-func (c *conn) received() {
+// limitError ends a connection whose request exceeds a limit.
+type limitError struct{ why reason }
+
+func (e *limitError) Error() string { return "limit exceeded: " + string(e.why) }
+
+// received counts bytes that have arrived. It returns why the connection must be closed, or "".
+func (c *conn) received(p []byte) reason {
 	s := c.server
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.phase == idle {
+	if c.phase == idle && len(p) > 0 {
 		c.phase, c.since = readingHeader, time.Now()
 		_ = c.Conn.SetReadDeadline(c.since.Add(s.limits.Request.HeaderTimeout + timeoutSlack))
 	}
+	if c.phase != readingHeader {
+		return ""
+	}
+	c.headerBytes += len(p)
+	c.headerLines += bytes.Count(p, []byte{'\n'})
+	if c.headerBytes > s.limits.Request.HeaderBytes+readAhead {
+		s.stats.refused(reasonHeaderTooLarge)
+		return reasonHeaderTooLarge
+	}
+	if cost := 2*c.headerBytes + headerLineBytes*c.headerLines - OwnBytes; cost > c.held && !s.acquire(c, cost-c.held) {
+		s.stats.refused(reasonMemory)
+		return reasonMemory
+	}
+	return ""
 }
 
 // Write implements net.Conn. A connection whose client does not read the answer may be closed.
@@ -96,6 +122,20 @@
 	return c.Conn.Close()
 }
 
+// refuseHeader answers directly on the connection and reads some of what still arrives. No other
+// answer can be on its way, because the HTTP server reads a header after it has written the last
+// answer.
+func (c *conn) refuseHeader(why reason) {
+	status, more := "503 Service Unavailable", "Retry-After: 1\r\n"
+	if why == reasonHeaderTooLarge {
+		status, more = "431 Request Header Fields Too Large", ""
+	}
+	_ = c.Conn.SetDeadline(time.Now().Add(lingerTime))
+	_, _ = io.WriteString(c.Conn, "HTTP/1.1 "+status+"\r\n"+more+"Content-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n"+status)
+	_ = c.CloseWrite()
+	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+}
+
 // SetReadDeadline implements net.Conn. The HTTP server sets the deadline of a header, and that of
 // the time without a request, from limits that may have changed since it was started.
 func (c *conn) SetReadDeadline(t time.Time) error {
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -1,8 +1,9 @@
 // Package httpserver serves HTTP/1.1 to clients that are not trusted, within limits on
-// connections and time.
+// connections, memory and time.
 //
-// A connection without a whole request is closed when others need it, the oldest first. Requests that
-// have been read whole are never given up.
+// A connection that holds memory or a descriptor without making progress is closed when others
+// need it; which one is decided by what it holds and for how long. Requests that have been read
+// whole are never given up.
 package httpserver
 
 import (
@@ -19,11 +20,16 @@
 type Limits struct {
 	// Connections is the number of connections that may be open.
 	Connections int
+	// MemoryBytes is the memory for the requests that are read or worked on, beyond
+	// OwnBytes for each connection.
+	MemoryBytes int
 	Request     RequestLimits
 }
 
 // RequestLimits are limits of a single request. They may change while the server runs.
 type RequestLimits struct {
+	// HeaderBytes is the size of a header, with the request line.
+	HeaderBytes int
 	// HeaderTimeout is the time for a header to arrive, from its first byte.
 	HeaderTimeout time.Duration
 	// IdleTimeout is the time for which a connection may be open without a request.
@@ -33,9 +39,32 @@
 }
 
 const (
+	// OwnBytes is the memory that each connection may use for its request without taking it
+	// from the server's. An ordinary request needs less, and is read while large ones hold all of
+	// the server's memory.
+	OwnBytes = 8 << 10
+	// connectionBytes is what a connection takes without a request: a goroutine, the buffers
+	// for reading and writing, and OwnBytes.
+	connectionBytes = 32 << 10
+	// ConnectionCost is the memory that a connection takes at most, apart from its share of
+	// Limits.MemoryBytes.
+	ConnectionCost = connectionBytes
+	// maxHeaderBytes is the highest RequestLimits.HeaderBytes.
+	maxHeaderBytes = 1 << 20
+	// readAhead is how much the HTTP server reads at a time. The part after a header belongs to
+	// the body.
+	readAhead = 4 << 10
+	// headerLineBytes is what a header line takes beside its text when it is decoded.
+	headerLineBytes = 256
 	// writeTimeout bounds a request from the end of its header to the end of its answer. It is above
 	// the longest wait that a request may ask for.
 	writeTimeout = 90 * time.Second
+	// lingerTime is how long a server reads and discards the rest of a body after it has refused
+	// the request. A connection closed with unread bytes is reset, and its client may lose the
+	// answer.
+	lingerTime = time.Second
+	// lingerBytes bounds how much of a header is discarded in that time.
+	lingerBytes = 256 << 10
 	// timeoutSlack is added to the timeouts of RequestLimits, which a client measures at its own
 	// end of the connection.
 	timeoutSlack = time.Second
@@ -49,6 +78,7 @@
 	mu     sync.Mutex // guards the fields below and those of the connections
 	limits Limits
 	conns  map[*conn]struct{}
+	used   int // bytes of MemoryBytes that are taken
 
 	onConnState func(net.Conn, http.ConnState) // set before the server serves
 }
@@ -58,7 +88,7 @@
 	s := &Server{limits: limits, conns: map[*conn]struct{}{}}
 	s.stats = newStats(name, &limits, log)
 	s.Server = &http.Server{
-		Handler: s.limitBody(h), WriteTimeout: writeTimeout,
+		Handler: s.limitBody(h), MaxHeaderBytes: maxHeaderBytes, WriteTimeout: writeTimeout,
 		ReadHeaderTimeout: limits.Request.HeaderTimeout, IdleTimeout: limits.Request.IdleTimeout, // see conn.SetReadDeadline
 		ConnState: s.connState, ConnContext: withConn,
 	}
@@ -94,7 +124,7 @@
 }
 
 // Accept implements net.Listener. While the server has as many connections as it may, a new one
-// replaces the oldest one without a whole request.
+// replaces the one that holds most for the least progress.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		nc, err := l.Listener.Accept()
@@ -112,7 +142,7 @@
 func (s *Server) admit(nc net.Conn) *conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.conns) >= s.limits.Connections && !s.evictOldest() {
+	if len(s.conns) >= s.limits.Connections && !s.evictOne(reasonConnections, nil) {
 		s.stats.refused(reasonConnections)
 		return nil
 	}
@@ -122,33 +152,60 @@
 	return c
 }
 
-// evictOldest closes the connection that has been without a whole request for longest. It returns false if
-// all connections work on whole requests. The caller holds mu.
-func (s *Server) evictOldest() bool {
+// evictOne closes the connection that holds most for the least progress. It returns false if
+// that is except, or if all connections work on whole requests. The caller holds mu.
+func (s *Server) evictOne(why reason, except *conn) bool {
 	var victim *conn
-	var most time.Duration
+	var most float64
 	now := time.Now()
+	base := ConnectionCost
+	if why == reasonMemory {
+		base = 0 // closing one that holds no memory does not help
+	}
 	for c := range s.conns {
-		if w := c.weight(now); w > most {
+		if w := c.weight(base, now); w > most {
 			victim, most = c, w
 		}
 	}
-	if victim == nil {
+	if victim == nil || victim == except {
 		return false
 	}
 	s.remove(victim)
-	s.stats.closed(reasonConnections)
+	s.stats.closed(why)
 	_ = victim.Conn.Close()
 	return true
 }
 
-// remove forgets a connection. The caller holds mu.
+// remove gives back what a connection holds and forgets it. The caller holds mu.
 func (s *Server) remove(c *conn) {
+	s.hold(c, -c.held)
 	c.phase = closed
 	delete(s.conns, c)
 	s.stats.connections.Dec()
 }
 
+// hold adds n bytes, which may be negative, to what a connection holds. The caller holds mu.
+func (s *Server) hold(c *conn, n int) {
+	s.used += n
+	c.held += n
+	s.stats.memory.Add(float64(n))
+}
+
+// acquire takes n bytes of the server's memory for a connection. While there are too few, it
+// closes connections that hold more than c for less progress. The caller holds mu.
+func (s *Server) acquire(c *conn, n int) bool {
+	if c.phase == closed {
+		return false
+	}
+	for s.used+n > s.limits.MemoryBytes {
+		if !s.evictOne(reasonMemory, c) {
+			return false
+		}
+	}
+	s.hold(c, n)
+	return true
+}
+
 // connState keeps the phase of a connection.
 func (s *Server) connState(nc net.Conn, state http.ConnState) {
 	if s.onConnState != nil {
@@ -167,6 +224,8 @@
 	case http.StateActive:
 		c.phase = working
 	case http.StateIdle:
+		s.hold(c, -c.held)
+		c.headerBytes, c.headerLines = 0, 0
 		c.phase, c.since = idle, time.Now()
 	case http.StateHijacked:
 		c.hijacked.Store(true)
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -19,10 +19,10 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-var testRequestLimits = RequestLimits{HeaderTimeout: time.Minute, IdleTimeout: time.Minute, BodyTimeout: time.Minute}
+var testRequestLimits = RequestLimits{HeaderBytes: 16 << 10, HeaderTimeout: time.Minute, IdleTimeout: time.Minute, BodyTimeout: time.Minute}
 
 // testLimits are limits of which single tests lower one.
-var testLimits = Limits{Connections: 64, Request: testRequestLimits}
+var testLimits = Limits{Connections: 64, MemoryBytes: 1 << 20, Request: testRequestLimits}
 
 const maxTestBody = 256 << 10
 
@@ -169,25 +169,59 @@
 	is.Equal(first.status(), 0)
 }
 
+// Guards against a header above the limit or without end, and against one that is within the limit
+// but is refused.
+func TestHeaderLimit(t *testing.T) {
+	is := is.New(t)
+	f := serve(t, testLimits)
+	line := "X-Long: " + strings.Repeat("x", 1000) + "\r\n"
+	c := f.dial()
+	c.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n" + strings.Repeat(line, 15) + "\r\n")
+	is.Equal(c.status(), http.StatusOK)
+	c.send("POST / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat(line, 30)) // has no end
+	is.Equal(c.status(), http.StatusRequestHeaderFieldsTooLarge)
+	is.Equal(c.status(), 0)
+	c = f.dial()
+	c.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n" + strings.Repeat("a:\r\n", 3000) + "\r\n")
+	is.Equal(c.status(), http.StatusOK)
+}
+
+// Guards against many short header lines, which take far more memory than their text.
+func TestHeaderLinesTakeMemory(t *testing.T) {
+	is := is.New(t)
+	l := testLimits
+	l.MemoryBytes = 256 << 10
+	f := serve(t, l)
+	c := f.dial()
+	c.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n" + strings.Repeat("a:\r\n", 3000) + "\r\n")
+	is.Equal(c.status(), http.StatusServiceUnavailable)
+	is.Equal(f.request(4), http.StatusOK)
+}
+
 // Guards against limits that need a restart to change.
 func TestRequestLimitsChange(t *testing.T) {
 	is := is.New(t)
 	f := serve(t, testLimits)
-	is.Equal(f.request(4), http.StatusOK)
+	c := f.dial()
+	head := "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\nX: " + strings.Repeat("x", 10<<10) + "\r\n\r\n"
+	c.send(head)
+	is.Equal(c.status(), http.StatusOK)
 	l := testRequestLimits
-	l.HeaderTimeout, l.IdleTimeout = 10*time.Millisecond, 10*time.Millisecond
+	l.HeaderBytes, l.HeaderTimeout, l.IdleTimeout = 1<<10, 10*time.Millisecond, 10*time.Millisecond
 	f.SetRequestLimits(l)
+	c.send(head)
+	is.Equal(c.status(), http.StatusRequestHeaderFieldsTooLarge)
 	is.Equal(f.dial().status(), 0) // closed while idle
 	slow := f.dial()
 	slow.send("POST / HTTP/1.1\r\nHost:")
 	is.Equal(slow.status(), 0)
 }
 
-// Guards against connections that are not given back, whatever clients send and whenever
+// Guards against memory or connections that are not given back, whatever clients send and whenever
 // they leave.
 func TestAllIsGivenBack(t *testing.T) {
 	l := testLimits
-	l.Connections = 16
+	l.Connections, l.MemoryBytes = 16, 400<<10
 	f := serve(t, l)
 	var wg sync.WaitGroup
 	for i := range 40 {
@@ -199,7 +233,7 @@
 		})
 	}
 	wg.Wait()
-	f.waitFor("all is given back", func() bool { return len(f.conns) == 0 })
+	f.waitFor("all is given back", func() bool { return f.used == 0 && len(f.conns) == 0 })
 }
 
 // sendRandomly sends a request of random size and form, of which the last part may be missing.
--- a/internal/httpserver/stats.go
+++ b/internal/httpserver/stats.go
@@ -13,15 +13,17 @@
 type reason string
 
 const (
-	reasonConnections   reason = "connections"
-	reasonHeaderTimeout reason = "header_timeout"
-	reasonBodyTimeout   reason = "body_timeout"
-	reasonIdle          reason = "idle"
+	reasonConnections    reason = "connections"
+	reasonMemory         reason = "memory"
+	reasonHeaderTooLarge reason = "header_too_large"
+	reasonHeaderTimeout  reason = "header_timeout"
+	reasonBodyTimeout    reason = "body_timeout"
+	reasonIdle           reason = "idle"
 )
 
 // allReasons are the reasons of which there are counters.
 var allReasons = []reason{
-	reasonConnections, reasonHeaderTimeout, reasonBodyTimeout, reasonIdle,
+	reasonConnections, reasonMemory, reasonHeaderTooLarge, reasonHeaderTimeout, reasonBodyTimeout, reasonIdle,
 }
 
 // logInterval is the shortest time between two log lines of one reason.
@@ -32,6 +34,7 @@
 	server      string
 	log         logr.Logger
 	connections *metrics.Gauge
+	memory      *metrics.Gauge
 	closedBy    map[reason]*metrics.Counter
 	refusedBy   map[reason]*metrics.Counter
 
@@ -47,6 +50,7 @@
 		return metrics.GetOrCreateGauge(fmt.Sprintf("%s{server=%q}", metric, name), nil)
 	}
 	gauge("teaselpaddle_http_connections_limit").Set(float64(l.Connections))
+	gauge("teaselpaddle_http_request_memory_limit_bytes").Set(float64(l.MemoryBytes))
 	counters := func(metric string) map[reason]*metrics.Counter {
 		m := map[reason]*metrics.Counter{}
 		for _, why := range allReasons {
@@ -57,7 +61,7 @@
 	return &stats{
 		closedBy: counters("teaselpaddle_http_closed_total"), refusedBy: counters("teaselpaddle_http_refused_total"),
 		server: name, log: log, logged: map[reason]time.Time{}, since: map[reason]int{},
-		connections: gauge("teaselpaddle_http_connections"),
+		connections: gauge("teaselpaddle_http_connections"), memory: gauge("teaselpaddle_http_request_memory_bytes"),
 	}
 }
 
