httpserver: bodies take memory as they arrive

Seen: 40 clients that leave bodies of a legal size incomplete took 307 to 401 MB at the control address, where 128 may be used, in one piece or chunked; 400 callers 174 to 177 MB. They could hold it for as long as they kept the connection open.

Cause: each handler read its body with io.ReadAll up to its own limit, and nothing bounded the sum. Doubling holds the old and the new buffer at once.

Change: ReadBody takes each buffer from the server's memory for requests before it is allocated, grows it with what has arrived and not by the length that a client announces, and up to that length only. When the memory is used up, the incomplete request with the highest product of memory and age is closed; if that is the one that asks, or all are whole, it is refused with 503 and Retry-After, which is true: it was not passed on. The first 8 KiB of a connection are its own, so a small request is read while large ones hold everything (TestSmallRequestNeedsNoMemory). A body that is cut short is answered 400, a slow one 408, one above its limit 413 also at the control address.

Whole bodies still exceed it, by decoding.

--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -38,8 +38,9 @@
 	t.Helper()
 	f := &fixture{t: t}
 	f.Server = New("test", l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, err := io.ReadAll(r.Body)
+		body, err := ReadBody(w, r, maxTestBody)
 		if err != nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
 		if f.work != nil {
@@ -132,6 +133,42 @@
 	return n
 }
 
+// Guards against incomplete bodies that hold all memory, so that other requests are refused: the
+// one that has held most for longest must be closed.
+func TestStalledBodyIsClosedForAnother(t *testing.T) {
+	is := is.New(t)
+	l := testLimits
+	l.MemoryBytes = 300 << 10
+	f := serve(t, l)
+	stalled := f.dial()
+	stalled.send(post(130<<10) + strings.Repeat("x", 129<<10))
+	f.waitFor("the body is read", func() bool { return f.used > 100<<10 })
+	is.Equal(f.request(150<<10), http.StatusOK)
+	is.Equal(stalled.status(), 0)
+}
+
+// Guards against a small request that is refused or waits because large ones hold all memory.
+func TestSmallRequestNeedsNoMemory(t *testing.T) {
+	is := is.New(t)
+	l := testLimits
+	l.MemoryBytes = 300 << 10
+	f := serve(t, l)
+	f.work = make(chan struct{})
+	var wg sync.WaitGroup
+	for range 2 { // whole, so they are not closed
+		wg.Go(func() { is.Equal(f.request(100<<10), http.StatusOK) })
+	}
+	f.waitFor("two bodies are read", func() bool { return f.used > 180<<10 })
+	is.Equal(f.request(200<<10), http.StatusServiceUnavailable)
+	small := make(chan int)
+	go func() { small <- f.request(4 << 10) }()
+	for range 3 {
+		f.work <- struct{}{}
+	}
+	is.Equal(<-small, http.StatusOK)
+	wg.Wait()
+}
+
 // Guards against a whole request that is given up: it may have been passed on.
 func TestWholeRequestIsNotClosed(t *testing.T) {
 	is := is.New(t)
