--- a/internal/batch/check.go
+++ b/internal/batch/check.go
@@ -6,7 +6,7 @@
 // can occupy.
 const (
 	maxPayloadBytes = 4000
-	maxSteps        = 256
+	MaxSteps        = 256
 	maxUnits        = 20000 // over all occurrences of one job
 	maxIntervalMS   = 1 << 40
 	maxResource     = 1 << 40 // for each resource and for the estimate in ms
@@ -26,7 +26,7 @@
 	switch {
 	case len(s.Payload) > maxPayloadBytes:
 		return invalid("payload is longer than %d bytes", maxPayloadBytes)
-	case len(s.Steps) == 0 || len(s.Steps) > maxSteps:
+	case len(s.Steps) == 0 || len(s.Steps) > MaxSteps:
 		return invalid("job has %d steps", len(s.Steps))
 	case s.Occurrences < 0 || s.Occurrences > maxUnits || s.StartMS < 0 || s.IntervalMS < 0 || s.IntervalMS > maxIntervalMS:
 		return invalid("occurrences are out of range")
--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -39,6 +40,10 @@
 // initialBodyBytes is the first size of the buffer of a body.
 const initialBodyBytes = 4 << 10
 
+// largeWait is how long a large request waits until others are done. It is below the time after
+// which callers of all programs try another instance.
+const largeWait = 500 * time.Millisecond
+
 // ReadBody reads a body of at most limit bytes. It takes memory as the body arrives, so that a
 // client does not hold memory for bytes that it has not sent; the memory is given back after the
 // answer. The error is a *TooLargeError, a *SlowError, an *OverloadedError or an
@@ -135,3 +140,22 @@
 		c.phase, c.since = readingBody, time.Now()
 	}
 }
+
+// BeginLarge waits until the large bodies that are being worked on are few enough for another one of the
+// given size, and returns a function that ends the request. A small request does not wait. The error
+// is an *OverloadedError.
+func BeginLarge(r *http.Request, size int) (end func(), err error) {
+	c := connOf(r)
+	if c == nil || size <= OwnBytes {
+		return func() {}, nil
+	}
+	s := c.server
+	n := int64(min(size, s.limits.LargeBytes))
+	ctx, cancel := context.WithTimeout(r.Context(), largeWait)
+	defer cancel()
+	if s.large.Acquire(ctx, n) != nil {
+		s.stats.refused(reasonLarge)
+		return nil, &OverloadedError{Detail: "too many large requests are being worked on"}
+	}
+	return func() { s.large.Release(n) }, nil
+}
--- a/internal/httpserver/machine.go
+++ b/internal/httpserver/machine.go
@@ -23,7 +23,7 @@
 const minConnections = 8
 
 // Limits returns the limits of a server with some shares of the machine.
-func (m Machine) Limits(s Shares, r RequestLimits) Limits {
+func (m Machine) Limits(s Shares, largeBytes int, r RequestLimits) Limits {
 	if m.MemoryBytes <= 0 {
 		m.MemoryBytes = defaultMemoryBytes
 	}
@@ -34,11 +34,11 @@
 	byMemory := int(s.ConnectionMemory * float64(m.MemoryBytes) / ConnectionCost)
 	return Limits{
 		Connections: max(min(byFiles, byMemory), minConnections), MemoryBytes: int(s.RequestMemory * float64(m.MemoryBytes)),
-		Request: r,
+		LargeBytes: largeBytes, Request: r,
 	}
 }
 
 // SmallLimits are the limits of a server whose clients are few and send no bodies.
 func SmallLimits(r RequestLimits) Limits {
-	return Limits{Connections: 32, MemoryBytes: 2 << 20, Request: r}
+	return Limits{Connections: 32, MemoryBytes: 2 << 20, LargeBytes: 64 << 10, Request: r}
 }
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"golang.org/x/sync/semaphore"
 )
 
 // Limits are the limits of a server. All must be above 0.
@@ -23,7 +24,10 @@
 	// MemoryBytes is the memory for the requests that are read or worked on, beyond
 	// OwnBytes for each connection.
 	MemoryBytes int
-	Request     RequestLimits
+	// LargeBytes is the sum of the bodies above OwnBytes that are decoded and worked on at the
+	// same time. Decoding a body takes several times its size. A larger one is worked on alone.
+	LargeBytes int
+	Request    RequestLimits
 }
 
 // RequestLimits are limits of a single request. They may change while the server runs.
@@ -74,6 +78,7 @@
 type Server struct {
 	*http.Server
 	stats *stats
+	large *semaphore.Weighted // bytes of Limits.LargeBytes
 
 	mu     sync.Mutex // guards the fields below and those of the connections
 	limits Limits
@@ -85,7 +90,9 @@
 
 // New returns a server. Its name, which is one of few, labels its metrics.
 func New(name string, limits Limits, h http.Handler, log logr.Logger) *Server {
-	s := &Server{limits: limits, conns: map[*conn]struct{}{}}
+	s := &Server{
+		limits: limits, large: semaphore.NewWeighted(int64(limits.LargeBytes)), conns: map[*conn]struct{}{},
+	}
 	s.stats = newStats(name, &limits, log)
 	s.Server = &http.Server{
 		Handler: s.limitBody(h), MaxHeaderBytes: maxHeaderBytes, WriteTimeout: writeTimeout,
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -22,7 +22,7 @@
 var testRequestLimits = RequestLimits{HeaderBytes: 16 << 10, HeaderTimeout: time.Minute, IdleTimeout: time.Minute, BodyTimeout: time.Minute}
 
 // testLimits are limits of which single tests lower one.
-var testLimits = Limits{Connections: 64, MemoryBytes: 1 << 20, Request: testRequestLimits}
+var testLimits = Limits{Connections: 64, MemoryBytes: 1 << 20, LargeBytes: 64 << 20, Request: testRequestLimits}
 
 const maxTestBody = 256 << 10
 
@@ -43,6 +43,12 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
+		end, err := BeginLarge(r, len(body))
+		if err != nil {
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
+		defer end()
 		if f.work != nil {
 			<-f.work
 		}
@@ -254,6 +260,26 @@
 	is.Equal(slow.status(), 0)
 }
 
+// Guards against large requests that are decoded at the same time without bound, and against a small
+// one that waits for them.
+func TestLargeRequestsAreBounded(t *testing.T) {
+	is := is.New(t)
+	l := testLimits
+	l.LargeBytes = 150 << 10
+	f := serve(t, l)
+	f.work = make(chan struct{})
+	large := make(chan int)
+	go func() { large <- f.request(100 << 10) }()
+	f.waitFor("a large request is worked on", func() bool { return f.phases()[working] == 1 })
+	is.Equal(f.request(100<<10), http.StatusTooManyRequests)
+	small := make(chan int)
+	go func() { small <- f.request(4) }()
+	f.work <- struct{}{}
+	f.work <- struct{}{}
+	is.Equal(<-large, http.StatusOK)
+	is.Equal(<-small, http.StatusOK)
+}
+
 // Guards against memory or connections that are not given back, whatever clients send and whenever
 // they leave.
 func TestAllIsGivenBack(t *testing.T) {
--- a/internal/httpserver/stats.go
+++ b/internal/httpserver/stats.go
@@ -15,6 +15,7 @@
 const (
 	reasonConnections    reason = "connections"
 	reasonMemory         reason = "memory"
+	reasonLarge          reason = "large_bodies"
 	reasonHeaderTooLarge reason = "header_too_large"
 	reasonHeaderTimeout  reason = "header_timeout"
 	reasonBodyTimeout    reason = "body_timeout"
@@ -23,7 +24,7 @@
 
 // allReasons are the reasons of which there are counters.
 var allReasons = []reason{
-	reasonConnections, reasonMemory, reasonHeaderTooLarge, reasonHeaderTimeout, reasonBodyTimeout, reasonIdle,
+	reasonConnections, reasonMemory, reasonLarge, reasonHeaderTooLarge, reasonHeaderTimeout, reasonBodyTimeout, reasonIdle,
 }
 
 // logInterval is the shortest time between two log lines of one reason.
