httpserver: few unread bytes and few waiting connections in the kernel

What has arrived and is not read counts as memory of the machine.

Cause: the kernel keeps up to megabytes for each connection, and accepts 4,096 connections on behalf of a process that does not run. No limit of the process sees them.

Its queue of connections that are not accepted is as long as its limit of connections, and 128 at least. At a round trip of 6 ms, 32 KiB is 5 MB/s.

--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -17,9 +17,10 @@
 	"golang.org/x/sync/semaphore"
 )
 
-// Limits are the limits of a server. All must be above 0.
+// Limits are the limits of a server. Unless said otherwise, they must be above 0.
 type Limits struct {
-	// Connections is the number of connections that may be open.
+	// Connections is the number of connections that may be open. As many, but at least 128, may wait
+	// to be accepted.
 	Connections int
 	// MemoryBytes is the memory for the requests that are read or worked on, beyond
 	// OwnBytes for each connection.
@@ -27,7 +28,10 @@
 	// LargeBytes is the sum of the bodies above OwnBytes that are decoded and worked on at the
 	// same time. Decoding a body takes several times its size. A larger one is worked on alone.
 	LargeBytes int
-	Request    RequestLimits
+	// ReceiveBufferBytes is the kernel's buffer for what has arrived on a connection and is not
+	// read; 0 leaves it to the kernel.
+	ReceiveBufferBytes int
+	Request            RequestLimits
 }
 
 // RequestLimits are limits of a single request. They may change while the server runs.
@@ -50,9 +54,11 @@
 	// connectionBytes is what a connection takes without a request: a goroutine, the buffers
 	// for reading and writing, and OwnBytes.
 	connectionBytes = 32 << 10
+	// receiveBufferBytes is Limits.ReceiveBufferBytes, except where bulk data is received.
+	receiveBufferBytes = 32 << 10
 	// ConnectionCost is the memory that a connection takes at most, apart from its share of
 	// Limits.MemoryBytes.
-	ConnectionCost = connectionBytes
+	ConnectionCost = connectionBytes + receiveBufferBytes
 	// maxHeaderBytes is the highest RequestLimits.HeaderBytes.
 	maxHeaderBytes = 1 << 20
 	// readAhead is how much the HTTP server reads at a time. The part after a header belongs to
@@ -119,6 +125,9 @@
 // OnConnState sets a function that is called when the state of a connection changes.
 func (s *Server) OnConnState(f func(net.Conn, http.ConnState)) { s.onConnState = f }
 
+// Listen listens on a TCP address within the server's limits.
+func (s *Server) Listen(address string) (net.Listener, error) { return Listen(address, s.limits) }
+
 // Serve accepts connections until the server is shut down, as http.Server.Serve does.
 func (s *Server) Serve(ln net.Listener) error { return s.Server.Serve(s.Limit(ln)) }
 
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -54,7 +54,7 @@
 		}
 		_, _ = fmt.Fprint(w, len(body))
 	}), logr.Discard())
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := Listen("127.0.0.1:0", l)
 	if err != nil {
 		t.Fatal(err)
 	}
