daemon: connections, requests and garbage within the daemon's memory

Seen: 400 clients took 473 MB of a teaselpaddled (whole bodies), 272 MB (incomplete ones) and, with the extent zone, 326 MB, where 256 are planned. 400 clients at the address for peers took all descriptors, and an ordinary request was not answered for 30 s beside them.

Cause: 64 MiB of bodies were allowed, but what they become when they are decoded was not counted, and neither were headers, connections and the garbage of refused requests. The address for peers bounded nothing but the time of a header.

Change: both addresses are served by package httpserver. New settings max_memory_mb (default 256, as planned in docs/CAPACITY.md) and max_files (default: the limit of the process) give the shares. From four fifths of max_memory_mb on the runtime collects garbage more often.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"path/filepath"
 	"slices"
 	"sync"
@@ -19,6 +18,7 @@
 	"teaselpaddle.example/teaselpaddle/internal/config"
 	"teaselpaddle.example/teaselpaddle/internal/control"
 	"teaselpaddle.example/teaselpaddle/internal/httpapi"
+	"teaselpaddle.example/teaselpaddle/internal/httpserver"
 	"teaselpaddle.example/teaselpaddle/internal/jobs"
 	"teaselpaddle.example/teaselpaddle/internal/link"
 	"teaselpaddle.example/teaselpaddle/internal/membership"
@@ -30,9 +30,8 @@
 	"teaselpaddle.example/teaselpaddle/internal/workerapi"
 )
 
-// Timeouts of the servers and of a planned stop.
+// Timeouts of a planned stop.
 const (
-	readHeaderTimeout = 5 * time.Second
 	// unreadyDelay is the time between the end of readiness and the closing of the
 	// listener, in which the load balancer can detect that the instance is not ready.
 	unreadyDelay    = 500 * time.Millisecond
@@ -59,8 +58,8 @@
 	controller   *control.Controller
 	spreader     *announce.Spreader
 	membership   *membership.Runner
-	clientServer *http.Server
-	peerServer   *http.Server
+	clientServer *httpserver.Server
+	peerServer   *httpserver.Server
 
 	stopping atomic.Bool
 	cancel   context.CancelFunc
@@ -70,6 +69,7 @@
 // Run serves until ctx ends, then stops gracefully. It returns an error if the
 // daemon cannot be started or if the planned stop was not completed.
 func Run(ctx context.Context, s *settings.Settings, log logr.Logger) error {
+	setMemoryLimit(s)
 	if s.Extent == settings.ExtentRegion {
 		return runRegion(ctx, s, log)
 	}
@@ -85,7 +85,7 @@
 // fails, it closes what it has opened.
 func start(s *settings.Settings, log logr.Logger) (_ *Daemon, err error) {
 	d := &Daemon{settings: s, self: s.Self(), log: log, machine: jobs.New(), board: blackboard.New()}
-	clientLn, peerLn, err := listen(d.self)
+	clientLn, peerLn, err := listen(s)
 	if err != nil {
 		return nil, err
 	}
@@ -122,12 +122,13 @@
 }
 
 // listen opens the listeners of an instance, or none of them.
-func listen(self *settings.Instance) (clients, peers net.Listener, err error) {
-	clients, err = net.Listen("tcp", self.ClientAddress)
+func listen(s *settings.Settings) (clients, peers net.Listener, err error) {
+	self := s.Self()
+	clients, err = httpserver.Listen(self.ClientAddress, httpapi.Limits(machine(s)))
 	if err != nil {
 		return nil, nil, errors.Annotate(err, "client address")
 	}
-	peers, err = net.Listen("tcp", self.PeerAddress)
+	peers, err = httpserver.Listen(self.PeerAddress, peerLimits(s))
 	if err != nil {
 		_ = clients.Close()
 		return nil, nil, errors.Annotate(err, "peer address")
@@ -221,8 +222,8 @@
 		MaxRequests: d.settings.MaxRequests,
 		Ready:       func() bool { return !d.stopping.Load() && d.jobsGroup.Status().Ready },
 	}
-	d.clientServer = httpapi.NewServer(api.Handler())
-	d.peerServer = &http.Server{Handler: d.links.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	d.clientServer = httpapi.NewServer(api.Handler(), machine(d.settings), d.log)
+	d.peerServer = newPeerServer(d.links.Handler(), d.settings, d.log)
 }
 
 // stop transfers the leadership, completes the requests in flight and shuts down.
--- a/internal/daemon/region.go
+++ b/internal/daemon/region.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"teaselpaddle.example/teaselpaddle/internal/httpapi"
+	"teaselpaddle.example/teaselpaddle/internal/httpserver"
 	"teaselpaddle.example/teaselpaddle/internal/link"
 	"teaselpaddle.example/teaselpaddle/internal/region"
 	"teaselpaddle.example/teaselpaddle/internal/settings"
@@ -26,7 +27,7 @@
 // The instances with a disk are the control instances.
 func runRegion(ctx context.Context, s *settings.Settings, log logr.Logger) error {
 	self := s.Self()
-	clientLn, peerLn, err := listen(self)
+	clientLn, peerLn, err := listen(s)
 	if err != nil {
 		return err
 	}
@@ -53,10 +54,10 @@
 		Router: router, Log: log.WithName("api"), MaxRequests: s.MaxRequests,
 		Ready: func() bool { return !stopping.Load() && router.Ready() },
 	}
-	client := httpapi.NewServer(api.Handler())
-	peer := &http.Server{Handler: links.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	client := httpapi.NewServer(api.Handler(), machine(s), log)
+	peer := newPeerServer(links.Handler(), s, log)
 	var wg sync.WaitGroup
-	serve := func(name string, srv *http.Server, ln net.Listener) {
+	serve := func(name string, srv *httpserver.Server, ln net.Listener) {
 		wg.Go(func() {
 			if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 				log.Error(err, "listener ended", "address", name)
--- a/internal/httpapi/config.go
+++ b/internal/httpapi/config.go
@@ -54,10 +54,12 @@
 
 func (a *API) publish(w http.ResponseWriter, r *http.Request) {
 	var p config.Publish
-	if err := decode(w, r, &p); err != nil {
+	end, err := decode(w, r, &p)
+	if err != nil {
 		writeError(w, err)
 		return
 	}
+	defer end()
 	resp, err := a.Router.Publish(r.Context(), &p)
 	if err != nil {
 		writeError(w, err)
--- a/internal/httpapi/jobs.go
+++ b/internal/httpapi/jobs.go
@@ -62,10 +62,12 @@
 
 func (a *API) submit(w http.ResponseWriter, r *http.Request) {
 	var spec model.JobSpec
-	if err := decode(w, r, &spec); err != nil {
+	end, err := decode(w, r, &spec)
+	if err != nil {
 		writeError(w, err)
 		return
 	}
+	defer end()
 	if ref := checkSpec(&spec); ref != nil {
 		refuse(w, ref)
 		return
--- a/internal/httpapi/region.go
+++ b/internal/httpapi/region.go
@@ -92,10 +92,12 @@
 
 func (a *RegionAPI) submit(w http.ResponseWriter, r *http.Request) {
 	var spec batch.Spec
-	if err := decode(w, r, &spec); err != nil {
+	end, err := decode(w, r, &spec)
+	if err != nil {
 		writeError(w, err)
 		return
 	}
+	defer end()
 	id := chi.URLParam(r, "id")
 	if ref := firstRefusal(checkName("id", id), invalidRefusal(spec.Check())); ref != nil {
 		refuse(w, ref)
@@ -144,10 +146,12 @@
 
 func (a *RegionAPI) publish(w http.ResponseWriter, r *http.Request) {
 	var c batch.Config
-	if err := decode(w, r, &c); err != nil {
+	end, err := decode(w, r, &c)
+	if err != nil {
 		writeError(w, err)
 		return
 	}
+	defer end()
 	doc, err := json.Marshal(&c)
 	if err != nil {
 		writeError(w, err)
@@ -217,10 +221,12 @@
 func (a *RegionAPI) announce(leaving bool) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		var body workerapi.UnitAnnouncement
-		if err := decode(w, r, &body); err != nil {
+		end, err := decode(w, r, &body)
+		if err != nil {
 			writeError(w, err)
 			return
 		}
+		defer end()
 		wk := body.Worker
 		ref := firstRefusal(checkName("name", wk.ID), checkName("service", wk.Service))
 		if ref == nil && wk.Incarnation < 1 {
--- a/internal/httpapi/server.go
+++ b/internal/httpapi/server.go
@@ -7,32 +7,36 @@
 
 	"github.com/go-logr/logr"
 
+	"teaselpaddle.example/teaselpaddle/internal/httpserver"
 	"teaselpaddle.example/teaselpaddle/internal/model"
 	"teaselpaddle.example/teaselpaddle/internal/telemetry"
 )
 
-// Limits of the server for callers, workers and operators.
+// requestLimits are the limits of the requests of callers, workers and operators.
+var requestLimits = httpserver.RequestLimits{
+	HeaderBytes: 16 << 10, HeaderTimeout: 5 * time.Second, IdleTimeout: 60 * time.Second, BodyTimeout: 10 * time.Second,
+}
+
+// serverShares are the fractions of the machine that the server may use.
+var serverShares = httpserver.Shares{Connections: 0.5, ConnectionMemory: 0.25, RequestMemory: 0.2}
+
 const (
-	readHeaderTimeout = 5 * time.Second
-	// readTimeout bounds reads outside handlers; handlers set their own deadline.
-	readTimeout    = 15 * time.Second
-	idleTimeout    = 60 * time.Second
-	maxHeaderBytes = 16 << 10
-	// writeTimeout exceeds the longest wait of a request plus the request's own time
-	// limit.
-	writeTimeout = maxWait + 30*time.Second
+	// largeBytes is the sum of the large bodies that are worked on at the same time.
+	largeBytes = maxBodyBytes
 	// defaultMaxRequests applies if API.MaxRequests is 0.
 	defaultMaxRequests = 1024
 	// maxWorkerRequests is the limit of concurrent requests from workers.
 	maxWorkerRequests = 512
 )
 
-// NewServer returns a server with limits against slow clients.
-func NewServer(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler: h, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout,
-		WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
+// Limits returns the limits of the server for callers, workers and operators.
+func Limits(m httpserver.Machine) httpserver.Limits {
+	return m.Limits(serverShares, largeBytes, requestLimits)
+}
+
+// NewServer returns a server for callers, workers and operators.
+func NewServer(h http.Handler, m httpserver.Machine, log logr.Logger) *httpserver.Server {
+	return httpserver.New("clients", Limits(m), h, log)
 }
 
 // limitConcurrency returns middleware that refuses a request while n others are in
--- a/internal/httpapi/workers.go
+++ b/internal/httpapi/workers.go
@@ -9,10 +9,12 @@
 
 func (a *API) announce(w http.ResponseWriter, r *http.Request) {
 	var wk model.Worker
-	if err := decode(w, r, &wk); err != nil {
+	end, err := decode(w, r, &wk)
+	if err != nil {
 		writeError(w, err)
 		return
 	}
+	defer end()
 	if ref := checkWorker(&wk, a.Router.Zones); ref != nil {
 		refuse(w, ref)
 		return
@@ -24,10 +26,12 @@
 // report answers after the report is committed.
 func (a *API) report(w http.ResponseWriter, r *http.Request) {
 	var rep workerapi.Report
-	if err := decode(w, r, &rep); err != nil {
+	end, err := decode(w, r, &rep)
+	if err != nil {
 		writeError(w, err)
 		return
 	}
+	defer end()
 	if ref := a.checkReport(&rep); ref != nil {
 		refuse(w, ref)
 		return
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -18,6 +18,10 @@
 	maxLeaseSeconds = 600
 	minRequests     = 16
 	maxRequests     = 100000
+	minMemoryMB     = 64
+	maxMemoryMB     = 1 << 20
+	minFiles        = 128
+	maxFiles        = 1 << 20
 	maxNameBytes    = 63
 	maxInstances    = 1000
 	maxZones        = 64
@@ -83,6 +87,12 @@
 	if s.MaxRequests < minRequests || s.MaxRequests > maxRequests {
 		c.add("max_requests", "must be between %d and %d requests, not %d", minRequests, maxRequests, s.MaxRequests)
 	}
+	if s.MaxMemoryMB < minMemoryMB || s.MaxMemoryMB > maxMemoryMB {
+		c.add("max_memory_mb", "must be between %d and %d MB, not %d", minMemoryMB, maxMemoryMB, s.MaxMemoryMB)
+	}
+	if s.MaxFiles != 0 && (s.MaxFiles < minFiles || s.MaxFiles > maxFiles) {
+		c.add("max_files", "must be between %d and %d descriptors, not %d", minFiles, maxFiles, s.MaxFiles)
+	}
 	switch {
 	case s.Extent != ExtentZone && s.Extent != ExtentRegion:
 		c.add("extent", "must be %q or %q, not %q", ExtentZone, ExtentRegion, s.Extent)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -80,6 +80,12 @@
 	// MaxRequests is the maximum number of requests handled concurrently; further
 	// requests are refused as overloaded; default: 1024.
 	MaxRequests int `json:"max_requests,omitempty"`
+	// MaxMemoryMB is the memory that the process may use, MB. Connections and requests take
+	// fractions of it, and near it garbage is collected more often; default: 256.
+	MaxMemoryMB int `json:"max_memory_mb,omitempty"`
+	// MaxFiles is the number of file descriptors that the process may have open; default:
+	// the limit that the system has set for it.
+	MaxFiles int `json:"max_files,omitempty"`
 	// Preemption is when runs are stopped for urgent jobs, eager or economical; only
 	// with the extent region; default: eager.
 	Preemption place.Preemption `json:"preemption,omitempty"`
@@ -106,6 +112,8 @@
 	// expire during a change of leader.
 	defaultLeaseSeconds = 10
 	defaultMaxRequests  = 1024
+	// defaultMaxMemoryMB is the planned size of a daemon, see docs/CAPACITY.md.
+	defaultMaxMemoryMB = 256
 )
 
 // Limits on a settings file.
@@ -182,7 +190,7 @@
 	}
 	s := &Settings{
 		Extent: ExtentZone, LogLevel: defaultLogLevel, LeaseSeconds: defaultLeaseSeconds, MaxRequests: defaultMaxRequests,
-		WorkerSpeeds: SpeedsEqual,
+		WorkerSpeeds: SpeedsEqual, MaxMemoryMB: defaultMaxMemoryMB,
 	}
 	if err := strictjson.Decode(std, s, strictjson.Limits{Nesting: maxNesting, Tokens: maxTokens}); err != nil {
 		return nil, err
