region: a request that a busy leader has not handled has not run

It answered 504, "outcome unknown", and took the leader for lost, so that its next requests went to the other instances first.

Cause: every error but "not sent" counted as a request that may have been carried out. A busy instance says so without calling the handler.

Change: such an answer is neither. The entry goes on trying for the caller's time and then answers 503, which is true.

TestBusyLeaderHasNotRun fails on the commit before.

--- a/internal/region/router.go
+++ b/internal/region/router.go
@@ -283,7 +283,10 @@
 // instance named, to be tried next, or "".
 func (r *Router) recordAttempt(failure *UnavailableError, c string, rep *Reply, err error) string {
 	var notSent *link.NotSentError
+	var remote *link.RemoteError
 	switch {
+	case errors.As(err, &remote) && remote.Busy: // it has not handled the request, and lives
+		failure.Cause = err
 	case err != nil:
 		r.recordFailure(c)
 		failure.Cause = err
--- a/internal/region/router_test.go
+++ b/internal/region/router_test.go
@@ -23,6 +23,7 @@
 	hint   map[string]string // leader that each instance names
 	failed int               // calls of the leader to leave without a reply, which may have been carried out
 	answer batch.Verdict     // of the leader
+	busy   int               // calls of the leader to refuse because of its limits
 	asked  []string
 }
 
@@ -33,11 +34,18 @@
 	f.mu.Lock()
 	f.asked = append(f.asked, to)
 	dead, leads, hint := f.dead[to], f.leader == to, f.hint[to]
+	busy := leads && f.busy > 0
+	if busy {
+		f.busy--
+	}
 	lost := leads && f.failed > 0
 	if lost {
 		f.failed--
 	}
 	f.mu.Unlock()
+	if busy {
+		return nil, &link.RemoteError{To: to, Busy: true}
+	}
 	if lost {
 		return nil, &link.NoReplyError{To: to, Cause: context.Canceled}
 	}
@@ -101,6 +109,24 @@
 	is.True(u.MayHaveRun)
 }
 
+// Guards against an unknown outcome of a submission that a busy leader has refused without handling it,
+// and against taking that leader for lost.
+func TestBusyLeaderHasNotRun(t *testing.T) {
+	is := is.New(t)
+	f := &fakePeers{leader: "a", busy: 1 << 20}
+	r := testRouter(f)
+	_, err := r.Submit(timeoutContext(t, 300*time.Millisecond), &batch.Submit{ID: "x"})
+	var u *UnavailableError
+	is.True(errors.As(err, &u))
+	is.True(!u.MayHaveRun)
+	is.True(!r.recentlyFailed("a"))
+	f.mu.Lock()
+	f.busy = 2
+	f.mu.Unlock()
+	_, err = r.Submit(timeoutContext(t, 2*time.Second), &batch.Submit{ID: "x"})
+	is.NoErr(err)
+}
+
 // The answer to a submission is lost, and the repeated one is refused, because the key was
 // revoked or the queue closed meanwhile. Guards against a refusal of a job that runs.
 func TestRefusalAfterLostAnswerIsNoRefusal(t *testing.T) {
