link: the bytes of the requests being handled are bounded

Seen: nothing in a trial; suspected from reading. Entry instances forward whole requests of up to 256 KiB, a control instance handles 1,024 at once, and the sum of their sizes had no bound: 256 MiB on a leader with 280 MB.

Beyond it a request is answered as busy, before its handler is called; a single request of any size is handled. Small requests are refused only with the large ones that fill it.

TestHandlerBytesLimit, new, does not compile before. An ordinary job of 4 KB takes 28 MB only with 7,000 others.

--- a/internal/link/config.go
+++ b/internal/link/config.go
@@ -21,6 +21,7 @@
 	defaultQueueBytes     = 32 << 20
 	defaultMaxRequests    = 1024
 	defaultMaxHandlers    = 1024
+	defaultHandlerBytes   = 64 << 20
 	defaultPeerHandlers   = 256
 	defaultMaxPeers       = 1024 // above the largest deployment of docs/CAPACITY.md with its replaced instances
 	defaultMaxReplies     = 8192
@@ -52,14 +53,17 @@
 	BackoffMin   time.Duration // pause after a failed dial, doubled with each failure
 	BackoffMax   time.Duration
 
-	MaxMessage    int // bytes of one message
-	QueueLength   int // one-way messages queued for one instance
-	QueueBytes    int // bytes of those messages
-	MaxRequests   int // requests in flight to one instance
-	MaxHandlers   int // requests being handled, for all instances
-	PeerHandlers  int // requests being handled, for one instance
-	MaxReplies    int // operation numbers kept for one instance
-	MaxReplyBytes int // bytes of replies kept for one instance
+	MaxMessage  int // bytes of one message
+	QueueLength int // one-way messages queued for one instance
+	QueueBytes  int // bytes of those messages
+	MaxRequests int // requests in flight to one instance
+	MaxHandlers int // requests being handled, for all instances
+	// MaxHandlerBytes bounds the bytes of the requests being handled, for all instances. It does not
+	// apply to a single request.
+	MaxHandlerBytes int
+	PeerHandlers    int // requests being handled, for one instance
+	MaxReplies      int // operation numbers kept for one instance
+	MaxReplyBytes   int // bytes of replies kept for one instance
 
 	// version is offered and accepted in handshakes; tests change it.
 	version string
@@ -84,6 +88,7 @@
 	setDefault(&c.QueueBytes, defaultQueueBytes)
 	setDefault(&c.MaxRequests, defaultMaxRequests)
 	setDefault(&c.MaxHandlers, defaultMaxHandlers)
+	setDefault(&c.MaxHandlerBytes, defaultHandlerBytes)
 	setDefault(&c.PeerHandlers, defaultPeerHandlers)
 	setDefault(&c.MaxPeers, defaultMaxPeers)
 	setDefault(&c.MaxReplies, defaultMaxReplies)
--- a/internal/link/inbound.go
+++ b/internal/link/inbound.go
@@ -177,7 +177,7 @@
 	switch {
 	case h == nil:
 		in.links.sendReplyAsync(c, e.Op, replyFailed, []byte("no handler for messages of kind "+strconv.Quote(string(e.Kind))))
-	case len(in.records) >= in.links.cfg.MaxReplies || in.running >= in.links.cfg.PeerHandlers || !in.links.acquireHandlerSlot():
+	case len(in.records) >= in.links.cfg.MaxReplies || in.running >= in.links.cfg.PeerHandlers || !in.links.acquireHandlerSlot(len(e.Body)):
 		in.links.sendReplyAsync(c, e.Op, replyBusy, []byte("too many requests"))
 	default:
 		r := &requestRecord{running: true}
@@ -204,7 +204,7 @@
 
 func (in *inbound) runHandler(h Handler, r *requestRecord, e *envelope, session uint64) {
 	defer in.links.wg.Done()
-	defer in.links.releaseHandlerSlot()
+	defer in.links.releaseHandlerSlot(len(e.Body))
 	ctx, cancel := context.WithTimeout(in.links.ctx, time.Duration(e.Millis)*time.Millisecond)
 	defer cancel()
 	if e.Group != "" {
@@ -256,16 +256,26 @@
 	}
 }
 
-func (l *Links) acquireHandlerSlot() bool {
+// acquireHandlerSlot takes the slot of a request of n bytes. It returns false if too many requests, or
+// too many bytes of them, are being handled.
+func (l *Links) acquireHandlerSlot(n int) bool {
+	if held := l.handlerBytes.Add(int64(n)); held > int64(max(n, l.cfg.MaxHandlerBytes)) {
+		l.handlerBytes.Add(int64(-n))
+		return false
+	}
 	select {
 	case l.handlerSlots <- struct{}{}:
 		return true
 	default:
+		l.handlerBytes.Add(int64(-n))
 		return false
 	}
 }
 
-func (l *Links) releaseHandlerSlot() { <-l.handlerSlots }
+func (l *Links) releaseHandlerSlot(n int) {
+	l.handlerBytes.Add(int64(-n))
+	<-l.handlerSlots
+}
 
 // sendReplyAsync sends a reply without blocking the read loop.
 func (l *Links) sendReplyAsync(c *conn, number uint64, status replyStatus, body []byte) {
--- a/internal/link/limits_test.go
+++ b/internal/link/limits_test.go
@@ -199,3 +199,36 @@
 		return a.counter(name) == 1 && b.counter(name) == 1
 	})
 }
+
+// Guards against large requests that take the receiver's memory: beyond the limit of bytes they must
+// be refused without running, while one alone and small ones are handled.
+func TestHandlerBytesLimit(t *testing.T) {
+	is := is.NewRelaxed(t) // also used by other goroutines
+	a, b, _ := pair(t, Config{}, Config{MaxHandlerBytes: 10 << 10})
+	release := make(chan struct{})
+	var runs atomic.Int32
+	b.Handle(KindRequest, func(context.Context, string, []byte) ([]byte, error) {
+		runs.Add(1)
+		<-release
+		return nil, nil
+	})
+	var wg sync.WaitGroup
+	call := func(n int) {
+		wg.Go(func() {
+			_, err := a.Call(within(t, testTimeout), "b", KindRequest, make([]byte, n))
+			is.NoErr(err)
+		})
+	}
+	call(9 << 10)
+	eventually(t, testTimeout, func() bool { return runs.Load() == 1 })
+	_, err := a.Call(within(t, testTimeout), "b", KindRequest, make([]byte, 9<<10))
+	var remote *RemoteError
+	is.True(errors.As(err, &remote) && remote.Busy)
+	call(100)
+	eventually(t, testTimeout, func() bool { return runs.Load() == 2 })
+	close(release)
+	wg.Wait()
+	call(100 << 10)
+	wg.Wait()
+	is.Equal(runs.Load(), int32(3))
+}
--- a/internal/link/links.go
+++ b/internal/link/links.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -33,6 +34,7 @@
 	closing      chan struct{}
 	wg           sync.WaitGroup
 	handlerSlots chan struct{} // one for each request being handled
+	handlerBytes atomic.Int64  // bytes of those requests
 
 	mu       sync.Mutex // guards peers and the fields of this block
 	closed   bool
