region, platform: the limits of a configuration bind callers' requests

A desired state has limits of header, body and times, and no program read them; the programs used constants of their own, some of them far higher, and would refuse requests within raised limits.

Cause: entry instances keep no configuration.

Change: the leader sends the limits of the configuration in force in its answers to pings, and an entry instance pings at least every 5 s. The field is new in a reply that earlier builds skip; nothing in the log changes.

--- a/internal/region/control.go
+++ b/internal/region/control.go
@@ -58,7 +58,10 @@
 	RelayAbove int
 	// FairShareHalfLifeMS is as in dispatch.Config.
 	FairShareHalfLifeMS int64
-	Log                 logr.Logger
+	// LimitsOf returns the limits of callers' requests in a configuration as its operator
+	// published it; nil if configurations have none.
+	LimitsOf func(document []byte) *RequestLimits
+	Log      logr.Logger
 }
 
 // Control is a member of the region's group. The member that leads the group drives
@@ -81,6 +84,7 @@
 	loggedVersion atomic.Uint64 // version of the configuration that was logged last
 	// loggedZones holds the generation of each zone that was logged last; see logZones.
 	loggedZones map[string]uint64
+	limits      atomic.Pointer[versionedLimits] // of the last pings
 
 	mu         sync.Mutex // guards leadership
 	leadership *dispatch.Leadership
--- a/internal/region/handle.go
+++ b/internal/region/handle.go
@@ -91,12 +91,37 @@
 	case req.Signs != nil:
 		c.recordSigns(rep, req.Signs)
 	case req.Ping != nil:
+		rep.Limits = c.requestLimits()
 	default:
 		c.read(ctx, rep, &req)
 	}
 	return rep
 }
 
+// requestLimits returns the limits of callers' requests in the configuration in force.
+func (c *Control) requestLimits() *RequestLimits {
+	if c.cfg.LimitsOf == nil {
+		return nil
+	}
+	var cfg *batch.Config
+	c.machine.View(func(v *batch.View) { cfg = v.Config() })
+	if cfg == nil {
+		return nil
+	}
+	if known := c.limits.Load(); known != nil && known.version == cfg.Version {
+		return known.limits
+	}
+	l := &versionedLimits{version: cfg.Version, limits: c.cfg.LimitsOf(cfg.Document)}
+	c.limits.Store(l)
+	return l.limits
+}
+
+// versionedLimits are the limits in a version of the configuration.
+type versionedLimits struct {
+	version uint64
+	limits  *RequestLimits
+}
+
 // publish commits a configuration.
 func (c *Control) publish(ctx context.Context, rep *Reply, cfg *batch.Config, term uint64) {
 	c.configChange.Lock()
--- a/internal/region/message.go
+++ b/internal/region/message.go
@@ -98,4 +98,15 @@
 	Customers []dispatch.CustomerView `cbor:"14,keyasint,omitempty"` // sorted by name
 	// SignsTaken is set if the leader has recorded signs of life. An earlier version ignores them.
 	SignsTaken bool `cbor:"16,keyasint,omitempty"`
+	// Limits are the limits of the configuration in force in the answer to a ping; nil if it has
+	// none. An earlier version does not send them.
+	Limits *RequestLimits `cbor:"17,keyasint,omitempty"`
+}
+
+// RequestLimits are limits of callers' requests. A limit of 0 is not set.
+type RequestLimits struct {
+	HeaderBytes     int64 `cbor:"1,keyasint,omitempty"`
+	BodyBytes       int64 `cbor:"2,keyasint,omitempty"`
+	HeaderTimeoutMS int64 `cbor:"3,keyasint,omitempty"`
+	IdleTimeoutMS   int64 `cbor:"4,keyasint,omitempty"`
 }
--- a/internal/region/readiness.go
+++ b/internal/region/readiness.go
@@ -17,6 +17,9 @@
 	// pingInterval is the time since the leader's last answer after which the instance
 	// pings the leader.
 	pingInterval = time.Second
+	// limitsInterval is the longest time between two pings, whose answers have the limits of
+	// callers' requests, of an instance that uses them.
+	limitsInterval = 5 * time.Second
 )
 
 // leaderHeardGauge shows the time since the leader's last answer in seconds. It is
@@ -49,12 +52,14 @@
 	return time.Since(r.LastLeaderAnswer()) <= maxReadyAge && !r.cutOff.cut.Load()
 }
 
-// Watch pings the leader whenever it has not answered a request for pingInterval, and
-// logs changes of readiness. It returns when ctx ends.
+// Watch pings the leader whenever it has not answered a request for pingInterval, logs changes of
+// readiness, and passes changed limits to LimitsChanged. It returns when ctx ends.
 func (r *Router) Watch(ctx context.Context) {
 	t := time.NewTicker(pingInterval / 4)
 	defer t.Stop()
 	ready := false
+	var pinged time.Time
+	var limits RequestLimits
 	r.cutOff.watched.Store(true)
 	defer r.cutOff.watched.Store(false)
 	for {
@@ -66,13 +71,18 @@
 		if r.cutOff.cut.Load() {
 			r.checkCutOff()
 		}
-		if time.Since(r.LastLeaderAnswer()) > pingInterval {
+		if time.Since(r.LastLeaderAnswer()) > pingInterval || r.LimitsChanged != nil && time.Since(pinged) > limitsInterval {
+			pinged = time.Now()
 			pctx, cancel := context.WithTimeout(ctx, pingInterval)
 			err := r.Ping(pctx)
 			cancel()
 			if err != nil && ready {
 				r.Log.Info("leader does not answer", "error", err.Error())
 			}
+			if l := r.limits.Load(); l != nil && *l != limits && r.LimitsChanged != nil {
+				limits = *l
+				r.LimitsChanged(l)
+			}
 		}
 		leaderHeardGauge.Set(r.LeaderAge().Seconds())
 		readyNow := r.Ready()
--- a/internal/region/router.go
+++ b/internal/region/router.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -57,6 +58,11 @@
 	Local func(ctx context.Context, req []byte) *Reply
 	// Off are the mechanisms that are switched off.
 	Off mechanism.Set
+	// LimitsChanged, if not nil, is called by Watch with the limits of callers' requests in the
+	// configuration in force whenever they differ from those before.
+	LimitsChanged func(*RequestLimits)
+
+	limits atomic.Pointer[RequestLimits] // in the last answer to a ping
 
 	cutOff cutOff
 	relay  *relay // nil on entry instances
@@ -172,8 +178,14 @@
 
 // Ping checks whether a leader can be reached.
 func (r *Router) Ping(ctx context.Context) error {
-	_, err := r.forward(ctx, &request{Ping: &struct{}{}})
-	return err
+	rep, err := r.forward(ctx, &request{Ping: &struct{}{}})
+	if err != nil {
+		return err
+	}
+	if rep.Limits != nil {
+		r.limits.Store(rep.Limits)
+	}
+	return nil
 }
 
 // forward sends a request to the known leader, then to every other instance in turn,
