platform, daemon: the soft limit of the heap leaves room for the kernel's buffers

Cause: the runtime may use 0.8 of the memory before it collects garbage harder. On an entry instance the kernel's buffers of its connections may take 0.125 at most since they are bounded, and the program's text takes 12 MB: 1.02 of a machine with 128 MB.

Change: 0.75.

--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -14,7 +14,7 @@
 
 // memoryLimitShare is the fraction of max_memory_mb that is set as the Go runtime's soft limit. The
 // rest is for the program itself and for the kernel's buffers of its connections.
-const memoryLimitShare = 0.8
+const memoryLimitShare = 0.75
 
 // setMemoryLimit sets the soft limit of the Go runtime's memory. Without it, the garbage of refused
 // requests exceeds the memory before it is collected.
