--- a/internal/crowd/crowd.go
+++ b/internal/crowd/crowd.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -137,15 +138,15 @@
 	_, _ = c.Write(bytes.Repeat([]byte("\r\n"), sentHeadBytes/2))
 }
 
-// Crowd is a number of clients that send requests of one kind. Half of them go to each of two
-// targets if there are two.
+// Crowd is a number of clients that send requests of one kind, in turn to each of its targets.
 type Crowd struct {
 	kind    Kind
 	targets []Target
 	rounds  int
 
 	open    atomic.Int64
-	stopped chan struct{}
+	ctx     context.Context // ends with Stop
+	cancel  context.CancelFunc
 	settled sync.WaitGroup
 	ended   sync.WaitGroup
 }
@@ -153,7 +154,8 @@
 // Start starts a crowd of n clients. A client whose connection is closed connects again, until
 // it has used rounds connections.
 func Start(kind Kind, n, rounds int, targets ...Target) *Crowd {
-	cr := &Crowd{kind: kind, targets: targets, rounds: rounds, stopped: make(chan struct{})}
+	cr := &Crowd{kind: kind, targets: targets, rounds: rounds}
+	cr.ctx, cr.cancel = context.WithCancel(context.Background())
 	cr.settled.Add(n)
 	cr.ended.Add(n)
 	for i := range n {
@@ -170,7 +172,7 @@
 
 // Stop closes all connections and waits for the clients.
 func (cr *Crowd) Stop() {
-	close(cr.stopped)
+	cr.cancel()
 	cr.ended.Wait()
 }
 
@@ -179,10 +181,8 @@
 	settle := sync.OnceFunc(cr.settled.Done)
 	defer settle()
 	for range cr.rounds {
-		select {
-		case <-cr.stopped:
+		if cr.ctx.Err() != nil {
 			return
-		default:
 		}
 		cr.useConnection(t, settle)
 	}
@@ -191,21 +191,15 @@
 // useConnection runs the crowd's kind on one connection. It calls settle when the client holds
 // the connection after that and the server has not closed it.
 func (cr *Crowd) useConnection(t *Target, settle func()) {
-	c, err := net.DialTimeout("tcp", t.Address, answerTimeout)
+	dialer := net.Dialer{Timeout: answerTimeout}
+	c, err := dialer.DialContext(cr.ctx, "tcp", t.Address)
 	if err != nil {
 		return
 	}
 	cr.open.Add(1)
 	defer cr.open.Add(-1)
-	closed := make(chan struct{})
-	defer close(closed)
-	go func() {
-		select {
-		case <-cr.stopped:
-		case <-closed:
-		}
-		_ = c.Close()
-	}()
+	defer func() { _ = c.Close() }()
+	defer context.AfterFunc(cr.ctx, func() { _ = c.Close() })()
 	_ = c.SetDeadline(time.Now().Add(answerTimeout))
 	cr.kind.run(c, t)
 	if !cr.kind.holds {
