overload: empty lines before the first request

The crowds sent empty lines without end only after a request, where a server may accept some. A second kind sends them at once.

--- a/cmd/teaselpaddled/overload_test.go
+++ b/cmd/teaselpaddled/overload_test.go
@@ -215,13 +215,17 @@
 	startDaemon(t, "region").run(clientPort, jobHead, crowd.EndlessHeads)
 }
 
+func TestOverloadDaemonLeadingLines(t *testing.T) {
+	startDaemon(t, "region").run(clientPort, jobHead, crowd.LeadingLines)
+}
+
 func TestOverloadDaemonEmptyLines(t *testing.T) {
 	startDaemon(t, "region").run(clientPort, jobHead, crowd.EmptyLines)
 }
 
 // allKinds are the kinds of crowds at an address that is tested with all of them in one run.
 var allKinds = []crowd.Kind{
-	crowd.WholeBodies, crowd.PartialBodies, crowd.LargeChunks, crowd.TinyChunks, crowd.OversizedHeads, crowd.EndlessHeads, crowd.EmptyLines,
+	crowd.WholeBodies, crowd.PartialBodies, crowd.LargeChunks, crowd.TinyChunks, crowd.OversizedHeads, crowd.EndlessHeads, crowd.LeadingLines, crowd.EmptyLines,
 }
 
 func TestOverloadZoneDaemon(t *testing.T) {
--- a/internal/crowd/crowd.go
+++ b/internal/crowd/crowd.go
@@ -54,7 +54,8 @@
 	TinyChunks     = Kind{Name: "tiny chunks, incomplete", run: sendChunks(tinyChunkBytes), holds: true}
 	OversizedHeads = Kind{Name: "oversized heads", run: sendOversizedHead, holds: true}
 	EndlessHeads   = Kind{Name: "heads without end", run: sendEndlessHead, holds: true}
-	EmptyLines     = Kind{Name: "empty lines without end", run: sendEmptyLines, holds: true}
+	LeadingLines   = Kind{Name: "empty lines before the first request", run: sendLeadingLines, holds: true}
+	EmptyLines     = Kind{Name: "empty lines after a request", run: sendEmptyLines, holds: true}
 )
 
 // missingBytes is how much of an incomplete body is never sent.
@@ -130,6 +131,10 @@
 	_, _ = fmt.Fprintf(c, "%s%s", t.Head, headerLines(sentHeadBytes))
 }
 
+func sendLeadingLines(c net.Conn, _ *Target) {
+	_, _ = c.Write(bytes.Repeat([]byte("\r\n"), sentHeadBytes/2))
+}
+
 // sendEmptyLines sends a whole request first, after which a server may accept an empty line.
 func sendEmptyLines(c net.Conn, t *Target) {
 	if _, err := fmt.Fprintf(c, "%sContent-Length: 2\r\n\r\n{}", t.Head); err != nil {
