--- /dev/null
+++ b/review/_cases3/cases.go
@@ -0,0 +1,189 @@
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+// cases holds the cases by name. Each reports whether its rule held.
+var cases = map[string]func(*deployment) bool{
+	"crashes":  playCrashes,
+	"twolives": playTwoLives,
+	"gone":     playGone,
+	"host":     playHost,
+}
+
+// begin publishes the first desired state and waits for the workers.
+func (d *deployment) begin(workers int) {
+	d.publish(1, route("r-ce7ejsm", hostName, queuePath))
+	d.addWorkers(workers)
+	time.Sleep(3 * time.Second)
+}
+
+// job returns the body of a job with one step.
+func job(count, gpus, workMS, estimateMS int) string {
+	return fmt.Sprintf(`{"task_spec":"work_ms=%d","steps":[{"count":%d,"cpu":13000,"mem_mb":70000,"gpu":%d,"estimate_ms":%d}]}`, workMS, count, gpus, estimateMS)
+}
+
+// playCrashes: the worker that has just taken a job's only work unit crashes, twice. Each time it is back
+// after a second under its id. No run ends as failed.
+func playCrashes(d *deployment) bool {
+	d.begin(8)
+	const id = "5c0e7a21d94b36f8"
+	d.submit(id, job(1, 8, 8500, 8500))
+	after := d.began
+	for range 2 {
+		r := d.awaitRun(id, after, 20*time.Second)
+		if r == nil {
+			notRun("the work unit was not started")
+		}
+		after = r.begunAt
+		if !d.trouble {
+			break
+		}
+		time.Sleep(150 * time.Millisecond)
+		w := d.worker(r.worker)
+		w.kill()
+		time.Sleep(time.Second)
+		w.start()
+	}
+	state := ""
+	for end := time.Now().Add(40 * time.Second); time.Now().Before(end); time.Sleep(500 * time.Millisecond) {
+		if state = d.state(id); state == "failed" || state == "completed" {
+			break
+		}
+	}
+	failed := 0
+	for _, r := range d.runsOf(id) {
+		if r.ended == "failed" {
+			failed++
+		}
+	}
+	d.note("the job is shown as %q; %d runs ended as failed, max_attempts is 3", state, failed)
+	if state == "" || state == "failed" && failed >= 3 {
+		notRun("no clear end")
+	}
+	return state != "failed"
+}
+
+// finish is finish_s: the time after the end of the traffic from which on a job may not lie idle.
+const finish = 14 * time.Second
+
+// idleTime is the time for which a job must have nothing running to count as lost.
+const idleTime = 3 * time.Second
+
+// liesIdle asks for a job from finish after the end of the traffic on, until it has been without a run
+// for idleTime although it has not ended, or until it has ended or the time is up.
+func (d *deployment) liesIdle(id string, trafficEnd time.Time, until time.Duration) bool {
+	time.Sleep(time.Until(trafficEnd.Add(finish)))
+	idleSince := time.Now()
+	for time.Since(d.began) < until {
+		running := false
+		for _, r := range d.runsOf(id) {
+			running = running || r.ended == ""
+		}
+		state := d.state(id)
+		switch {
+		case state == "completed":
+			return false
+		case running || state == "":
+			idleSince = time.Now()
+		case time.Since(idleSince) > idleTime:
+			d.note("the job is shown as %q and has had nothing running for %.1f s", state, time.Since(idleSince).Seconds())
+			return true
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	return false
+}
+
+// playTwoLives: the control machine that leads loses power for 3.5 s, and a worker of its zone crashes. The
+// worker starts again under its id and is lost for good before its first status report is confirmed.
+func playTwoLives(d *deployment) bool {
+	d.begin(9)
+	const id = "3fa57590b897d450"
+	d.submit(id, job(9, 8, 8000, 8000)) // one work unit for each worker
+	time.Sleep(1500 * time.Millisecond)
+	leader := d.leader()
+	if d.trouble {
+		w := d.workerBeside(id, leader)
+		d.note("%s leads and loses power", leader.name)
+		leader.front.setDark(true)
+		leader.kill()
+		w.kill()
+		time.Sleep(500 * time.Millisecond)
+		w.start()
+		time.Sleep(950 * time.Millisecond)
+		w.kill()
+		time.Sleep(2 * time.Second)
+		leader.start(false)
+		leader.front.setDark(false)
+	}
+	// The lease of the lost worker ends within maxHold; the traffic goes on for as long.
+	time.Sleep(maxHold)
+	lost := d.liesIdle(id, time.Now(), 60*time.Second)
+	if lost { // shows that it does not go on by itself
+		for time.Since(d.began) < 65*time.Second {
+			time.Sleep(5 * time.Second)
+			if d.state(id) == "completed" {
+				break
+			}
+		}
+	}
+	return !lost
+}
+
+// workerBeside returns a worker with a work unit of a job in the zone of a control instance.
+func (d *deployment) workerBeside(id string, c *instance) *workerProcess {
+	for _, r := range d.runsOf(id) {
+		if w := d.worker(r.worker); r.ended == "" && d.controls[w.zoneIndex] == c {
+			return w
+		}
+	}
+	notRun("no work unit runs in the zone of %s", c.name)
+	return nil
+}
+
+// playGone: four workers are lost for good, one after the other, each just after it has taken a job's
+// only work unit.
+func playGone(d *deployment) bool {
+	d.begin(30)
+	const id = "d108dafe411cc534"
+	d.submit(id, job(1, 8, 4000, 4000))
+	after := d.began
+	for i := range 4 {
+		r := d.awaitRun(id, after, 25*time.Second)
+		if r == nil {
+			notRun("the work unit was not started")
+		}
+		after = r.begunAt
+		if !d.trouble {
+			break
+		}
+		time.Sleep(150 * time.Millisecond)
+		d.worker(r.worker).kill()
+		d.note("%d workers are lost", i+1)
+	}
+	return !d.liesIdle(id, time.Now(), 110*time.Second)
+}
+
+// playHost: a desired state adds a route whose host has a capital letter.
+func playHost(d *deployment) bool {
+	d.begin(3)
+	host := "ficu95.example"
+	if d.trouble {
+		host = "Ficu95.example"
+	}
+	d.publish(2, route("r-ce7ejsm", hostName, queuePath)+","+route("r-zzyyjsg", host, "/pufi791/"))
+	time.Sleep(2500 * time.Millisecond) // config_apply_ms is 2,000
+	held := true
+	for i, e := range d.entries {
+		path := fmt.Sprintf("/pufi791/%016x", 0x5c0e7a21d94b3600+i)
+		status, reply := d.call("POST", e.address(portCaller), path, host, keyText, job(1, 1, 500, 500))
+		d.note("POST %s, Host: %s, to %s: %d %s", path, host, e.name, status, reply)
+		if status == 404 {
+			held = false
+		}
+	}
+	return held
+}
