--- a/review/_cases3/cases.go
+++ b/review/_cases3/cases.go
@@ -1,7 +1,10 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
+	"net/http"
+	"syscall"
 	"time"
 )
 
@@ -11,6 +14,10 @@
 	"twolives": playTwoLives,
 	"gone":     playGone,
 	"host":     playHost,
+	"pending":  playPending,
+	"renamed":  playRenamed,
+	"suspend":  playSuspend,
+	"longunit": playLongUnit,
 }
 
 // begin publishes the first desired state and waits for the workers.
@@ -203,3 +210,132 @@
 	}
 	return held
 }
+
+// playPending: three workers of 24 are lost for good, and just after that 24 jobs come, one for each worker.
+func playPending(d *deployment) bool {
+	d.begin(24)
+	if d.trouble {
+		for _, i := range []int{3, 10, 17} {
+			d.workers[i].kill()
+		}
+	}
+	accepted := map[string]time.Time{}
+	for i := range 24 {
+		id := fmt.Sprintf("%016x", 0x5c0e7a21d94b3600+i)
+		d.submit(id, job(1, 8, 25000, 25000))
+		accepted[id] = time.Now()
+	}
+	const visible = 3 * time.Second // visible_ms
+	held := true
+	for range 40 {
+		time.Sleep(200 * time.Millisecond)
+		asked := time.Now()
+		status, reply := d.call(http.MethodGet, d.entries[0].address(portCaller), queuePath, hostName, keyText, "")
+		var out struct {
+			Pending int `json:"pending"`
+		}
+		if status != http.StatusOK || json.Unmarshal([]byte(reply), &out) != nil {
+			continue
+		}
+		waiting := 0
+		for id, at := range accepted {
+			if len(d.runsOf(id)) == 0 && asked.Sub(at) > visible+2*time.Second {
+				waiting++
+			}
+		}
+		d.note("GET %s: %d %s; jobs accepted over 5 s before that have not begun: %d", queuePath, status, reply, waiting)
+		if 2*out.Pending < waiting {
+			held = false
+		}
+	}
+	return held
+}
+
+// playRenamed: a desired state gives the tenant another name. Its key and all else stay as they are.
+func playRenamed(d *deployment) bool {
+	d.begin(3)
+	const id = "7c1e50aa93d2b684"
+	d.submit(id, job(1, 1, 20000, 20000))
+	d.state(id)
+	if d.trouble {
+		d.tenant = "kaje81"
+	}
+	d.publish(2, route("r-ce7ejsm", hostName, queuePath))
+	time.Sleep(4 * time.Second) // visible_ms is 3,000
+	held := true
+	for range 2 {
+		for _, e := range d.entries {
+			status, reply := d.call(http.MethodGet, e.address(portCaller), queuePath+id, hostName, keyText, "")
+			d.note("GET %s at %s: %d %s", queuePath+id, e.name, status, reply)
+			if status == http.StatusGone {
+				held = false
+			}
+		}
+		time.Sleep(time.Second)
+	}
+	status, reply := d.call(http.MethodPost, d.entries[0].address(portCaller), queuePath+id, hostName, keyText, job(1, 1, 20000, 20000))
+	d.note("the same POST again: %d %s", status, reply)
+	return held
+}
+
+// playSuspend: the only worker of a kind fails all that it starts for 6.5 s. Some twenty seconds later each of the
+// two lasting jobs that need the kind fails once, 3 s apart, as work units do at any time.
+func playSuspend(d *deployment) bool {
+	d.special = 1
+	d.begin(12)
+	w := d.workers[0]
+	jobs := []string{"1a2b3c4d5e6f7081", "2a2b3c4d5e6f7082"}
+	for _, id := range jobs {
+		d.submit(id, `{"task_spec":"work_ms=0","steps":[{"count":1,"cpu":3700,"mem_mb":11000,"gpu":1,"estimate_ms":1000,"required_label":"b","long_running":true}]}`)
+	}
+	time.Sleep(3 * time.Second)
+	if d.trouble {
+		w.signal(syscall.SIGUSR1, "fails all that it starts")
+		time.Sleep(6500 * time.Millisecond)
+		w.signal(syscall.SIGUSR2, "is sound again")
+	}
+	time.Sleep(18 * time.Second)
+	for _, id := range jobs {
+		if r := d.awaitRun(id, d.began, 15*time.Second); r == nil {
+			notRun("a lasting job is not at work")
+		}
+	}
+	w.signal(syscall.SIGHUP, "fails one run")
+	time.Sleep(3 * time.Second)
+	w.signal(syscall.SIGHUP, "fails another run")
+	time.Sleep(20 * time.Millisecond)
+	last := time.Now()
+	var id string // the job whose run has just failed
+	for _, j := range jobs {
+		if d.awaitRun(j, d.began, time.Millisecond) == nil {
+			id = j
+		}
+	}
+	if id == "" || !d.trouble && d.awaitRun(id, last, 5*time.Second) == nil {
+		notRun("no run has failed, or it is not started again")
+	}
+	r := d.awaitRun(id, last, 14*time.Second)
+	if r == nil {
+		return false
+	}
+	idle := r.begunAt.Sub(last)
+	d.note("%s is at work again %.1f s after its last run", id, idle.Seconds())
+	return idle < lastingPause+idleTime
+}
+
+// lastingPause is the time after the last run of a lasting work unit from which on it may not lie idle.
+const lastingPause = 6 * time.Second
+
+// playLongUnit: a work unit takes an hour, as its estimate says. It is no case, as no rule names it: the unit is
+// stopped as stalled and started again every 6 s, because its progress stays at one percent for 36 s.
+func playLongUnit(d *deployment) bool {
+	d.begin(3)
+	const id = "8d40c6b7e1f52a93"
+	work := 3_600_000
+	if !d.trouble {
+		work = 100_000
+	}
+	d.submit(id, job(1, 8, work, work))
+	time.Sleep(45 * time.Second)
+	return len(d.runsOf(id)) == 1
+}
--- a/review/_cases3/deployment.go
+++ b/review/_cases3/deployment.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -43,6 +44,8 @@
 	net                int // second byte of the addresses
 	base               int // first of the ports
 	trouble            bool
+	special            int // workers of the kind "b"
+	tenant             string
 	record             *os.File
 	began              time.Time
 
@@ -68,6 +71,7 @@
 type workerProcess struct {
 	d                       *deployment
 	id, address, zone, rack string
+	kind                    string // the first label; "" stands for "a"
 	zoneIndex               int
 	cmd                     *exec.Cmd
 	read                    chan struct{} // closed when all that the life has printed is recorded
@@ -102,7 +106,7 @@
 	self, _ := os.Executable()
 	d := &deployment{
 		dir: dir, self: self, program: filepath.Join(filepath.Dir(self), "teaselpaddle-region"),
-		net: 1 + os.Getpid()%250, trouble: trouble, record: record, began: time.Now(),
+		net: 1 + os.Getpid()%250, trouble: trouble, tenant: "kaje80", record: record, began: time.Now(),
 	}
 	defer d.end()
 	interrupted := make(chan os.Signal, 1)
@@ -293,6 +297,9 @@
 			d: d, id: fmt.Sprintf("i-%08x", 0x7f3a91c2+i), zoneIndex: i % zoneCount, zone: zoneName(i), rack: fmt.Sprintf("r%d", i%zoneCount),
 			address: fmt.Sprintf("127.%d.88.%d:%d", d.net, i+1, d.base+portWorker),
 		}
+		if i < d.special {
+			w.kind = "b"
+		}
 		d.workers = append(d.workers, w)
 		w.start()
 	}
@@ -304,7 +311,7 @@
 	for i := range zoneCount {
 		controls = append(controls, w.d.controls[(w.zoneIndex+i)%zoneCount].address(portFront))
 	}
-	w.cmd = exec.Command(w.d.self, "worker", "-id", w.id, "-address", w.address, "-zone", w.zone, "-rack", w.rack, "-service", service,
+	w.cmd = exec.Command(w.d.self, "worker", "-kind", cmp.Or(w.kind, "a"), "-id", w.id, "-address", w.address, "-zone", w.zone, "-rack", w.rack, "-service", service,
 		"-controls", strings.Join(controls, ","))
 	out, err := w.cmd.StdoutPipe()
 	if err == nil {
@@ -374,6 +381,12 @@
 	return out
 }
 
+// signal sends a signal to the worker.
+func (w *workerProcess) signal(s syscall.Signal, meaning string) {
+	_ = w.cmd.Process.Signal(s)
+	w.d.note("worker %s %s", w.id, meaning)
+}
+
 func (d *deployment) worker(id string) *workerProcess {
 	for _, w := range d.workers {
 		if w.id == id {
@@ -411,7 +424,7 @@
 func (d *deployment) publish(version int, routes string) {
 	body := fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":%q,"health_path":"/health","max_connections":64,"protocol":"h1","tls":false,"enforces_capacity":false,"standby":false}],`+
 		`"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000},`+
-		`"tenants":[{"name":"kaje80","api_keys":[%q],"priority":1,"guaranteed_gpus":{"gpu":8}}]}`, version, routes, service, keyText)
+		`"tenants":[{"name":%q,"api_keys":[%q],"priority":1,"guaranteed_gpus":{"gpu":8}}]}`, version, routes, service, d.tenant, keyText)
 	for i := range 100 {
 		c := d.controls[i%len(d.controls)]
 		status, _ := d.call(http.MethodPost, c.address(portControl), "/config/put", "", "", body)
--- a/review/_cases3/worker.go
+++ b/review/_cases3/worker.go
@@ -10,9 +10,11 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -20,6 +22,7 @@
 const (
 	maxHold        = 10 * time.Second
 	stopTime       = 100 * time.Millisecond // at most stop_ms
+	failTime       = 100 * time.Millisecond // after which a failing worker's runs fail
 	heartbeatEvery = 1500 * time.Millisecond
 	maxListedEnds  = 500
 	clockStartMS   = 1000
@@ -67,6 +70,7 @@
 	fence    uint64
 	untilMS  int64
 	sequence int
+	failing  bool          // fails all that it starts
 	changed  chan struct{} // closed and replaced at each end
 }
 
@@ -90,10 +94,11 @@
 	f.StringVar(&w.rack, "rack", "r1", "rack")
 	f.StringVar(&w.service, "service", "", "service")
 	f.IntVar(&w.gpus, "gpus", 8, "accelerators")
+	kind := f.String("kind", "a", "kind, the first label")
 	controls := f.String("controls", "", "addresses of the control daemons, the first one first")
 	_ = f.Parse(args)
 	w.controls = strings.Split(*controls, ",")
-	w.labels = []string{"a", w.rack}
+	w.labels = []string{*kind, w.rack}
 	ln, err := net.Listen("tcp", w.address)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -108,6 +113,7 @@
 	mux.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
 	go w.advance()
 	go w.report()
+	go w.obeySignals()
 	_ = http.Serve(ln, mux)
 }
 
@@ -227,6 +233,8 @@
 			switch {
 			case w.clockMS() > w.untilMS:
 				w.end(r, "lapsed")
+			case w.failing && now.Sub(r.begunAt) >= failTime:
+				w.end(r, "failed")
 			case !r.stoppedAt.IsZero() && now.After(r.stoppedAt):
 				w.end(r, "stopped")
 			case r.work > 0 && now.Sub(r.begunAt) >= r.work:
@@ -237,6 +245,28 @@
 	}
 }
 
+// obeySignals lets runs fail: SIGUSR1 all from now on, SIGUSR2 none, SIGHUP the one that began first, once.
+func (w *standinWorker) obeySignals() {
+	c := make(chan os.Signal, 4)
+	signal.Notify(c, syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGHUP)
+	for s := range c {
+		w.mu.Lock()
+		w.failing = s == syscall.SIGUSR1
+		if s == syscall.SIGHUP {
+			var first *standinRun
+			for _, r := range w.running {
+				if first == nil || r.begunAt.Before(first.begunAt) {
+					first = r
+				}
+			}
+			if first != nil {
+				w.end(first, "failed")
+			}
+		}
+		w.mu.Unlock()
+	}
+}
+
 func (w *standinWorker) end(r *standinRun, how string) {
 	delete(w.running, r.task)
 	w.ended[r.task] = max(w.ended[r.task], r.run)
