--- a/review/_cases3/cases.go
+++ b/review/_cases3/cases.go
@@ -17,6 +17,7 @@
 	"pending":  playPending,
 	"renamed":  playRenamed,
 	"suspend":  playSuspend,
+	"moved":    playMoved,
 	"longunit": playLongUnit,
 }
 
@@ -278,6 +279,32 @@
 	return held
 }
 
+// playMoved: a desired state gives a route another path prefix, under the same name, while the first of two steps
+// of a job is at work.
+func playMoved(d *deployment) bool {
+	d.begin(6)
+	const id, newPath = "9e27d5a4c3b81f60", "/lohu931/"
+	d.submit(id, `{"task_spec":"work_ms=4000","steps":[{"count":1,"cpu":13000,"mem_mb":70000,"gpu":8,"estimate_ms":4000},`+
+		`{"count":1,"cpu":13000,"mem_mb":70000,"gpu":8,"estimate_ms":4000,"depends_on":[0]}]}`)
+	time.Sleep(time.Second)
+	if d.trouble {
+		d.publish(2, route("r-ce7ejsm", hostName, newPath))
+		d.path = newPath
+	} else {
+		d.publish(2, route("r-ce7ejsm", hostName, queuePath))
+	}
+	lost := d.liesIdle(id, time.Now().Add(8*time.Second), 60*time.Second)
+	if lost { // shows that it does not go on by itself
+		time.Sleep(20 * time.Second)
+		d.state(id)
+		d.submit("0e27d5a4c3b81f61", job(1, 8, 500, 500)) // a new job of the route
+		time.Sleep(2 * time.Second)
+		d.state("0e27d5a4c3b81f61")
+		d.state(id)
+	}
+	return !lost
+}
+
 // playSuspend: the only worker of a kind fails all that it starts for 6.5 s. Some twenty seconds later each of the
 // two lasting jobs that need the kind fails once, 3 s apart, as work units do at any time.
 func playSuspend(d *deployment) bool {
--- a/review/_cases3/deployment.go
+++ b/review/_cases3/deployment.go
@@ -46,6 +46,7 @@
 	trouble            bool
 	special            int // workers of the kind "b"
 	tenant             string
+	path               string // path prefix of the queue
 	record             *os.File
 	began              time.Time
 
@@ -106,7 +107,7 @@
 	self, _ := os.Executable()
 	d := &deployment{
 		dir: dir, self: self, program: filepath.Join(filepath.Dir(self), "teaselpaddle-region"),
-		net: 1 + os.Getpid()%250, trouble: trouble, tenant: "kaje80", record: record, began: time.Now(),
+		net: 1 + os.Getpid()%250, trouble: trouble, tenant: "kaje80", path: queuePath, record: record, began: time.Now(),
 	}
 	defer d.end()
 	interrupted := make(chan os.Signal, 1)
@@ -447,8 +448,8 @@
 func (d *deployment) submit(id, body string) {
 	for i := range 60 {
 		e := d.entries[i%len(d.entries)]
-		status, reply := d.call(http.MethodPost, e.address(portCaller), queuePath+id, hostName, keyText, body)
-		d.note("POST %s to %s: %d %s", queuePath+id, e.name, status, reply)
+		status, reply := d.call(http.MethodPost, e.address(portCaller), d.path+id, hostName, keyText, body)
+		d.note("POST %s to %s: %d %s", d.path+id, e.name, status, reply)
 		if status == http.StatusOK {
 			return
 		}
@@ -461,16 +462,16 @@
 func (d *deployment) state(id string) string {
 	for i := range 20 {
 		e := d.entries[i%len(d.entries)]
-		status, reply := d.call(http.MethodGet, e.address(portCaller), queuePath+id, hostName, keyText, "")
+		status, reply := d.call(http.MethodGet, e.address(portCaller), d.path+id, hostName, keyText, "")
 		if status == http.StatusOK {
 			var out struct {
 				State string `json:"state"`
 			}
 			_ = json.Unmarshal([]byte(reply), &out)
-			d.note("GET %s at %s: %d %s", queuePath+id, e.name, status, reply)
+			d.note("GET %s at %s: %d %s", d.path+id, e.name, status, reply)
 			return out.State
 		}
-		d.note("GET %s at %s: %d %s", queuePath+id, e.name, status, reply)
+		d.note("GET %s at %s: %d %s", d.path+id, e.name, status, reply)
 		time.Sleep(250 * time.Millisecond)
 	}
 	return ""
