batch: a queue that gets another prefix keeps its jobs

What callers saw: a job of two steps stayed `running` for good after its route had got another path prefix.

Cause: a job records the name, host and prefix of its queue, and all look-ups used host and prefix. After the change the planner, the guarantee, `pending` and the limit of failed runs found no queue.

Change: View.QueueOf is the only way from a job to its queue: by the recorded name, then by the recorded address (a queue that was renamed). If another queue takes over the address, the job stays with its own.

Evidence: the logs show the end of the first step committed as `done` and no start after it. TestEntriesApplyAsInEarlierBuild passes unchanged.

--- a/internal/batch/admit.go
+++ b/internal/batch/admit.go
@@ -9,18 +9,22 @@
 // queueIndex looks up the queues and customers of one configuration.
 type queueIndex struct {
 	config        *Config
-	queuesByHost  map[string][]*Queue // by host, longest prefix first
-	customerByKey map[string]string   // customer name by key
+	queuesByHost  map[string][]*Queue // longest prefix first
+	queuesByName  map[string][]*Queue
+	customerByKey map[string]string // customer name by key
 }
 
 func newQueueIndex(c *Config) queueIndex {
-	x := queueIndex{config: c, queuesByHost: map[string][]*Queue{}, customerByKey: map[string]string{}}
+	x := queueIndex{config: c, queuesByHost: map[string][]*Queue{}, queuesByName: map[string][]*Queue{}, customerByKey: map[string]string{}}
 	if c == nil {
 		return x
 	}
 	for i := range c.Queues {
 		q := &c.Queues[i]
 		x.queuesByHost[q.Host] = append(x.queuesByHost[q.Host], q)
+		if q.Name != "" {
+			x.queuesByName[q.Name] = append(x.queuesByName[q.Name], q)
+		}
 	}
 	for _, qs := range maps.All(x.queuesByHost) {
 		slices.SortFunc(qs, func(a, b *Queue) int { return len(b.Prefix) - len(a.Prefix) })
@@ -33,40 +37,6 @@
 	return x
 }
 
-func (x *queueIndex) queue(host, prefix string) *Queue {
-	for _, q := range x.queuesByHost[host] {
-		if q.Prefix == prefix {
-			return q
-		}
-	}
-	return nil
-}
-
-// queueKey identifies a queue.
-type queueKey struct{ host, prefix string }
-
-// keepRemovedQueues updates removedQueues before another configuration takes effect.
-func (m *Machine) keepRemovedQueues(next *queueIndex) {
-	kept := map[queueKey]*Queue{}
-	seen := map[queueKey]bool{}
-	for _, j := range m.liveJobs {
-		k := queueKey{j.Host, j.Prefix}
-		if seen[k] {
-			continue
-		}
-		seen[k] = true
-		if next.queue(k.host, k.prefix) != nil {
-			continue
-		}
-		if q := m.index.queue(k.host, k.prefix); q != nil {
-			kept[k] = q
-		} else if q := m.removedQueues[k]; q != nil {
-			kept[k] = q
-		}
-	}
-	m.removedQueues = kept
-}
-
 // admit returns the queue and the customer of a request. The queue is nil unless the
 // verdict is OK.
 func (x *queueIndex) admit(c Call) (*Queue, string, Verdict) {
--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -156,8 +156,8 @@
 type Job struct {
 	ID         string      `cbor:"1,keyasint"`
 	Seq        uint64      `cbor:"2,keyasint"` // order of acceptance
-	Queue      string      `cbor:"3,keyasint"`
-	Host       string      `cbor:"4,keyasint"` // host and prefix of its queue
+	Queue      string      `cbor:"3,keyasint"` // name, host and prefix of its queue at its submission
+	Host       string      `cbor:"4,keyasint"`
 	Prefix     string      `cbor:"5,keyasint"`
 	Customer   string      `cbor:"6,keyasint,omitempty"`
 	Spec       Spec        `cbor:"7,keyasint"`
--- a/internal/batch/machine.go
+++ b/internal/batch/machine.go
@@ -42,7 +42,7 @@
 	// removedQueues holds the last definitions of queues that the configuration no longer has and
 	// of which there are live jobs. No entry has an effect that depends on it, so it is
 	// neither in snapshots nor known after a restart from one.
-	removedQueues map[queueKey]*Queue
+	removedQueues map[queueRef]*Queue
 	// notify is called after each change, without mu held.
 	notify func()
 }
--- a/internal/batch/view.go
+++ b/internal/batch/view.go
@@ -58,18 +58,6 @@
 // Workers returns the workers by id.
 func (v *View) Workers() map[string]*Worker { return v.m.state.Workers }
 
-// Queue returns the queue with a host and prefix, or nil.
-func (v *View) Queue(host, prefix string) *Queue { return v.m.index.queue(host, prefix) }
-
-// LastQueue returns the queue with a host and prefix, or its last definition if it has been removed
-// from the configuration, or nil if that is not known here.
-func (v *View) LastQueue(host, prefix string) *Queue {
-	if q := v.Queue(host, prefix); q != nil {
-		return q
-	}
-	return v.m.removedQueues[queueKey{host, prefix}]
-}
-
 // Admit checks a caller's request against the configuration in force and returns its
 // queue and customer. The queue is nil unless the verdict is OK.
 func (v *View) Admit(c Call) (*Queue, string, Verdict) { return v.m.index.admit(c) }
@@ -82,14 +70,3 @@
 	}
 	return j
 }
-
-// CountPending returns the number of jobs of a queue of which no unit has started.
-func (v *View) CountPending(q *Queue) int {
-	n := 0
-	for _, j := range v.m.liveJobs {
-		if j.State == Queued && j.Host == q.Host && j.Prefix == q.Prefix {
-			n++
-		}
-	}
-	return n
-}
--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -103,6 +103,7 @@
 	// lateStarts outlives the agents, see there.
 	lateStarts lateStarts
 	failures   recentFailures
+	uncounted  uncountedFailures
 	load       loadMeter
 	calls      *callLimit
 	// confirmedAt is the latest time of cfg.Steady at which this was certainly the leader, see
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -181,12 +181,13 @@
 				Speed: e.Log, SpeedSD: e.SD,
 			}
 		}
+		p.leadership.uncounted.retain(v.LiveJobs())
 		s.UrgentSpeed = urgentSpeed(v.Config())
 		guaranteed := guaranteedJobs(v)
 		for id, j := range v.LiveJobs() {
-			q := v.Queue(j.Host, j.Prefix)
+			q := v.QueueOf(j)
 			prio := lowestPriority
-			if last := v.LastQueue(j.Host, j.Prefix); last != nil {
+			if last := v.LastQueueOf(j); last != nil {
 				prio = last.Priority
 			}
 			for gi := range j.UnitGroups {
@@ -349,9 +350,9 @@
 		remaining[cu.Name] = cu.Guaranteed
 	}
 	for _, j := range bySeq(v.LiveJobs()) {
-		q := v.Queue(j.Host, j.Prefix)
+		q := v.QueueOf(j)
 		if q == nil && j.Active > 0 {
-			q = v.LastQueue(j.Host, j.Prefix)
+			q = v.LastQueueOf(j)
 		}
 		if q == nil || q.Priority != 0 || j.State.Final() {
 			continue
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -37,10 +37,10 @@
 	}
 	active, anyIncarnation := a.recordedRuns()
 	late := a.lateCompletions(rep, anyIncarnation)
-	undecided := a.undecidedFailures(rep)
+	unapplied := a.unappliedFailures(rep)
 	now := a.leadership.cfg.Now()
 	r := &receivedReport{UnitReport: rep, sent: sent, ackedEnd: ackedEnd, active: active}
-	if !a.takeReport(r, anyIncarnation, undecided, now) {
+	if !a.takeReport(r, anyIncarnation, unapplied, now) {
 		a.supersede(rep.Incarnation)
 		return false
 	}
@@ -61,9 +61,9 @@
 	return lateCommitted && !r.heldBack // what is not acknowledged makes the next hold return at once
 }
 
-// takeReport records the answer and the progress of the runs, and sets the ends to commit, without the
-// undecided failures. It returns false if another incarnation has answered.
-func (a *agent) takeReport(r *receivedReport, anyIncarnation map[runKey]bool, undecided map[runKey]int64, now time.Time) bool {
+// takeReport records the answer and the progress of the runs, and sets the ends to commit, with the
+// unapplied failures replaced. It returns false if another incarnation has answered.
+func (a *agent) takeReport(r *receivedReport, anyIncarnation map[runKey]bool, unapplied map[runKey]unappliedFailure, now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if r.Incarnation != 0 && r.Incarnation != a.worker.Incarnation {
@@ -84,7 +84,7 @@
 		r.reported[k], r.listed[k] = run, true
 	}
 	r.ends, r.lastEnd = recordedEnds(r.UnitReport, anyIncarnation, r.listed)
-	r.heldBack = a.holdBack(r, undecided, now)
+	r.heldBack = a.replaceUnapplied(r, unapplied, now)
 	for k := range r.active {
 		if r.listed[k] || r.MoreEnds || !a.isCertainlyAbsent(k, r.sent) {
 			continue
--- a/internal/region/handle.go
+++ b/internal/region/handle.go
@@ -152,7 +152,7 @@
 		if j == nil {
 			return // a retried submission of a concluded job
 		}
-		q := v.Queue(j.Host, j.Prefix)
+		q := v.QueueOf(j)
 		longRunning := slices.ContainsFunc(j.Spec.Steps, func(st batch.Step) bool { return st.LongRunning })
 		if q == nil || longRunning {
 			return // the job has no completion target
