batch: a renamed customer keeps its jobs, and a name that is given away shows nobody a foreign one

Whoever got the former name was shown the job and could cancel it.

Cause: a job records the name of its customer, and each later request is compared with the name that its key has now.

Change: the group knows a customer by an identity, its first published name. Customers are recognised by their keys, then by their names. A key that is given to another customer goes on giving access to the jobs that were accepted until then.

--- a/internal/batch/admit.go
+++ b/internal/batch/admit.go
@@ -11,11 +11,16 @@
 	config        *Config
 	queuesByHost  map[string][]*Queue // longest prefix first
 	queuesByName  map[string][]*Queue
-	customerByKey map[string]string // customer name by key
+	customerByKey map[string]string // identity by key
+	renamed       map[string]string // published name by identity, where they differ
+	formerKeys    map[string][]formerOwner
 }
 
 func newQueueIndex(c *Config) queueIndex {
-	x := queueIndex{config: c, queuesByHost: map[string][]*Queue{}, queuesByName: map[string][]*Queue{}, customerByKey: map[string]string{}}
+	x := queueIndex{
+		config: c, queuesByHost: map[string][]*Queue{}, queuesByName: map[string][]*Queue{},
+		customerByKey: map[string]string{}, renamed: map[string]string{}, formerKeys: map[string][]formerOwner{},
+	}
 	if c == nil {
 		return x
 	}
@@ -32,6 +37,12 @@
 	for _, cu := range c.Customers {
 		for _, k := range cu.Keys {
 			x.customerByKey[k] = cu.Name
+			if f, ok := parseFormerKey(cu.Name, k); ok {
+				x.formerKeys[f.key] = append(x.formerKeys[f.key], formerOwner{cu.Name, f})
+			}
+		}
+		if name := cu.PublishedName(); name != cu.Name {
+			x.renamed[cu.Name] = name
 		}
 	}
 	return x
--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -159,7 +159,7 @@
 	Queue      string      `cbor:"3,keyasint"` // name, host and prefix of its queue at its submission
 	Host       string      `cbor:"4,keyasint"`
 	Prefix     string      `cbor:"5,keyasint"`
-	Customer   string      `cbor:"6,keyasint,omitempty"`
+	Customer   string      `cbor:"6,keyasint,omitempty"` // identity of its customer
 	Spec       Spec        `cbor:"7,keyasint"`
 	AcceptedMS int64       `cbor:"8,keyasint"` // Unix ms, by the clock of the leader that accepted the job
 	State      State       `cbor:"9,keyasint,omitempty"`
@@ -276,7 +276,7 @@
 // Customer is a customer with its keys and the number of accelerators that is
 // guaranteed to its jobs of priority 0.
 type Customer struct {
-	Name       string   `cbor:"1,keyasint" json:"name"`
+	Name       string   `cbor:"1,keyasint" json:"name"` // in a committed configuration its identity, see WithIdentities
 	Keys       []string `cbor:"2,keyasint" json:"keys"`
 	Guaranteed int64    `cbor:"3,keyasint,omitempty" json:"guaranteed_accelerators,omitempty"`
 }
--- a/internal/dispatch/customers.go
+++ b/internal/dispatch/customers.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -87,36 +86,47 @@
 // customerViews returns the customers that are configured, have jobs, or have had runs
 // lately.
 func (p *planner) customerViews(s *place.Snapshot) []CustomerView {
-	byName := map[string]*CustomerView{}
-	of := func(name string) *CustomerView {
-		if byName[name] == nil {
-			byName[name] = &CustomerView{Name: name}
+	byIdentity := map[string]*CustomerView{}
+	of := func(identity string) *CustomerView {
+		if byIdentity[identity] == nil {
+			byIdentity[identity] = &CustomerView{}
 		}
-		return byName[name]
+		return byIdentity[identity]
 	}
 	p.leadership.cfg.Machine.View(func(v *batch.View) {
 		if c := v.Config(); c != nil {
 			for i := range c.Customers {
-				of(c.Customers[i].Name).Guaranteed = c.Customers[i].Guaranteed
+				if cu := &c.Customers[i]; !cu.IsFormer() {
+					of(cu.Name).Guaranteed = cu.Guaranteed
+				}
 			}
 		}
 	})
-	for name, held := range p.held {
-		of(name).InUse, of(name).Borrowed = held.all.Accelerators, held.borrowed
+	for identity, held := range p.held {
+		of(identity).InUse, of(identity).Borrowed = held.all.Accelerators, held.borrowed
 	}
 	for _, g := range s.Groups {
 		of(g.Customer).WaitingUnits += len(g.Waiting)
 	}
-	for name, use := range p.shares.Use() {
-		of(name).Share = use
+	for identity, use := range p.shares.Use() {
+		of(identity).Share = use
 	}
-	out := make([]CustomerView, 0, len(byName))
-	for _, name := range slices.SortedFunc(maps.Keys(byName), strings.Compare) {
-		out = append(out, *byName[name])
+	out := make([]CustomerView, 0, len(byIdentity))
+	for identity, view := range byIdentity {
+		view.Name = p.customerName(identity)
+		out = append(out, *view)
 	}
+	slices.SortFunc(out, func(a, b CustomerView) int { return strings.Compare(a.Name, b.Name) })
 	return out
 }
 
+// customerName returns the published name of a customer by its identity.
+func (p *planner) customerName(identity string) string {
+	var name string
+	p.leadership.cfg.Machine.View(func(v *batch.View) { name = v.CustomerName(identity) })
+	return name
+}
+
 // newCustomerMetrics returns the set of the customers' gauges. It is registered while this
 // instance leads.
 func newCustomerMetrics() *metrics.Set {
--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -383,7 +383,7 @@
 			}
 			logged[id] = true
 			telemetry.CountBy("teaselpaddle_jobs_concluded_total", "state", j.State.String())
-			l.log.Info("job concluded", "job", id, "state", j.State.String(), "queue", j.Queue, "customer", j.Customer,
+			l.log.Info("job concluded", "job", id, "state", j.State.String(), "queue", j.Queue, "customer", v.CustomerName(j.Customer),
 				"afterMS", atMS-j.AcceptedMS, "failedRuns", failedRuns(j), "failedBy", j.FailedBy.String())
 			if j.FailedBy != batch.NotFailed {
 				telemetry.CountBy("teaselpaddle_jobs_failed_total", "cause", j.FailedBy.String())
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -105,10 +105,11 @@
 	}
 	for _, r := range plan.Stops {
 		if a := p.leadership.agent(r.Worker); a != nil {
+			customer := p.customerName(r.Customer)
 			p.leadership.log.Info("run stopped to make room", "job", r.Ref.Job, "unit", r.Ref, "run", r.Run, "priority", r.Priority,
-				"for", r.For, "lostMS", r.LostMS, "customer", r.Customer)
+				"for", r.For, "lostMS", r.LostMS, "customer", customer)
 			telemetry.Count("teaselpaddle_preemptions_total")
-			countCustomer("preemptions_total", r.Customer)
+			countCustomer("preemptions_total", customer)
 			a.stop(runKey{r.Ref, r.Run})
 		}
 	}
--- a/internal/dispatch/starts.go
+++ b/internal/dispatch/starts.go
@@ -70,7 +70,7 @@
 			return
 		}
 		g := j.UnitGroup(s.Unit.Occurrence, s.Unit.Step)
-		payload, customer, ok = j.Spec.Payload, j.Customer, true
+		payload, customer, ok = j.Spec.Payload, v.CustomerName(j.Customer), true
 		checkpoint = checkpointOf(g, j.Step(g), &g.Units[s.Unit.Index])
 	})
 	a := p.leadership.agent(s.Worker)
--- a/internal/region/handle.go
+++ b/internal/region/handle.go
@@ -32,6 +32,11 @@
 // check validates what a request would write to the log. The instance that sent it has
 // done so before, but what is in the log must not fail on any instance.
 func (r *request) check() error {
+	if c := r.call(); c != nil {
+		if err := c.Check(); err != nil {
+			return err
+		}
+	}
 	switch {
 	case r.Submit != nil:
 		return r.Submit.Spec.Check()
@@ -45,6 +50,25 @@
 	return nil
 }
 
+// call returns the call of a caller's request, or nil if it has none.
+func (r *request) call() *batch.Call {
+	switch {
+	case r.Submit != nil:
+		return &r.Submit.Call
+	case r.Cancel != nil:
+		return &r.Cancel.Call
+	case r.Job != nil:
+		return &r.Job.Call
+	}
+	return r.Pending
+}
+
+// callForJob returns the call with which a request for a job is carried out.
+func (c *Control) callForJob(call batch.Call, job string) batch.Call {
+	c.machine.View(func(v *batch.View) { call = v.CallForJob(call, job) })
+	return call
+}
+
 // handleRequest carries out a request if this instance leads.
 func (c *Control) handleRequest(ctx context.Context, body []byte) *Reply {
 	st := c.group.Status()
@@ -73,6 +97,7 @@
 		// The clock of an entry instance may be wrong; times that are compared later all come
 		// from the leader.
 		req.Submit.AtMS = c.clock.NowMS()
+		req.Submit.Call = c.callForJob(req.Submit.Call, req.Submit.ID)
 		c.commit(ctx, rep, &batch.Command{Submit: req.Submit})
 		c.logVerdict("submission judged", req.Submit.ID, &req.Submit.Call, rep, st.Term)
 		if rep.Verdict == batch.OK && !rep.NotLeader && !rep.OutcomeUnknown {
@@ -80,6 +105,7 @@
 		}
 	case req.Cancel != nil:
 		req.Cancel.AtMS = c.clock.NowMS()
+		req.Cancel.Call = c.callForJob(req.Cancel.Call, req.Cancel.ID)
 		c.commit(ctx, rep, &batch.Command{Cancel: req.Cancel})
 		c.logVerdict("cancellation judged", req.Cancel.ID, &req.Cancel.Call, rep, st.Term)
 	case req.Publish != nil:
@@ -122,10 +148,17 @@
 	limits  *RequestLimits
 }
 
-// publish commits a configuration.
+// publish commits a configuration, with the identities of its customers.
 func (c *Control) publish(ctx context.Context, rep *Reply, cfg *batch.Config, term uint64) {
+	// The identities follow from the configuration in force, which a new leader may not have applied yet.
+	if err := c.group.ReadIndex(ctx); err != nil {
+		c.log.Info("configuration not committed: the one in force is not known", "version", cfg.Version, "error", err.Error())
+		rep.NotLeader = true
+		return
+	}
 	c.configChange.Lock()
 	defer c.configChange.Unlock()
+	c.machine.View(func(v *batch.View) { cfg = v.WithIdentities(cfg) })
 	c.commit(ctx, rep, &batch.Command{Publish: cfg})
 	c.log.Info("configuration judged", "version", cfg.Version, "verdict", rep.Verdict.String(),
 		"notLeader", rep.NotLeader, "unsure", rep.OutcomeUnknown, "term", term)
@@ -164,7 +197,7 @@
 			last = from + int64(j.Spec.Occurrences-1)*j.Spec.IntervalMS
 		}
 		work, atOnce := j.Demand()
-		c.log.Info("job recorded", "job", id, "queue", q.Name, "customer", j.Customer, "priority", q.Priority, "fromMS", from,
+		c.log.Info("job recorded", "job", id, "queue", q.Name, "customer", v.CustomerName(j.Customer), "priority", q.Priority, "fromMS", from,
 			"dueMS", q.CompletionTargetMS(last, j.LengthMS()), "lengthMS", j.LengthMS(), "workMS", work, "atOnce", atOnce)
 	})
 }
@@ -224,7 +257,7 @@
 			}
 			rep.Pending = v.CountPending(q)
 		case req.Job != nil:
-			q, customer, verdict := v.Admit(req.Job.Call)
+			q, customer, verdict := v.Admit(v.CallForJob(req.Job.Call, req.Job.ID))
 			rep.Verdict = verdict
 			if q == nil {
 				return
