batch: recognise customers in time that grows with their keys

Cause: comparing each customer of a configuration with each known one, key by key, takes seconds with thousands of customers, while no failure can be committed. Change: look-ups by key and by name.

The log line `configuration in force` counts renamed and former customers.

--- a/internal/batch/identity.go
+++ b/internal/batch/identity.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 )
 
@@ -22,6 +23,7 @@
 	formerKeys []formerKey
 	// continued is the account of the configuration before with the same identity, or nil.
 	continued *account
+	stored    bool // its reserved keys are in the configuration
 }
 
 // WithIdentities returns a copy of a published configuration in the form in which it is committed: with
@@ -38,9 +40,9 @@
 	for _, a := range present {
 		a.identity = "" // so far the name
 	}
-	var known []*account
+	known := newKnownAccounts(nil)
 	if cur := v.Config(); cur != nil {
-		known = cur.accounts()
+		known = newKnownAccounts(cur.accounts())
 	}
 	claimIdentities(present, known)
 	former := v.inheritKeys(present, known)
@@ -51,9 +53,14 @@
 		byName[a.name] = a
 	}
 	for i := range next.Customers {
-		if a := byName[next.Customers[i].Name]; a != nil {
-			next.Customers[i].Name = a.identity
+		a := byName[next.Customers[i].Name]
+		if a == nil {
+			continue
+		}
+		next.Customers[i].Name = a.identity
+		if !a.stored {
 			next.Customers[i].Keys = append(next.Customers[i].Keys, a.reservedKeys()...)
+			a.stored = true
 		}
 	}
 	for _, a := range former {
@@ -80,7 +87,7 @@
 		for _, k := range cu.Keys {
 			if !isReserved(k) {
 				a.keys = append(a.keys, k)
-			} else if f, ok := parseFormerKey(cu.Name, k); ok && !slices.Contains(a.formerKeys, f) {
+			} else if f, ok := parseFormerKey(cu.Name, k); ok {
 				a.formerKeys = append(a.formerKeys, f)
 			}
 		}
@@ -109,75 +116,102 @@
 	return keys
 }
 
-// sharedKeys returns how many keys of an account identify a known one.
-func (a *account) sharedKeys(known *account) int {
-	n := 0
-	for _, k := range known.identifyingKeys() {
-		if slices.Contains(a.keys, k) {
-			n++
+// knownAccounts are the accounts of the configuration in force, by what they are recognised by.
+type knownAccounts struct {
+	all           []*account
+	byKey, byName map[string][]*account
+	claimed       map[*account]bool
+}
+
+func newKnownAccounts(all []*account) *knownAccounts {
+	known := &knownAccounts{all: all, byKey: map[string][]*account{}, byName: map[string][]*account{}, claimed: map[*account]bool{}}
+	for _, a := range all {
+		known.byName[a.name] = append(known.byName[a.name], a)
+		for _, key := range a.identifyingKeys() {
+			known.byKey[key] = append(known.byKey[key], a)
 		}
 	}
-	return n
+	return known
+}
+
+// sharedKeys returns the known accounts that keys of an account identify, with the number of these keys.
+func (known *knownAccounts) sharedKeys(a *account) map[*account]int {
+	shared := map[*account]int{}
+	for _, key := range a.keys {
+		for _, k := range known.byKey[key] {
+			shared[k]++
+		}
+	}
+	return shared
+}
+
+// claim gives an account the identity of the known one with the highest positive weight that no other
+// account continues.
+func (known *knownAccounts) claim(a *account, weights map[*account]int) {
+	if a.continued != nil || len(weights) == 0 {
+		return
+	}
+	highest := 0
+	for _, k := range known.all {
+		if !known.claimed[k] && weights[k] > highest {
+			a.continued, highest = k, weights[k]
+		}
+	}
+	if a.continued != nil {
+		known.claimed[a.continued] = true
+		a.identity = a.continued.identity
+	}
 }
 
 // claimIdentities gives the accounts of a configuration the identities of the known ones that they
 // continue. An account is recognised by its keys first, because its callers hold them: a known account
 // is continued by the one of the same name if they share keys, then by the one with most of its keys,
 // and then by the one of the same name, whose keys have all been replaced.
-func claimIdentities(present, known []*account) {
-	claimed := map[*account]bool{}
-	claim := func(match func(a, k *account) int) {
-		for _, a := range present {
-			if a.continued != nil {
-				continue
-			}
-			for _, k := range known {
-				if n := match(a, k); !claimed[k] && n > 0 && (a.continued == nil || n > match(a, a.continued)) {
-					a.continued = k
-				}
-			}
-			if a.continued != nil {
-				claimed[a.continued] = true
-				a.identity = a.continued.identity
-			}
+func claimIdentities(present []*account, known *knownAccounts) {
+	merged := map[*account]bool{} // former accounts whose keys others hold
+	for _, a := range present {
+		shared := known.sharedKeys(a)
+		for k := range shared {
+			merged[k] = k.former
 		}
+		maps.DeleteFunc(shared, func(k *account, _ int) bool { return k.name != a.name })
+		known.claim(a, shared)
 	}
-	claim(func(a, k *account) int {
-		if a.name != k.name {
-			return 0
+	for _, a := range present {
+		if a.continued == nil {
+			known.claim(a, known.sharedKeys(a))
 		}
-		return a.sharedKeys(k)
-	})
-	claim((*account).sharedKeys)
-	claim(func(a, k *account) int {
-		// Others hold the keys of a former customer that was merged into theirs; its name is free.
-		if a.name != k.name || k.former && slices.ContainsFunc(present, func(p *account) bool { return p.sharedKeys(k) > 0 }) {
-			return 0
+	}
+	for _, a := range present {
+		sameName := map[*account]int{}
+		for _, k := range known.byName[a.name] {
+			if !merged[k] { // else its name is free
+				sameName[k] = 1
+			}
 		}
-		return 1
-	})
+		known.claim(a, sameName)
+	}
 }
 
 // inheritKeys gives the accounts that are continued their former keys, as far as others hold them and
 // there are jobs to access. It returns the former accounts: those with jobs that are not continued.
-func (v *View) inheritKeys(present, known []*account) []*account {
+func (v *View) inheritKeys(present []*account, known *knownAccounts) []*account {
 	oldest := v.oldestJobs()
 	held := map[string]bool{}
-	continued := map[*account]bool{}
 	for _, a := range present {
-		continued[a.continued] = true
-		for _, k := range a.keys {
-			held[k] = true
+		for _, key := range a.keys {
+			held[key] = true
 		}
 	}
 	for _, a := range present {
 		if a.continued != nil {
-			a.formerKeys = slices.DeleteFunc(a.continued.lostKeys(a.keys, v.m.state.NextSeq, oldest), func(f formerKey) bool { return !held[f.key] })
+			a.formerKeys = a.continued.lostKeys(a.keys, v.m.state.NextSeq, oldest)
+			a.formerKeys = slices.DeleteFunc(a.formerKeys, func(f formerKey) bool { return !held[f.key] })
 		}
 	}
 	var former []*account
-	for _, k := range known {
-		if _, hasJobs := oldest[k.identity]; hasJobs && !continued[k] {
+	for _, k := range known.all {
+		if _, hasJobs := oldest[k.identity]; hasJobs && !known.claimed[k] {
 			former = append(former, &account{
 				identity: k.identity, name: k.name, former: true, formerKeys: k.lostKeys(nil, v.m.state.NextSeq, oldest),
 			})
@@ -190,12 +224,16 @@
 // are jobs that they give access to. lastSeq is that of the last job, and oldest has the first one of
 // each customer.
 func (a *account) lostKeys(next []string, lastSeq uint64, oldest map[string]uint64) []formerKey {
+	kept := map[string]bool{}
+	for _, key := range next {
+		kept[key] = true
+	}
 	lost := slices.Clone(a.formerKeys)
-	for _, k := range a.keys {
-		lost = append(lost, formerKey{key: k, lastSeq: lastSeq})
+	for _, key := range a.keys {
+		lost = append(lost, formerKey{key: key, lastSeq: lastSeq})
 	}
 	first, hasJobs := oldest[a.identity]
-	return slices.DeleteFunc(lost, func(f formerKey) bool { return !hasJobs || f.lastSeq < first || slices.Contains(next, f.key) })
+	return slices.DeleteFunc(lost, func(f formerKey) bool { return !hasJobs || f.lastSeq < first || kept[f.key] })
 }
 
 // oldestJobs returns the order of acceptance of the first job that is kept of each customer.
--- a/internal/region/control.go
+++ b/internal/region/control.go
@@ -228,8 +228,17 @@
 			return
 		}
 		configGauge.Set(float64(cfg.Version))
+		former, renamed := 0, 0
+		for i := range cfg.Customers {
+			switch cu := &cfg.Customers[i]; {
+			case cu.IsFormer():
+				former++
+			case cu.PublishedName() != cu.Name:
+				renamed++
+			}
+		}
 		c.log.Info("configuration in force", "version", cfg.Version, "queues", len(cfg.Queues), "services", len(cfg.Services),
-			"customers", len(cfg.Customers))
+			"customers", len(cfg.Customers)-former, "renamed", renamed, "formerWithJobs", former)
 	})
 }
 
