--- a/internal/batch/compat_test.go
+++ b/internal/batch/compat_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"teaselpaddle.example/teaselpaddle/internal/codec"
 )
 
 // digestsOfEarlierBuild are the digests of the states to which the build of commit 0c1db54 applies the
@@ -115,3 +117,73 @@
 	}
 	is.True(states[Failed] > 0 && states[Completed] > 0 && states[Running] > 0) // else the logs test little
 }
+
+// digestsOfRenames are the digests of the states to which the build of commit 9f79e54 applies the logs
+// of renamesLog, by seed from 1 on.
+var digestsOfRenames = []string{
+	"d88f50b145a56bc0", "2c30e7d2773406a4", "7f2a59838d5a0bf8", "0c82b8e198d19499", "de03b2029e69d6c0",
+	"171ba42457b2fd12", "787981f19b04ab20", "3fc5ded2c9cb11b9", "8a59fbea79430cc1", "cff304f7815d9129",
+	"dc68322905ce64c0", "ac024c9d0edf4a56", "c0943a69ea31a1d1", "a0e256c9909fcfc9", "01bc489d0020cfa9",
+	"fd17ee468a94983e", "d688d2eb06b697e0", "1c2c5308c002549e", "d7f7d683681205b6", "10d9724444d649f4",
+}
+
+// renamesLog returns the entries that a leader commits while customers are renamed, merged and split,
+// submit jobs and cancel them.
+func renamesLog(t *testing.T, seed uint64) [][]byte {
+	r := rand.New(rand.NewPCG(seed, 62))
+	m := New(nil)
+	var log [][]byte
+	commit := func(c *Command) {
+		entry, err := codec.Marshal(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		log = append(log, entry)
+		m.Apply(uint64(len(log)), entry)
+	}
+	for i := range 300 {
+		key, id := fmt.Sprint("k", r.IntN(5)), fmt.Sprint("j", r.IntN(1+i/4))
+		call := Call{Host: "h", Path: "/q/" + id, Key: key}
+		m.View(func(v *View) { call = v.CallForJob(call, id) })
+		switch r.IntN(4) {
+		case 0:
+			c := testConfig(uint64(i+1), fmt.Sprint(i))
+			c.Customers = nil
+			for k := range 5 {
+				if n := r.IntN(5); n > 0 {
+					c.Customers = append(c.Customers, Customer{Name: fmt.Sprint("c", n), Keys: []string{fmt.Sprint("k", k)}, Guaranteed: int64(n)})
+				}
+			}
+			m.View(func(v *View) { c = v.WithIdentities(c) })
+			commit(&Command{Publish: c})
+		case 1:
+			commit(&Command{Cancel: &Cancel{Call: call, ID: id, AtMS: int64(i)}})
+		default:
+			commit(&Command{Submit: &Submit{Call: call, ID: id, Spec: Spec{Steps: []Step{{Count: 1}}}, AtMS: int64(i)}})
+		}
+	}
+	return log
+}
+
+// Guards against replicas of this build and of the one before whose states differ after a leader of this
+// build has renamed customers.
+func TestRenamesApplyAsInEarlierBuild(t *testing.T) {
+	is := is.New(t)
+	states := map[State]int{}
+	for i, digest := range digestsOfRenames {
+		m := New(nil)
+		for k, entry := range renamesLog(t, uint64(i+1)) {
+			m.Apply(uint64(k+1), entry)
+		}
+		state, err := m.Snapshot()
+		is.NoErr(err)
+		sum := sha256.Sum256(state)
+		if got := hex.EncodeToString(sum[:8]); got != digest {
+			t.Errorf("seed %d: %q", i+1, got)
+		}
+		for _, j := range m.state.Jobs {
+			states[j.State]++
+		}
+	}
+	is.True(states[Queued] > 0 && states[Cancelled] > 0) // else the logs test little
+}
