region: requests for a job are judged by the customer that their key has at the commit

What callers would see: 401, 409 or 410 for their own job, if its key changes hands at the same moment. Cause: the leader looks up the key with which a request is carried out before the commit, and a configuration may be committed in between, or the leader may be new and its configuration outdated. Change: no configuration is committed between the look-up and the commit of a request for a job that exists; if the look-up has another result afterwards, the command is committed again.

--- a/internal/region/customers_test.go
+++ b/internal/region/customers_test.go
@@ -150,3 +150,28 @@
 	config := ask(func(ctx context.Context, r *Router) (*Reply, error) { return r.Config(ctx) })
 	is.Equal(string(config.Document), "c k1, a k2") // as published
 }
+
+// A key changes hands back and forth while its holder sends a submission again and cancels the job. Guards
+// against a request that is judged by the customer that the key had before.
+func TestRequestsWhileKeyChangesHands(t *testing.T) {
+	is := is.New(t)
+	c := openSingleControl(t)
+	is.Equal(handle(t, c, &request{Publish: customerConfig(1, "a k1 k2")}).Verdict, batch.OK)
+	is.Equal(handle(t, c, submission("j1", "k1")).Verdict, batch.OK)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for version := uint64(2); version < 300; version++ {
+			handle(t, c, &request{Publish: customerConfig(version, []string{"a k1 k2", "a k2, b k1"}[version%2])})
+		}
+	}()
+	for {
+		select {
+		case <-done:
+			return
+		default:
+		}
+		is.Equal(handle(t, c, submission("j1", "k1")).Verdict, batch.OK)
+		is.Equal(handle(t, c, &request{Cancel: &batch.Cancel{Call: jobCall("j1", "k1"), ID: "j1"}}).Verdict, batch.OK)
+	}
+}
--- a/internal/region/handle.go
+++ b/internal/region/handle.go
@@ -63,10 +63,29 @@
 	return r.Pending
 }
 
-// callForJob returns the call with which a request for a job is carried out.
-func (c *Control) callForJob(call batch.Call, job string) batch.Call {
-	c.machine.View(func(v *batch.View) { call = v.CallForJob(call, job) })
-	return call
+// commitForJob commits a command with the call of a request for a job; see batch.View.CallForJob. A
+// configuration must not take effect between the look-up and the commit, unless the job is new. A new
+// leader may look the call up in an outdated configuration, and then commits the command again.
+func (c *Control) commitForJob(ctx context.Context, rep *Reply, call *batch.Call, job string, cmd *batch.Command) {
+	received := *call
+	lookUp := func() (looked batch.Call, known bool) {
+		c.machine.View(func(v *batch.View) {
+			looked, known = v.CallForJob(received, job), v.Job(job, "") != nil
+		})
+		return looked, known
+	}
+	if _, known := lookUp(); known {
+		c.configChange.RLock()
+		defer c.configChange.RUnlock()
+	}
+	for {
+		*call, _ = lookUp()
+		c.commit(ctx, rep, cmd)
+		now, _ := lookUp()
+		if now == *call || rep.Verdict == batch.OK || rep.NotLeader || rep.OutcomeUnknown {
+			return
+		}
+	}
 }
 
 // handleRequest carries out a request if this instance leads.
@@ -97,16 +116,14 @@
 		// The clock of an entry instance may be wrong; times that are compared later all come
 		// from the leader.
 		req.Submit.AtMS = c.clock.NowMS()
-		req.Submit.Call = c.callForJob(req.Submit.Call, req.Submit.ID)
-		c.commit(ctx, rep, &batch.Command{Submit: req.Submit})
+		c.commitForJob(ctx, rep, &req.Submit.Call, req.Submit.ID, &batch.Command{Submit: req.Submit})
 		c.logVerdict("submission judged", req.Submit.ID, &req.Submit.Call, rep, st.Term)
 		if rep.Verdict == batch.OK && !rep.NotLeader && !rep.OutcomeUnknown {
 			c.logRecordedJob(req.Submit.ID)
 		}
 	case req.Cancel != nil:
 		req.Cancel.AtMS = c.clock.NowMS()
-		req.Cancel.Call = c.callForJob(req.Cancel.Call, req.Cancel.ID)
-		c.commit(ctx, rep, &batch.Command{Cancel: req.Cancel})
+		c.commitForJob(ctx, rep, &req.Cancel.Call, req.Cancel.ID, &batch.Command{Cancel: req.Cancel})
 		c.logVerdict("cancellation judged", req.Cancel.ID, &req.Cancel.Call, rep, st.Term)
 	case req.Publish != nil:
 		c.publish(ctx, rep, req.Publish, st.Term)
